Add design, shared types and the control thread

Cause: an empty repository; five parts are to be written side by side and need one set of types and one owner for each piece of state. Ruled out: a lock per subsystem in place of the control thread; request threads would then see settings and membership of different moments.

--- /dev/null
+++ b/src/coordination.rs
@@ -0,0 +1,12 @@
+//! Connects the decisions to the outside: the control thread, its drivers and
+//! the running of requests.
+
+pub mod claims;
+pub mod control;
+pub mod error;
+pub mod membership;
+pub mod published;
+pub mod scheduling;
+pub mod settings;
+
+pub use error::Error;
--- /dev/null
+++ b/src/coordination/control.rs
@@ -0,0 +1,99 @@
+//! The control thread: the one owner of this host's control state.
+
+use {
+    crate::{
+        coordination::{
+            claims::{self, Claims},
+            membership::{self, Membership},
+            published::Published,
+            scheduling::{self, Scheduling},
+            settings::{self, Settings},
+        },
+        state::{clock::Time, view::View},
+        transport::boot_clock,
+    },
+    std::{
+        sync::mpsc::{Receiver, RecvTimeoutError},
+        time::Duration,
+    },
+};
+
+/// Longest time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+
+/// An event for one part of the control state.
+#[derive(Debug)]
+pub enum Event {
+    Claims(claims::Event),
+    Membership(membership::Event),
+    Scheduling(scheduling::Event),
+    Settings(settings::Event),
+    /// Ends the control thread.
+    Stop,
+}
+
+enum Next {
+    Continue,
+    Stop,
+}
+
+/// The control state of one host.
+#[derive(Debug)]
+pub struct Control {
+    pub claims: Claims,
+    pub membership: Membership,
+    pub published: Published,
+    pub scheduling: Scheduling,
+    pub settings: Settings,
+    pub view: View,
+}
+
+impl Control {
+    /// Handles events until one says to stop or every sender is gone.
+    pub fn run(mut self, receiver: &Receiver<Event>) {
+        let mut ticked = boot_clock::now();
+
+        loop {
+            let next = match receiver.recv_timeout(TICK) {
+                Ok(event) => self.handle(boot_clock::now(), event),
+                Err(RecvTimeoutError::Disconnected) => Next::Stop,
+                Err(RecvTimeoutError::Timeout) => Next::Continue,
+            };
+
+            if matches!(next, Next::Stop) {
+                return;
+            }
+
+            let now = boot_clock::now();
+
+            if now.since(ticked) >= TICK {
+                ticked = now;
+                self.tick(now);
+            }
+        }
+    }
+
+    fn handle(&mut self, now: Time, event: Event) -> Next {
+        let view = &mut self.view;
+
+        match event {
+            Event::Claims(event) => self.claims.handle(now, event, view),
+            Event::Membership(event) => self.membership.handle(now, event, view),
+            Event::Scheduling(event) => self.scheduling.handle(now, event, view),
+            Event::Settings(event) => self.settings.handle(now, event, view),
+            Event::Stop => return Next::Stop,
+        }
+
+        Next::Continue
+    }
+
+    fn tick(&mut self, now: Time) {
+        let view = &mut self.view;
+
+        self.claims.tick(now, view);
+        self.membership.tick(now, view);
+        self.settings.tick(now, view);
+        self.scheduling.tick(now, view);
+        self.published.set(view.clone());
+    }
+}
--- /dev/null
+++ b/src/coordination/error.rs
@@ -0,0 +1,14 @@
+//! Errors of the coordination layer.
+
+use {crate::protocol, snafu::Snafu};
+
+/// A duty of this host could not be carried out.
+#[derive(Debug)]
+#[derive(Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    #[snafu(transparent)]
+    Protocol { source: protocol::Error },
+    #[snafu(display("the control thread has stopped"))]
+    Stopped,
+}
--- /dev/null
+++ b/src/coordination/published.rs
@@ -0,0 +1,27 @@
+//! The view that the control thread publishes for request threads.
+
+use {
+    crate::state::view::View,
+    std::sync::{Arc, PoisonError, RwLock},
+};
+
+/// The latest view, shared between threads.
+#[derive(Clone, Debug)]
+pub struct Published(Arc<RwLock<Arc<View>>>);
+
+impl Published {
+    /// Publishes a first view.
+    pub fn new(view: View) -> Self {
+        Self(Arc::new(RwLock::new(Arc::new(view))))
+    }
+
+    /// Returns the latest view.
+    pub fn get(&self) -> Arc<View> {
+        Arc::clone(&self.0.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the view.
+    pub fn set(&self, view: View) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduling.rs
@@ -0,0 +1,104 @@
+//! The part of the control thread that drives the scheduler.
+
+use {
+    crate::state::{
+        action::Action, backlog, clock::Time, event, id, scheduler::Scheduler, view::View,
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, mpsc::Sender},
+    },
+};
+
+/// An event for this part.
+#[derive(Debug)]
+pub enum Event {
+    /// Asks for the rows of the backlog.
+    Backlog(Sender<Vec<backlog::Row>>),
+    /// A request thread registers where its actions go.
+    Register {
+        actions: Sender<Action>,
+        request: id::Request,
+    },
+    /// An event for the scheduler.
+    Scheduler(event::Event),
+}
+
+/// The scheduler and the channels of the requests in progress.
+#[derive(Debug)]
+pub struct Scheduling {
+    actions: Vec<Action>,
+    channels: HashMap<id::Request, Sender<Action>>,
+    policy_version: u64,
+    scheduler: Scheduler,
+}
+
+impl Scheduling {
+    /// Builds the part around a scheduler.
+    pub fn new(scheduler: Scheduler) -> Self {
+        Self {
+            actions: Vec::new(),
+            channels: HashMap::new(),
+            policy_version: 0,
+            scheduler,
+        }
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, now: Time, event: Event, view: &mut View) {
+        match event {
+            Event::Backlog(reply) => {
+                let _ = reply.send(self.scheduler.backlog(now));
+            }
+            Event::Register { actions, request } => {
+                self.channels.insert(request, actions);
+            }
+            Event::Scheduler(event) => self.schedule(now, event, view),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, view: &mut View) {
+        if view.policy.version != self.policy_version {
+            self.policy_version = view.policy.version;
+            let policy = Arc::clone(&view.policy);
+            self.schedule(now, event::Event::Policy(policy), view);
+        }
+
+        let demands = view
+            .members
+            .iter()
+            .map(|member| member.demand.clone())
+            .collect();
+        self.schedule(now, event::Event::Peers(demands), view);
+        self.schedule(now, event::Event::Tick, view);
+        view.local.outstanding = self.scheduler.outstanding();
+        view.local.demand = self.scheduler.demand();
+    }
+
+    fn schedule(&mut self, now: Time, event: event::Event, view: &mut View) {
+        if let event::Event::Endpoints(endpoints) = &event {
+            view.endpoints = Arc::new(endpoints.clone());
+        }
+
+        let ended = match &event {
+            event::Event::Ended { request } => Some(request.clone()),
+            _ => None,
+        };
+
+        self.scheduler.handle(now, event, &mut self.actions);
+
+        for action in self.actions.drain(..) {
+            if let Some(channel) = action
+                .request()
+                .and_then(|request| self.channels.get(request))
+            {
+                let _ = channel.send(action);
+            }
+        }
+
+        if let Some(request) = ended {
+            self.channels.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol.rs
@@ -0,0 +1,10 @@
+//! Typed messages and their codecs.
+
+pub mod call;
+pub mod caller;
+pub mod error;
+pub mod hosts;
+pub mod object;
+pub mod ticket;
+
+pub use error::Error;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,19 @@
+//! Pure decisions: events and the current time go in, what to do next comes
+//! out. Nothing here opens a socket, starts a thread or reads a clock.
+
+pub mod action;
+pub mod attempt;
+pub mod backlog;
+pub mod class;
+pub mod clock;
+pub mod endpoint;
+pub mod event;
+pub mod id;
+pub mod member;
+pub mod pipeline;
+pub mod policy;
+pub mod pool;
+pub mod refusal;
+pub mod request;
+pub mod scheduler;
+pub mod view;
--- /dev/null
+++ b/src/state/backlog.rs
@@ -0,0 +1,27 @@
+//! Work that waits, in the form operators see.
+
+use {
+    crate::state::id,
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+    std::time::Duration,
+};
+
+/// The queue of one team and class before one pool.
+#[serde_as]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Row {
+    pub class: id::Class,
+    pub depth: usize,
+    /// How far the last request in the queue is estimated to miss its deadline.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "estimated_lateness_ms")]
+    pub lateness: Duration,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "oldest_age_ms")]
+    pub oldest: Duration,
+    pub pool: id::Pool,
+    pub stage: id::Stage,
+    pub team: id::Team,
+}
--- /dev/null
+++ b/src/state/request.rs
@@ -0,0 +1,21 @@
+//! What the decision code knows of a request.
+
+use crate::state::{clock::Time, id, pipeline::Stage};
+
+/// A request without its body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Request {
+    pub arrived: Time,
+    pub class: id::Class,
+    pub deadline: Time,
+    /// Upper bound of generated tokens, 0 when the caller gave none.
+    pub max_tokens: u32,
+    pub pipeline: id::Pipeline,
+    /// Hash of the shared prompt prefix, for cache affinity.
+    pub prefix: Option<u64>,
+    /// Whether stages may be retried and hedged.
+    pub repeatable: bool,
+    pub request: id::Request,
+    pub stages: Vec<Stage>,
+    pub team: id::Team,
+}
--- /dev/null
+++ b/src/transport.rs
@@ -0,0 +1,6 @@
+//! Bytes in and out: HTTP client and server, peer links, metrics, clock.
+
+pub mod boot_clock;
+pub mod error;
+
+pub use error::Error;
