Add the settings tree, its keys, validation and INI form

Paths and keys are checked against a table of keys with types, units, ranges and defaults; a draft or a file is checked as a whole and every fault is listed at once. A pool must have a kind and a section of a stage must name a stage of its pipeline: both were left open by the design and a missing one is more likely a mistake than meant.

--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -6,5 +6,6 @@
 pub mod hosts;
 pub mod object;
 pub mod ticket;
+pub mod tree_file;
 
 pub use error::Error;
--- /dev/null
+++ b/src/state/change.rs
@@ -0,0 +1,120 @@
+//! Changes of the settings tree, from an operator's draft to the log.
+
+use {
+    crate::state::{
+        edit::{Edit, Wish},
+        fault::Fault,
+        tree::Tree,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// A change in the log. Its version is the version of the tree it results in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Change {
+    pub version: u64,
+    /// Chosen by the operator's tool; a repeated submission finds the change by
+    /// it.
+    pub operation: String,
+    pub author: String,
+    pub edits: Vec<Edit>,
+}
+
+/// A change as an operator submits it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Draft {
+    pub operation: String,
+    pub author: String,
+    pub edits: Vec<Wish>,
+}
+
+/// Two operators edited the same key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Conflict {
+    pub path: String,
+    pub key: String,
+    pub yours: Option<String>,
+    pub theirs: Option<String>,
+    /// Version of the tree that holds the other value.
+    pub version: u64,
+}
+
+/// What became of a submitted draft.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The change is in the log.
+    Accepted {
+        version: u64,
+    },
+    Conflict(Conflict),
+    Invalid(Vec<Fault>),
+    /// The change is not in the log and this host will not put it there.
+    NotRun,
+    /// The change may be in the log; submitting the same operation again tells.
+    Unknown,
+}
+
+impl Draft {
+    /// Turns the draft into edits of `tree`, which has this version.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the outcome to report when the draft is not valid, or when a
+    /// key no longer has the value that the operator saw.
+    pub fn edits(&self, version: u64, tree: &Tree) -> Result<Vec<Edit>, Outcome> {
+        for wish in &self.edits {
+            let theirs = tree.get(&wish.path, &wish.key);
+
+            if let Some(seen) = &wish.old
+                && seen.as_deref() != theirs
+            {
+                return Err(Outcome::Conflict(Conflict {
+                    path: wish.path.clone(),
+                    key: wish.key.clone(),
+                    yours: wish.new.clone(),
+                    theirs: theirs.map(Into::into),
+                    version,
+                }));
+            }
+        }
+
+        let faults = tree.check_draft(self);
+
+        if !faults.is_empty() {
+            return Err(Outcome::Invalid(faults));
+        }
+
+        Ok(self
+            .edits
+            .iter()
+            .map(|wish| Edit {
+                path: wish.path.clone(),
+                key: wish.key.clone(),
+                old: tree.get(&wish.path, &wish.key).map(Into::into),
+                new: wish.new.clone(),
+            })
+            .collect())
+    }
+}
+
+impl Change {
+    /// Returns the first edit whose key another change has set meanwhile.
+    pub fn conflict(&self, version: u64, tree: &Tree) -> Option<Conflict> {
+        self.edits.iter().find_map(|edit| {
+            let theirs = tree.get(&edit.path, &edit.key);
+
+            (theirs != edit.old.as_deref()).then(|| Conflict {
+                path: edit.path.clone(),
+                key: edit.key.clone(),
+                yours: edit.new.clone(),
+                theirs: theirs.map(Into::into),
+                version,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/src/state/validation.rs
@@ -0,0 +1,177 @@
+//! Checks of a settings tree and of a change as a whole.
+
+use crate::state::{
+    change::Draft,
+    fault::Fault,
+    key,
+    path::{self, PATHS, Subtree},
+    tree::Tree,
+};
+
+/// Most bytes of all paths, keys and values together. The snapshot must fit
+/// into one object of the object API, which takes 1 MB.
+const TREE_BYTES: usize = 800_000;
+
+/// Most bytes of one change, for the same reason.
+const CHANGE_BYTES: usize = 400_000;
+
+/// Most bytes of an operation id and of an author.
+const LABEL_BYTES: usize = 128;
+
+impl Tree {
+    /// Returns everything that is wrong with the tree.
+    pub fn check(&self) -> Vec<Fault> {
+        let mut faults = self
+            .values()
+            .filter_map(|(path, key, value)| check_value(path, key, Some(value)))
+            .collect::<Vec<Fault>>();
+        faults.extend(self.check_references());
+        faults
+    }
+
+    /// Returns everything that is wrong with a draft for this tree.
+    pub fn check_draft(&self, draft: &Draft) -> Vec<Fault> {
+        let mut faults = check_labels(draft);
+        let mut target = self.clone();
+
+        for wish in &draft.edits {
+            faults.extend(check_value(&wish.path, &wish.key, wish.new.as_deref()));
+            target.set(&wish.path, &wish.key, wish.new.as_deref());
+        }
+
+        faults.extend(target.check_references());
+        faults
+    }
+
+    fn check_references(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+
+        for pool in self.children(Subtree::Pools.name()) {
+            let path = format!("pools/{pool}");
+
+            if self.resolve(&path, "kind").is_none() {
+                faults.push(Fault::new(&path, "kind", "", expected("kind")));
+            }
+        }
+
+        for pipeline in self.children(Subtree::Pipelines.name()) {
+            self.check_pipeline(&format!("pipelines/{pipeline}"), &mut faults);
+        }
+
+        let bytes = self
+            .values()
+            .map(|(path, key, value)| path.len() + key.len() + value.len())
+            .sum::<usize>();
+
+        if bytes > TREE_BYTES {
+            let expected = format!("at most {TREE_BYTES} bytes of paths, keys and values");
+            faults.push(Fault::new("", "size", &bytes.to_string(), expected));
+        }
+
+        faults
+    }
+
+    fn check_pipeline(&self, path: &str, faults: &mut Vec<Fault>) {
+        let Some(value) = self.get(path, "stages") else {
+            faults.push(Fault::new(path, "stages", "", expected("stages")));
+            return;
+        };
+        let stages = key::names(value).collect::<Vec<&str>>();
+
+        for stage in self.children(path) {
+            if !stages.contains(&stage) {
+                let expected = format!("a stage of the pipeline: {}", stages.join(", "));
+                faults.push(Fault::new(&format!("{path}/{stage}"), "", stage, expected));
+            }
+        }
+
+        let pools = self.children(Subtree::Pools.name());
+
+        for stage in stages {
+            let path = format!("{path}/{stage}");
+            let pool = self
+                .resolve(&path, "pool")
+                .map_or(stage, |resolved| resolved.value);
+
+            if !pools.contains(pool) {
+                let expected = match pools.iter().copied().collect::<Vec<_>>().as_slice() {
+                    [] => "a pool under pools, which has none".into(),
+                    pools => format!("a pool under pools: {}", pools.join(", ")),
+                };
+                faults.push(Fault::new(&path, "pool", pool, expected));
+            }
+        }
+    }
+}
+
+fn check_labels(draft: &Draft) -> Vec<Fault> {
+    let mut faults = Vec::new();
+
+    for (name, value) in [("operation", &draft.operation), ("author", &draft.author)] {
+        if !(1..=LABEL_BYTES).contains(&value.len()) {
+            faults.push(Fault {
+                field: name.into(),
+                value: value.clone(),
+                expected: format!("1 to {LABEL_BYTES} bytes"),
+            });
+        }
+    }
+
+    let bytes = draft
+        .edits
+        .iter()
+        .map(|wish| wish.path.len() + wish.key.len() + wish.new.as_ref().map_or(0, String::len))
+        .sum::<usize>();
+
+    if draft.edits.is_empty() || bytes > CHANGE_BYTES {
+        faults.push(Fault {
+            field: "edits".into(),
+            value: format!("{} edits of {bytes} bytes", draft.edits.len()),
+            expected: format!("at least 1 edit and at most {CHANGE_BYTES} bytes"),
+        });
+    }
+
+    for (index, wish) in draft.edits.iter().enumerate() {
+        if draft.edits[..index]
+            .iter()
+            .any(|other| other.path == wish.path && other.key == wish.key)
+        {
+            let value = wish.new.as_deref().unwrap_or_default();
+            faults.push(Fault::new(
+                &wish.path,
+                &wish.key,
+                value,
+                "one edit of each key",
+            ));
+        }
+    }
+
+    faults
+}
+
+fn check_value(path: &str, name: &str, value: Option<&str>) -> Option<Fault> {
+    let shown = value.unwrap_or_default();
+
+    if path::subtree(path).is_none() {
+        return Some(Fault::new(path, name, path, PATHS));
+    }
+
+    // A key that is not known here may still be removed.
+    let value = value?;
+
+    let Some(key) = key::find(name) else {
+        let expected = format!("a known key; the nearest is {:?}", key::nearest(name).name);
+        return Some(Fault::new(path, name, shown, expected));
+    };
+
+    if !key.fits(path) {
+        let expected = format!("this key only on {}", key.paths());
+        return Some(Fault::new(path, name, shown, expected));
+    }
+
+    (!key.allows(value)).then(|| Fault::new(path, name, shown, key.expected()))
+}
+
+fn expected(name: &str) -> String {
+    key::find(name).map_or_else(String::new, key::Key::expected)
+}
