--- /dev/null
+++ b/src/coordination/tickets.rs
@@ -0,0 +1,138 @@
+//! Issues, signs and verifies tickets.
+
+use {
+    crate::{
+        protocol::{
+            self,
+            caller::TicketBody,
+            error::JsonSnafu,
+            hex,
+            ticket::{Home, Ticket, Witness},
+        },
+        state::{
+            clock::Time,
+            id,
+            member::{Member, Phase},
+            view::View,
+        },
+    },
+    hmac::{Hmac, Mac},
+    rand::seq::IndexedRandom,
+    sha2::Sha256,
+    snafu::ResultExt,
+    std::{fmt, time::Duration},
+};
+
+/// Number of most recently heard hosts among which a witness is drawn. A small
+/// number keeps the stamp fresh in a large fleet, where a host hears from most
+/// others only every minute or so.
+const CANDIDATES: usize = 16;
+
+/// The fleet's key, for tickets.
+#[derive(Clone)]
+pub struct Tickets(Hmac<Sha256>);
+
+impl fmt::Debug for Tickets {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("Tickets")
+    }
+}
+
+impl Tickets {
+    /// Uses the key that all hosts of the fleet share.
+    ///
+    /// # Panics
+    ///
+    /// Never panics: HMAC takes keys of any length.
+    pub fn new(fleet_key: &[u8]) -> Self {
+        Self(Hmac::new_from_slice(fleet_key).expect("HMAC takes keys of any length"))
+    }
+
+    /// Issues a ticket with this host as its home.
+    ///
+    /// The witness is drawn from the live peers heard most recently, outside
+    /// the home's failure domain if one of them is.
+    pub fn issue(&self, view: &View, now: Time, body: &TicketBody, deadline: Duration) -> Ticket {
+        let local = &view.local;
+
+        Ticket {
+            body_sha256: body.body_sha256.clone(),
+            class: body.class.clone(),
+            deadline,
+            home: Home {
+                address: local.caller_address,
+                host: local.host.clone(),
+                incarnation: local.incarnation,
+            },
+            issued: now,
+            pipeline: body.pipeline.clone(),
+            request: request(local),
+            team: body.team.clone(),
+            witness: witness(view),
+        }
+    }
+
+    /// Returns the ticket as signed text.
+    ///
+    /// # Panics
+    ///
+    /// Never panics: a ticket has no map keys that JSON cannot hold.
+    pub fn sign(&self, ticket: &Ticket) -> String {
+        let json = serde_json::to_vec(ticket).expect("a ticket is valid JSON");
+        let mac = self.0.clone().chain_update(&json).finalize().into_bytes();
+        format!("{}.{}", hex::encode(&json), hex::encode(&mac))
+    }
+
+    /// Reads signed text, comparing the signature in constant time.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for text that the fleet's key did not sign.
+    pub fn verify(&self, text: &str) -> Result<Ticket, protocol::Error> {
+        let json = self.signed(text).ok_or_else(|| protocol::Error::Field {
+            expected: "a ticket signed by this fleet".into(),
+            field: "Persimmon-Ticket".into(),
+            value: text.chars().take(64).collect(),
+        })?;
+
+        serde_json::from_slice(&json).context(JsonSnafu { what: "the ticket" })
+    }
+
+    fn signed(&self, text: &str) -> Option<Vec<u8>> {
+        let (json, mac) = text.split_once('.')?;
+        let (json, mac) = (hex::decode(json)?, hex::decode(mac)?);
+        self.0.clone().chain_update(&json).verify_slice(&mac).ok()?;
+        Some(json)
+    }
+}
+
+fn request(local: &Member) -> id::Request {
+    let Member {
+        host, incarnation, ..
+    } = local;
+
+    format!("{host}.{incarnation}.{:032x}", rand::random::<u128>()).into()
+}
+
+fn witness(view: &View) -> Option<Witness> {
+    let alive = || {
+        view.members
+            .iter()
+            .filter(|member| member.phase == Phase::Alive)
+    };
+    let mut candidates = alive()
+        .filter(|member| member.domain != view.local.domain)
+        .take(CANDIDATES)
+        .collect::<Vec<&Member>>();
+
+    if candidates.is_empty() {
+        candidates = alive().take(CANDIDATES).collect();
+    }
+
+    candidates.choose(&mut rand::rng()).map(|member| Witness {
+        address: member.peer_address,
+        host: member.host.clone(),
+        incarnation: member.incarnation,
+        stamp: member.clock,
+    })
+}
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod caller;
 pub mod error;
+pub mod hex;
 pub mod hosts;
 pub mod object;
 pub mod ticket;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -2,5 +2,6 @@
 
 pub mod boot_clock;
 pub mod error;
+pub mod links;
 
 pub use error::Error;
