Add the client of the object API

Settings, leases and status need the platform's object API. Calls are counted by kind for the admin status. Not run against a server yet.

--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -6,6 +6,7 @@
 pub mod hex;
 pub mod hosts;
 pub mod object;
+pub mod object_api;
 pub mod ticket;
 pub mod tree_file;
 
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -3,5 +3,6 @@
 pub mod boot_clock;
 pub mod error;
 pub mod links;
+pub mod object_api;
 
 pub use error::Error;
--- /dev/null
+++ b/src/transport/object_api.rs
@@ -0,0 +1,215 @@
+//! HTTP calls to the object API, counted by kind.
+
+use {
+    crate::transport::Error,
+    serde::{Deserialize, Serialize},
+    std::{
+        io,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering::Relaxed},
+        },
+        time::Duration,
+    },
+    ureq::{
+        Agent, AsSendBody, Body, Timeout,
+        http::{Method, Request, Response},
+    },
+};
+
+/// Longest time to connect.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Largest answer. A list of many large objects is read in pages.
+const ANSWER_BYTES: u64 = 64 << 20;
+
+/// The kinds of calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    Delete,
+    Get,
+    List,
+    Put,
+    Watch,
+}
+
+/// How many calls of each kind were made; clones share the counters.
+#[derive(Clone, Debug, Default)]
+pub struct Calls(Arc<Counters>);
+
+#[derive(Debug, Default)]
+struct Counters {
+    delete: AtomicU64,
+    get: AtomicU64,
+    list: AtomicU64,
+    put: AtomicU64,
+    watch: AtomicU64,
+}
+
+/// The counters at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Counts {
+    pub delete: u64,
+    pub get: u64,
+    pub list: u64,
+    pub put: u64,
+    pub watch: u64,
+}
+
+impl Calls {
+    /// Returns the counters.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            delete: self.0.delete.load(Relaxed),
+            get: self.0.get.load(Relaxed),
+            list: self.0.list.load(Relaxed),
+            put: self.0.put.load(Relaxed),
+            watch: self.0.watch.load(Relaxed),
+        }
+    }
+
+    fn count(&self, kind: Kind) {
+        let counter = match kind {
+            Kind::Delete => &self.0.delete,
+            Kind::Get => &self.0.get,
+            Kind::List => &self.0.list,
+            Kind::Put => &self.0.put,
+            Kind::Watch => &self.0.watch,
+        };
+        counter.fetch_add(1, Relaxed);
+    }
+}
+
+/// A call.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    pub body: &'a [u8],
+    /// The name and value of a condition.
+    pub header: Option<(&'a str, &'a str)>,
+    pub kind: Kind,
+    /// Path and query.
+    pub target: &'a str,
+    pub timeout: Duration,
+}
+
+/// An answer of any status.
+#[derive(Debug)]
+pub struct Answer {
+    pub body: Vec<u8>,
+    pub status: u16,
+}
+
+/// Connections to the object API.
+#[derive(Clone, Debug)]
+pub struct ObjectApi {
+    address: Arc<str>,
+    agent: Agent,
+    calls: Calls,
+}
+
+impl ObjectApi {
+    /// Builds a client for the object API at an address such as
+    /// `http://127.0.0.1:7200`.
+    pub fn new(address: &str, calls: Calls) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_connect(Some(CONNECT))
+            .build();
+
+        Self {
+            address: address.trim_end_matches('/').into(),
+            agent: config.into(),
+            calls,
+        }
+    }
+
+    /// Returns the address of the object API.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Makes a call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Connect` if nothing was sent, and with another error if the
+    /// call may have been carried out.
+    pub fn send(&self, call: Call) -> Result<Answer, Error> {
+        self.calls.count(call.kind);
+        self.exchange(call).map_err(|error| self.error(call, error))
+    }
+
+    fn exchange(&self, call: Call) -> Result<Answer, ureq::Error> {
+        let method = match call.kind {
+            Kind::Delete => Method::DELETE,
+            Kind::Get | Kind::List | Kind::Watch => Method::GET,
+            Kind::Put => Method::PUT,
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("{}{}", self.address, call.target));
+
+        if let Some((name, value)) = call.header {
+            request = request.header(name, value);
+        }
+
+        let mut response = if call.kind == Kind::Put {
+            self.run(request.body(call.body)?, call.timeout)?
+        } else {
+            self.run(request.body(())?, call.timeout)?
+        };
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(ANSWER_BYTES)
+            .read_to_vec()?;
+
+        Ok(Answer {
+            body,
+            status: response.status().as_u16(),
+        })
+    }
+
+    fn run(
+        &self,
+        request: Request<impl AsSendBody>,
+        timeout: Duration,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let request = self
+            .agent
+            .configure_request(request)
+            .timeout_global(Some(timeout))
+            .build();
+        self.agent.run(request)
+    }
+
+    fn error(&self, call: Call, error: ureq::Error) -> Error {
+        let address = self.address.to_string();
+
+        match error {
+            ureq::Error::ConnectionFailed
+            | ureq::Error::HostNotFound
+            | ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => Error::Connect {
+                address,
+                message: error.to_string(),
+            },
+            ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Error::Connect {
+                    address,
+                    message: error.to_string(),
+                }
+            }
+            ureq::Error::Timeout(_) => Error::Timeout {
+                address,
+                millis: u64::try_from(call.timeout.as_millis()).unwrap_or(u64::MAX),
+            },
+            error => Error::Broken {
+                address,
+                message: error.to_string(),
+            },
+        }
+    }
+}
