Add the replica of the settings and its proofs

Hosts had no way to read, pass on or change settings. The replica is a pure state machine: it applies consecutive changes only, catches up from peers or the store, and settles every creation by reading the log again. A change is reported as accepted only when it is found in the log.

Deleting old changes lets a host that was frozen create an old version again; settings/floor records through which version changes may be deleted, and nothing at or below it is believed.

The trials found one fault: a conflict was judged by the value alone, so a racing change that was set back again went unnoticed. It is now judged by the keys that other changes edit.

--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -103,18 +103,28 @@
 }
 
 impl Change {
-    /// Returns the first edit whose key another change has set meanwhile.
-    pub fn conflict(&self, version: u64, tree: &Tree) -> Option<Conflict> {
-        self.edits.iter().find_map(|edit| {
-            let theirs = tree.get(&edit.path, &edit.key);
+    /// Returns the first edit whose key one of the other changes sets as well;
+    /// they lead to `tree`, which has this version.
+    pub fn conflict<'a>(
+        &self,
+        others: impl Iterator<Item = &'a Self> + Clone,
+        version: u64,
+        tree: &Tree,
+    ) -> Option<Conflict> {
+        let same = |a: &Edit, b: &Edit| a.path == b.path && a.key == b.key;
+        let edit = self.edits.iter().find(|edit| {
+            others
+                .clone()
+                .flat_map(|other| &other.edits)
+                .any(|other| same(edit, other))
+        })?;
 
-            (theirs != edit.old.as_deref()).then(|| Conflict {
-                path: edit.path.clone(),
-                key: edit.key.clone(),
-                yours: edit.new.clone(),
-                theirs: theirs.map(Into::into),
-                version,
-            })
+        Some(Conflict {
+            path: edit.path.clone(),
+            key: edit.key.clone(),
+            yours: edit.new.clone(),
+            theirs: tree.get(&edit.path, &edit.key).map(Into::into),
+            version,
         })
     }
 }
--- /dev/null
+++ b/src/state/log.rs
@@ -0,0 +1,178 @@
+//! The changes that one host has applied, and the tree they lead to.
+
+use {
+    crate::state::{
+        change::Change,
+        snapshot::{Batch, Snapshot},
+        tree::Tree,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+};
+
+/// Most changes kept that cannot be applied yet.
+const AHEAD: usize = 2000;
+
+/// Most changes in one answer to a peer.
+const BATCH: usize = 256;
+
+/// The applied changes and their tree. Its version only rises.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// Changes that wait for a missing one before them.
+    ahead: BTreeMap<u64, Change>,
+    /// Number of changes and operations kept.
+    keep: u64,
+    operations: BTreeMap<u64, String>,
+    recent: BTreeMap<u64, Change>,
+    tree: Arc<Tree>,
+    version: u64,
+    versions: HashMap<String, u64>,
+}
+
+impl Log {
+    /// Builds an empty log that keeps this many changes.
+    pub fn new(keep: u64) -> Self {
+        Self {
+            ahead: BTreeMap::new(),
+            keep,
+            operations: BTreeMap::new(),
+            recent: BTreeMap::new(),
+            tree: Arc::default(),
+            version: 0,
+            versions: HashMap::new(),
+        }
+    }
+
+    /// Returns the version of the latest applied change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the tree at that version.
+    pub fn tree(&self) -> &Arc<Tree> {
+        &self.tree
+    }
+
+    /// Whether changes wait for a missing one.
+    pub fn has_gap(&self) -> bool {
+        !self.ahead.is_empty()
+    }
+
+    /// Returns the version of the change with this operation id, if it is
+    /// among those kept.
+    pub fn version_of(&self, operation: &str) -> Option<u64> {
+        self.versions.get(operation).copied()
+    }
+
+    /// Whether the operation of the change with this version is still known.
+    pub fn remembers(&self, version: u64) -> bool {
+        version + self.keep > self.version
+    }
+
+    /// Returns the latest changes, the newest first.
+    pub fn recent(&self) -> impl Iterator<Item = &Change> {
+        self.recent.values().rev()
+    }
+
+    /// Returns the changes from a version on, or `None` if some are not kept.
+    pub fn changes_from(&self, version: u64) -> Option<impl Iterator<Item = &Change> + Clone> {
+        self.recent.get(&version)?;
+        Some(self.recent.range(version..).map(|(_, change)| change))
+    }
+
+    /// Takes changes in any order and applies those that follow without a gap.
+    pub fn ingest(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            if change.version > self.version {
+                self.ahead.entry(change.version).or_insert(change);
+            }
+        }
+
+        self.drain();
+
+        while self.ahead.len() > AHEAD {
+            self.ahead.pop_last();
+        }
+    }
+
+    /// Takes a snapshot if it is newer.
+    pub fn install(&mut self, snapshot: Snapshot) {
+        if snapshot.version <= self.version {
+            return;
+        }
+
+        self.version = snapshot.version;
+        self.tree = Arc::new(snapshot.tree);
+        self.versions = snapshot
+            .operations
+            .iter()
+            .map(|(version, operation)| (operation.clone(), *version))
+            .collect();
+        self.operations = snapshot.operations;
+        self.recent.clear();
+        self.ahead = self.ahead.split_off(&(self.version + 1));
+        self.drain();
+    }
+
+    /// Returns what a host at `version` lacks, or a first part of it.
+    pub fn after(&self, version: u64) -> Batch {
+        if version < self.version && !self.recent.contains_key(&(version + 1)) {
+            return Batch::Snapshot(self.snapshot());
+        }
+
+        let changes = self.recent.range(version.saturating_add(1)..);
+        Batch::Changes(
+            changes
+                .take(BATCH)
+                .map(|(_, change)| change.clone())
+                .collect(),
+        )
+    }
+
+    /// Returns the whole settings.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            version: self.version,
+            tree: Tree::clone(&self.tree),
+            operations: self.operations.clone(),
+        }
+    }
+
+    fn drain(&mut self) {
+        while let Some(change) = self.ahead.remove(&(self.version + 1)) {
+            self.apply(change);
+        }
+    }
+
+    fn apply(&mut self, change: Change) {
+        self.version = change.version;
+        Arc::make_mut(&mut self.tree).apply(&change.edits);
+        self.operations
+            .insert(change.version, change.operation.clone());
+        self.versions
+            .insert(change.operation.clone(), change.version);
+        self.recent.insert(change.version, change);
+
+        let oldest = (self.version + 1).saturating_sub(self.keep);
+        while self
+            .recent
+            .first_key_value()
+            .is_some_and(|(version, _)| *version < oldest)
+        {
+            self.recent.pop_first();
+        }
+
+        while let Some(entry) = self.operations.first_entry()
+            && *entry.key() < oldest
+        {
+            let (version, operation) = entry.remove_entry();
+
+            if self.versions.get(&operation) == Some(&version) {
+                self.versions.remove(&operation);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/replica_action.rs
@@ -0,0 +1,19 @@
+//! What a replica of the settings wants done.
+
+use crate::state::{
+    change::{Change, Outcome},
+    id,
+    snapshot::{Floor, Snapshot},
+};
+
+/// What the replica wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    AskPeer { after: u64, peer: id::Host },
+    Create(Change),
+    List { after: u64 },
+    ReadSnapshot,
+    Reply { outcome: Outcome, ticket: u64 },
+    Watch { after: u64 },
+    WriteSnapshot { floor: Floor, snapshot: Snapshot },
+}
--- /dev/null
+++ b/src/state/settings_call.rs
@@ -0,0 +1,65 @@
+//! A call in a trial of settings replicas.
+
+use crate::state::{
+    proposal::Creation, replica_action::Action, replica_event::Event, settings_step::Fault,
+};
+
+/// A call in progress.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub action: Action,
+    /// What the caller is told, once the call was carried out.
+    pub answer: Option<Event>,
+    pub host: usize,
+}
+
+impl Call {
+    /// Returns what the caller is told under a fault.
+    pub fn end(&self, fault: Fault) -> Event {
+        match (self.answer.clone(), fault) {
+            (Some(answer), Fault::None | Fault::Refused) => answer,
+            (
+                Some(Event::Watched {
+                    mut changes,
+                    revision,
+                }),
+                fault,
+            ) => {
+                if fault == Fault::Lost {
+                    changes.pop();
+                } else {
+                    changes.reverse();
+                }
+
+                Event::Watched { changes, revision }
+            }
+            (Some(answer), Fault::Reordered) => answer,
+            (None, Fault::Refused) => refusal(&self.action),
+            (None, _) | (Some(_), Fault::Lost) => failure(&self.action),
+        }
+    }
+}
+
+fn failure(action: &Action) -> Event {
+    match action {
+        Action::AskPeer { peer, .. } => Event::PeerFailed { peer: peer.clone() },
+        Action::Create(change) => Event::Created {
+            creation: Creation::Unknown,
+            operation: change.operation.clone(),
+        },
+        Action::ReadSnapshot => Event::SnapshotFailed,
+        Action::Watch { .. } => Event::WatchFailed,
+        Action::WriteSnapshot { .. } => Event::SnapshotWritten(None),
+        Action::List { .. } | Action::Reply { .. } => Event::ListFailed,
+    }
+}
+
+fn refusal(action: &Action) -> Event {
+    match action {
+        Action::Create(change) => Event::Created {
+            creation: Creation::Refused,
+            operation: change.operation.clone(),
+        },
+        action => failure(action),
+    }
+}
--- /dev/null
+++ b/src/state/settings_store.rs
@@ -0,0 +1,177 @@
+//! A model of the object API's part in the settings, for trials of replicas.
+
+use {
+    crate::state::{
+        change::Change,
+        proposal::Creation,
+        replica_event::Event,
+        settings_violation::Violation,
+        snapshot::{Floor, Snapshot},
+        tree::Tree,
+    },
+    std::collections::{BTreeMap, btree_map::Entry},
+};
+
+/// The store, and what a perfect observer knows of the settings.
+#[derive(Clone, Debug)]
+pub struct Store {
+    events: Vec<Change>,
+    floor: Floor,
+    /// Every change that was ever accepted.
+    history: Vec<Change>,
+    keep: usize,
+    objects: BTreeMap<u64, Change>,
+    snapshot: Option<Snapshot>,
+    /// The tree after each accepted change, starting with the empty one.
+    trees: Vec<Tree>,
+}
+
+impl Store {
+    /// Builds an empty store.
+    pub fn new(keep: usize) -> Self {
+        Self {
+            events: Vec::new(),
+            floor: Floor::default(),
+            history: Vec::new(),
+            keep,
+            objects: BTreeMap::new(),
+            snapshot: None,
+            trees: vec![Tree::default()],
+        }
+    }
+
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.history.len() as u64
+    }
+
+    /// Returns the tree at a version that was accepted.
+    pub fn tree(&self, version: u64) -> Option<&Tree> {
+        self.trees.get(usize::try_from(version).ok()?)
+    }
+
+    /// Returns the change accepted with this version.
+    pub fn change(&self, version: u64) -> Option<&Change> {
+        self.history
+            .get(usize::try_from(version).ok()?.checked_sub(1)?)
+    }
+
+    /// Whether a change with this operation id was accepted.
+    pub fn has(&self, operation: &str) -> bool {
+        self.history
+            .iter()
+            .any(|change| change.operation == operation)
+    }
+
+    /// Creates a change that was based on version `base` at first, unless there
+    /// is one with its version.
+    pub fn create(&mut self, change: &Change, base: u64) -> Result<Event, Violation> {
+        if let Entry::Vacant(entry) = self.objects.entry(change.version) {
+            entry.insert(change.clone());
+            self.events.push(change.clone());
+            self.accept(change, base)?;
+        }
+
+        Ok(Event::Created {
+            creation: Creation::Answered,
+            operation: change.operation.clone(),
+        })
+    }
+
+    /// Lists the changes after a version.
+    pub fn list(&self, after: u64) -> Event {
+        Event::Listed {
+            changes: self
+                .objects
+                .range(after + 1..)
+                .map(|(_, change)| change.clone())
+                .collect(),
+            floor: self.floor,
+            revision: self.events.len() as u64,
+        }
+    }
+
+    /// Returns what a watch sees after a revision.
+    pub fn watch(&self, after: u64) -> Event {
+        let seen = usize::try_from(after).unwrap_or(usize::MAX);
+
+        Event::Watched {
+            changes: self.events.get(seen..).unwrap_or_default().to_vec(),
+            revision: self.events.len() as u64,
+        }
+    }
+
+    /// Reads the snapshot.
+    pub fn read_snapshot(&self) -> Event {
+        Event::SnapshotRead(self.snapshot.clone())
+    }
+
+    /// Writes a snapshot and its floor and deletes the changes below, or only
+    /// the first `parts` of these three.
+    pub fn write_snapshot(&mut self, snapshot: &Snapshot, floor: Floor, parts: u8) -> Event {
+        if self.floor.snapshot < floor.snapshot {
+            if self
+                .snapshot
+                .as_ref()
+                .is_none_or(|old| old.version < snapshot.version)
+            {
+                self.snapshot = Some(snapshot.clone());
+            }
+
+            if parts > 1 {
+                self.floor = floor;
+            }
+
+            if parts > 2 {
+                self.objects = self.objects.split_off(&(floor.through + 1));
+            }
+        }
+
+        Event::SnapshotWritten(Some(self.floor))
+    }
+
+    fn accept(&mut self, change: &Change, base: u64) -> Result<(), Violation> {
+        let newest = self.version();
+
+        if change.version <= newest {
+            return Ok(());
+        }
+
+        if change.version > newest + 1 {
+            return Err(Violation::Skipped {
+                version: change.version,
+            });
+        }
+
+        let kept = self.history.len().saturating_sub(self.keep - 1);
+
+        if self.history[kept..]
+            .iter()
+            .any(|other| other.operation == change.operation)
+        {
+            return Err(Violation::Twice {
+                operation: change.operation.clone(),
+            });
+        }
+
+        let mut tree = self.trees.last().cloned().unwrap_or_default();
+
+        let base = usize::try_from(base).unwrap_or(usize::MAX);
+        let others = self.history.get(base..).unwrap_or_default();
+
+        if change.edits.iter().any(|edit| {
+            let mut edits = others.iter().flat_map(|other| &other.edits);
+            tree.get(&edit.path, &edit.key) != edit.old.as_deref()
+                || edits.any(|other| other.path == edit.path && other.key == edit.key)
+        }) {
+            return Err(Violation::Overwrote {
+                version: change.version,
+            });
+        }
+
+        tree.apply(&change.edits);
+        self.trees.push(tree);
+        self.history.push(change.clone());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/state/settings_trace.rs
@@ -0,0 +1,435 @@
+//! Trials of several settings replicas with a model of the store, in steps that
+//! can be recorded and replayed.
+
+pub use crate::state::{
+    settings_step::{Fault, Step},
+    settings_violation::Violation,
+};
+
+use {
+    crate::state::{
+        change::{Draft, Outcome},
+        clock::Time,
+        edit::Wish,
+        id,
+        replica::{Limits, Replica},
+        replica_action::Action,
+        replica_event::Event,
+        settings_call::Call,
+        settings_store::Store,
+        settings_violation::{
+            BehindSnafu, DiffersSnafu, FellSnafu, MisreportedSnafu, UnansweredSnafu,
+        },
+        watchers::watchers,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Number of hosts; two of them watch the store.
+pub const HOSTS: usize = 4;
+
+/// Limits small enough for many snapshots in one trial.
+const LIMITS: Limits = Limits {
+    keep: 10,
+    snapshot: 4,
+};
+
+/// Time that passes in each step.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Time that passes in each round of a host.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Rounds of every host in a settlement, enough for all submissions to end.
+const ROUNDS: usize = 60;
+
+/// Time in which every host must reach the newest version without faults.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+#[derive(Clone, Debug)]
+struct Host {
+    cut: bool,
+    frozen: bool,
+    leaving: bool,
+    replica: Replica,
+}
+
+/// Several replicas, a store and the calls between them.
+#[derive(Clone, Debug)]
+pub struct World {
+    /// The version on which a host first based its change of an operation.
+    bases: BTreeMap<(usize, String), u64>,
+    calls: Vec<Call>,
+    hosts: Vec<Host>,
+    late: Vec<Call>,
+    now: Time,
+    outage: bool,
+    /// Operations reported as not accepted, unless submitted again.
+    refused: Vec<String>,
+    store: Store,
+    submissions: BTreeMap<String, u32>,
+    tickets: BTreeMap<u64, (usize, String)>,
+    ticket: u64,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        Self {
+            bases: BTreeMap::new(),
+            calls: Vec::new(),
+            hosts: (0..HOSTS).map(fresh).collect(),
+            late: Vec::new(),
+            now: Time::ZERO,
+            outage: false,
+            refused: Vec::new(),
+            store: Store::new(usize::try_from(LIMITS.keep).unwrap_or(usize::MAX)),
+            submissions: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            ticket: 0,
+        }
+    }
+}
+
+impl World {
+    /// Returns the number of changes accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.store.version()
+    }
+
+    /// Carries out a step.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a rule is broken.
+    pub fn step(&mut self, step: &Step) -> Result<(), Violation> {
+        self.now = self.now + STEP;
+
+        match *step {
+            Step::Answer { call, fault } => self.answer(call, fault)?,
+            Step::Crash { host } => self.crash(host % HOSTS),
+            Step::Cut { host, on } => self.hosts[host % HOSTS].cut = on,
+            Step::Finish { call } => {
+                self.run(call, u8::MAX)?;
+                self.answer(call, Fault::None)?;
+            }
+            Step::Freeze { host, on } => self.hosts[host % HOSTS].frozen = on,
+            Step::Late { call } => self.run_late(call)?,
+            Step::Leave { host, on } => self.hosts[host % HOSTS].leaving = on,
+            Step::Outage { on } => self.outage = on,
+            Step::Round { host } => self.round(host % HOSTS)?,
+            Step::Run { call, parts } => self.run(call, parts)?,
+            Step::Settle => self.settle()?,
+            Step::Submit {
+                host,
+                operation,
+                seen,
+            } => self.submit(host % HOSTS, operation, seen)?,
+            Step::Tick { host, millis } => {
+                self.now = self.now + Duration::from_millis(millis);
+
+                if !self.hosts[host % HOSTS].frozen {
+                    self.tick(host % HOSTS)?;
+                }
+            }
+        }
+
+        self.check_refused()
+    }
+
+    fn round(&mut self, host: usize) -> Result<(), Violation> {
+        if self.hosts[host].frozen {
+            return Ok(());
+        }
+
+        self.now = self.now + ROUND;
+        self.tick(host)?;
+
+        for _ in 0..self.calls.len() {
+            if self.calls[0].host == host {
+                self.run(0, u8::MAX)?;
+                self.answer(0, Fault::None)?;
+            } else {
+                self.calls.rotate_left(1);
+            }
+        }
+
+        Ok(())
+    }
+
+    fn run(&mut self, call: usize, parts: u8) -> Result<(), Violation> {
+        let Some(index) = call.checked_rem(self.calls.len()) else {
+            return Ok(());
+        };
+        let Call { action, host, .. } = self.calls[index].clone();
+
+        if let Action::AskPeer { after, peer } = action {
+            self.calls[index].answer = self.ask(host, &peer, after);
+        } else if !self.outage {
+            self.calls[index].answer = self.carry_out(host, &action, parts)?;
+        }
+
+        Ok(())
+    }
+
+    fn carry_out(
+        &mut self,
+        host: usize,
+        action: &Action,
+        parts: u8,
+    ) -> Result<Option<Event>, Violation> {
+        Ok(match action {
+            Action::AskPeer { .. } | Action::Reply { .. } => None,
+            Action::Create(change) => {
+                let base = self.bases.get(&(host, change.operation.clone())).copied();
+                Some(self.store.create(change, base.unwrap_or(change.version))?)
+            }
+            Action::List { after } => Some(self.store.list(*after)),
+            Action::ReadSnapshot => Some(self.store.read_snapshot()),
+            Action::Watch { after } => Some(self.store.watch(*after)),
+            Action::WriteSnapshot { floor, snapshot } => {
+                Some(self.store.write_snapshot(snapshot, *floor, parts))
+            }
+        })
+    }
+
+    fn ask(&self, host: usize, peer: &id::Host, after: u64) -> Option<Event> {
+        let target = (0..HOSTS).find(|index| name(*index) == *peer)?;
+
+        if self.hosts[host].cut || self.hosts[target].cut {
+            return None;
+        }
+
+        Some(Event::PeerAnswered {
+            batch: self.hosts[target].replica.log().after(after),
+            peer: peer.clone(),
+        })
+    }
+
+    fn answer(&mut self, call: usize, fault: Fault) -> Result<(), Violation> {
+        let Some(index) = call.checked_rem(self.calls.len()) else {
+            return Ok(());
+        };
+
+        if self.hosts[self.calls[index].host].frozen {
+            return Ok(());
+        }
+
+        let call = self.calls.remove(index);
+        let event = call.end(fault);
+
+        if call.answer.is_none() && fault != Fault::Refused {
+            self.late.push(call.clone());
+        }
+
+        self.handle(call.host, event)
+    }
+
+    fn run_late(&mut self, call: usize) -> Result<(), Violation> {
+        if let Some(index) = call.checked_rem(self.late.len()) {
+            let call = self.late.remove(index);
+            self.carry_out(call.host, &call.action, u8::MAX)?;
+        }
+
+        Ok(())
+    }
+
+    fn crash(&mut self, host: usize) {
+        let (lost, kept) = self.calls.drain(..).partition(|call| call.host == host);
+        self.calls = kept;
+        self.late.extend::<Vec<Call>>(lost);
+        self.tickets.retain(|_, (owner, _)| *owner != host);
+        self.bases.retain(|(owner, _), _| *owner != host);
+        self.hosts[host] = fresh(host);
+    }
+
+    fn submit(&mut self, host: usize, operation: u16, seen: bool) -> Result<(), Violation> {
+        let (path, key) = [
+            ("teams/a", "weight"),
+            ("teams/a/x", "rate"),
+            ("teams", "priority"),
+        ][usize::from(operation % 3)];
+        let tree = self.hosts[host].replica.log().tree();
+        let draft = Draft {
+            operation: format!("operation-{operation}"),
+            author: "trial".into(),
+            edits: vec![Wish {
+                path: path.into(),
+                key: key.into(),
+                old: seen.then(|| tree.get(path, key).map(Into::into)),
+                new: Some((operation % 10).to_string()),
+            }],
+        };
+        let count = self.submissions.entry(draft.operation.clone()).or_default();
+        *count += 1;
+        self.refused.retain(|refused| *refused != draft.operation);
+        self.ticket += 1;
+        let ticket = self.ticket;
+        self.tickets.insert(ticket, (host, draft.operation.clone()));
+        self.handle(host, Event::Submitted { draft, ticket })
+    }
+
+    fn tick(&mut self, host: usize) -> Result<(), Violation> {
+        let domain = id::Domain::from("a-1");
+        let names = (0..HOSTS).map(name).collect::<Vec<_>>();
+        let live = (0..HOSTS).filter(|index| !self.hosts[*index].leaving);
+        let places = watchers(live.map(|index| (&names[index], &domain)));
+        let place = places.iter().position(|watcher| **watcher == names[host]);
+        let version = self.hosts[host].replica.log().version();
+        let peers = (0..HOSTS)
+            .filter(|peer| !self.hosts[host].cut && !self.hosts[*peer].cut)
+            .filter(|peer| self.hosts[*peer].replica.log().version() > version)
+            .map(name)
+            .collect();
+
+        self.handle(host, Event::Watcher(place))?;
+        self.handle(host, Event::Peers(peers))?;
+        self.handle(host, Event::Tick)
+    }
+
+    fn handle(&mut self, host: usize, event: Event) -> Result<(), Violation> {
+        let replica = &mut self.hosts[host].replica;
+        let from = replica.log().version();
+        let mut actions = Vec::new();
+        replica.handle(self.now, event, &mut actions);
+        let to = replica.log().version();
+
+        if to < from {
+            return FellSnafu { from, host, to }.fail();
+        }
+
+        let differs = replica
+            .log()
+            .recent()
+            .any(|change| self.store.change(change.version) != Some(change));
+
+        if differs || self.store.tree(to) != Some(replica.log().tree()) {
+            return DiffersSnafu { host, version: to }.fail();
+        }
+
+        for action in actions {
+            if let Action::Reply { outcome, ticket } = action {
+                self.reply(ticket, &outcome)?;
+            } else {
+                if let Action::Create(change) = &action {
+                    let base = change.version - 1;
+                    self.bases
+                        .entry((host, change.operation.clone()))
+                        .or_insert(base);
+                }
+
+                self.calls.push(Call {
+                    action,
+                    answer: None,
+                    host,
+                });
+            }
+        }
+
+        Ok(())
+    }
+
+    fn reply(&mut self, ticket: u64, outcome: &Outcome) -> Result<(), Violation> {
+        let Some((host, operation)) = self.tickets.remove(&ticket) else {
+            return Ok(());
+        };
+        self.bases.remove(&(host, operation.clone()));
+
+        match outcome {
+            Outcome::Accepted { version } => {
+                let change = self.store.change(*version);
+
+                if change.is_none_or(|change| change.operation != operation) {
+                    return misreported(&operation, outcome);
+                }
+            }
+            Outcome::Conflict(_) | Outcome::Invalid(_) | Outcome::NotRun => {
+                if self.submissions.get(&operation) == Some(&1) {
+                    self.refused.push(operation);
+                }
+            }
+            Outcome::Unknown => {}
+        }
+
+        Ok(())
+    }
+
+    fn check_refused(&self) -> Result<(), Violation> {
+        self.refused
+            .iter()
+            .find(|operation| self.store.has(operation))
+            .map_or(Ok(()), |operation| misreported(operation, &Outcome::NotRun))
+    }
+
+    fn settle(&mut self) -> Result<(), Violation> {
+        self.outage = false;
+
+        for host in &mut self.hosts {
+            host.cut = false;
+            host.frozen = false;
+            host.leaving = false;
+        }
+
+        while !self.late.is_empty() {
+            self.run_late(0)?;
+        }
+
+        let mut newest = self.store.version();
+        let mut since = self.now;
+
+        for _ in 0..ROUNDS {
+            for host in 0..HOSTS {
+                self.round(host)?;
+            }
+
+            if self.store.version() != newest {
+                newest = self.store.version();
+                since = self.now;
+            } else if self.now.since(since) >= IN_FORCE {
+                self.check_versions(newest)?;
+            }
+        }
+
+        let mut unanswered = self.tickets.values();
+        unanswered.next().map_or(Ok(()), |(_, operation)| {
+            UnansweredSnafu { operation }.fail()
+        })
+    }
+
+    fn check_versions(&self, newest: u64) -> Result<(), Violation> {
+        for (host, state) in self.hosts.iter().enumerate() {
+            let version = state.replica.log().version();
+
+            if version != newest {
+                return BehindSnafu {
+                    host,
+                    newest,
+                    version,
+                }
+                .fail();
+            }
+        }
+
+        Ok(())
+    }
+}
+
+fn fresh(host: usize) -> Host {
+    Host {
+        cut: false,
+        frozen: false,
+        leaving: false,
+        replica: Replica::new(LIMITS, host as u64),
+    }
+}
+
+fn misreported(operation: &str, outcome: &Outcome) -> Result<(), Violation> {
+    MisreportedSnafu {
+        operation,
+        outcome: format!("{outcome:?}"),
+    }
+    .fail()
+}
+
+fn name(host: usize) -> id::Host {
+    format!("h{host}").into()
+}
--- /dev/null
+++ b/src/state/watchers.rs
@@ -0,0 +1,43 @@
+//! Which hosts watch the store for all others.
+
+use {
+    crate::state::id,
+    sha2::{Digest, Sha256},
+    std::collections::BTreeMap,
+};
+
+/// Watchers in each region.
+const PER_REGION: usize = 2;
+
+/// Returns the region of a failure domain: what precedes its last `-`.
+pub fn region(domain: &id::Domain) -> &str {
+    let domain = domain.as_str();
+    domain.rsplit_once('-').map_or(domain, |(region, _)| region)
+}
+
+/// Returns the watchers among live hosts in an order on which all hosts agree,
+/// the first one first.
+pub fn watchers<'a>(
+    hosts: impl Iterator<Item = (&'a id::Host, &'a id::Domain)>,
+) -> Vec<&'a id::Host> {
+    let mut regions = BTreeMap::<&str, Vec<(u64, &id::Host)>>::new();
+
+    for (host, domain) in hosts {
+        let entry = regions.entry(region(domain)).or_default();
+        entry.push((hash(host), host));
+        entry.sort_unstable_by(|a, b| b.cmp(a));
+        entry.truncate(PER_REGION);
+    }
+
+    let mut watchers = regions.into_values().flatten().collect::<Vec<_>>();
+    watchers.sort_unstable_by(|a, b| b.cmp(a));
+    watchers.into_iter().map(|(_, host)| host).collect()
+}
+
+/// Returns the rendezvous hash of a host, which is the same everywhere.
+pub fn hash(host: &id::Host) -> u64 {
+    let digest = Sha256::digest(host.as_str());
+    digest[..8]
+        .iter()
+        .fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/tests/settings_fuzz.rs
@@ -0,0 +1,124 @@
+//! Random trials of settings replicas with a faulty store, against the rules of
+//! `state::settings_trace`.
+//!
+//! `PERSIMMON_FUZZ_CASES` sets the number of cases for long runs.
+
+use {
+    persimmoncleat::state::settings_trace::{Fault, HOSTS, Step, World},
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed, TestError, TestRunner},
+    },
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::{
+        env,
+        sync::atomic::{AtomicU64, Ordering::Relaxed},
+    },
+};
+
+const CASES: u32 = 100;
+const SEED: u64 = 20_261_204;
+const STEPS: usize = 300;
+
+static ACCEPTED: AtomicU64 = AtomicU64::new(0);
+static TRANSITIONS: AtomicU64 = AtomicU64::new(0);
+
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let call = 0..8_usize;
+        let host = 0..HOSTS;
+        let fault = prop_oneof![
+            2 => Just(Fault::None),
+            1 => Just(Fault::Lost),
+            1 => Just(Fault::Refused),
+            1 => Just(Fault::Reordered),
+        ];
+        let submit = (host.clone(), 0..60_u16, any::<bool>());
+        let often = prop::bool::weighted(0.2);
+
+        prop_oneof![
+            30 => call.clone().prop_map(|call| Step::Finish { call }),
+            8 => (call.clone(), 1..4_u8).prop_map(|(call, parts)| Step::Run { call, parts }),
+            8 => (call.clone(), fault).prop_map(|(call, fault)| Step::Answer { call, fault }),
+            4 => call.prop_map(|call| Step::Late { call }),
+            20 => (host.clone(), 0..700_u64).prop_map(|(host, millis)| Step::Tick { host, millis }),
+            16 => submit.prop_map(|(host, operation, seen)| Step::Submit { host, operation, seen }),
+            1 => host.clone().prop_map(|host| Step::Crash { host }),
+            2 => (host.clone(), often).prop_map(|(host, on)| Step::Cut { host, on }),
+            3 => (host.clone(), prop::bool::weighted(0.3)).prop_map(|(host, on)| Step::Freeze { host, on }),
+            30 => host.clone().prop_map(|host| Step::Round { host }),
+            2 => (host, often).prop_map(|(host, on)| Step::Leave { host, on }),
+            2 => often.prop_map(|on| Step::Outage { on }),
+            1 => Just(Step::Settle),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _step: &Step) {}
+}
+
+struct Trial;
+
+impl StateMachineTest for Trial {
+    type SystemUnderTest = World;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> World {
+        World::default()
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        TRANSITIONS.fetch_add(1, Relaxed);
+        if let Err(violation) = world.step(&step) {
+            panic!("{violation}");
+        }
+        world
+    }
+
+    fn teardown(mut world: World, (): ()) {
+        if let Err(violation) = world.step(&Step::Settle) {
+            panic!("{violation}");
+        }
+        ACCEPTED.fetch_add(world.accepted(), Relaxed);
+    }
+}
+
+#[test]
+fn replicas_keep_the_rules() {
+    let cases = env::var("PERSIMMON_FUZZ_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok())
+        .unwrap_or(CASES);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config.clone());
+    let strategy = Steps::sequential_strategy(STEPS / 2..STEPS);
+    let result = runner.run(&strategy, |(initial, steps, seen)| {
+        Trial::test_sequential(config.clone(), initial, steps, seen);
+        Ok(())
+    });
+    println!(
+        "seed {SEED}, {cases} cases, {} transitions, {} accepted changes",
+        TRANSITIONS.load(Relaxed),
+        ACCEPTED.load(Relaxed)
+    );
+
+    if let Err(TestError::Fail(reason, (_, steps, _))) = &result {
+        panic!("{reason}\n{}", serde_json::to_string(steps).unwrap());
+    }
+
+    result.unwrap();
+}
