--- /dev/null
+++ b/src/bin/persimmoncleatd.rs
@@ -0,0 +1,71 @@
+//! The daemon: runs on every entry host.
+
+use {
+    bpaf::{Parser, construct, long},
+    persimmoncleat::{coordination::daemon, protocol::daemon_file::File, transport::json_log},
+    std::{path::PathBuf, process::ExitCode},
+};
+
+const USAGE: u8 = 2;
+
+struct Options {
+    check: bool,
+    config: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let options = match options() {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+    let file = match File::read(&options.config) {
+        Ok(file) => file,
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("error: {fault}");
+            }
+            return ExitCode::from(USAGE);
+        }
+    };
+
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+
+    let _logger = match json_log::start(file.level) {
+        Ok(logger) => logger,
+        Err(error) => {
+            eprintln!("error: cannot start the log: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+
+    match daemon::run(file) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> Result<Options, ExitCode> {
+    let check = long("check")
+        .help("Check the settings file and exit")
+        .switch();
+    let config = long("config")
+        .help("Settings file of this host")
+        .argument::<PathBuf>("FILE");
+
+    construct!(Options { check, config })
+        .to_options()
+        .descr("Serves multi-stage model pipelines between callers and endpoints")
+        .run_inner(bpaf::Args::current_args())
+        .map_err(|failure| {
+            failure.print_message(100);
+            match failure.exit_code() {
+                0 => ExitCode::SUCCESS,
+                _ => ExitCode::from(USAGE),
+            }
+        })
+}
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -1,12 +1,32 @@
 //! Connects the decisions to the outside: the control thread, its drivers and
 //! the running of requests.
 
+pub mod admin;
+pub mod attempt;
+pub mod auth;
+pub mod body;
+pub mod bootstrap;
 pub mod claim;
 pub mod claims;
 pub mod control;
+pub mod daemon;
+pub mod discovery;
+pub mod drain;
+pub mod entrypoints;
 pub mod error;
+pub mod forward;
+pub mod gateway;
 pub mod membership;
+pub mod observer;
+pub mod posted;
+pub mod problem;
 pub mod published;
+pub mod record;
+pub mod records;
+pub mod requests;
+pub mod routes;
+pub mod run;
+pub mod runner;
 pub mod scheduling;
 pub mod settings;
 pub mod tickets;
--- /dev/null
+++ b/src/coordination/attempt.rs
@@ -0,0 +1,246 @@
+//! One call of a stage to an endpoint.
+
+use {
+    crate::{
+        coordination::claim::{Claim, Permitted},
+        protocol::call::{Call, Line, Reply, Status},
+        state::{attempt::End, clock::Time, id},
+        transport::client::{self, Client, Failure},
+    },
+    serde_json::Value,
+    std::{
+        io::{BufRead, BufReader, Read},
+        net::SocketAddr,
+        time::Duration,
+    },
+    ureq::{Body, http::Response},
+};
+
+/// Longest line of a streamed answer.
+const LINE_BYTES: u64 = 64 * 1024;
+
+/// Where an attempt goes and what it is for.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub address: SocketAddr,
+    pub attempt: id::Attempt,
+    pub endpoint: id::Endpoint,
+    pub hedge: bool,
+    pub stage: usize,
+    pub started: Time,
+    pub timeout: Duration,
+}
+
+/// How an attempt ended, with the output of a whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ending {
+    pub end: End,
+    /// Why a failed attempt failed, or an empty text.
+    pub detail: String,
+    pub output: Option<Value>,
+    /// Name of the counter for an answer that was discarded.
+    pub discarded: Option<&'static str>,
+    /// Tokens generated, also those of a broken stream.
+    pub tokens: u32,
+}
+
+impl Ending {
+    fn new(end: End, detail: impl Into<String>) -> Self {
+        Self {
+            end,
+            detail: detail.into(),
+            output: None,
+            discarded: None,
+            tokens: 0,
+        }
+    }
+
+    fn discarded(name: &'static str, detail: impl Into<String>) -> Self {
+        Self {
+            discarded: Some(name),
+            ..Self::new(End::Failed, detail)
+        }
+    }
+}
+
+/// The connection that a call may use.
+#[derive(Clone, Copy, Debug)]
+pub enum Channel<'a> {
+    /// A kept connection, for calls that may be repeated.
+    Kept(&'a Client),
+    /// A new connection; only a permitted claim opens one.
+    Once(&'a Claim<Permitted>),
+}
+
+impl Channel<'_> {
+    fn post(self, order: &Order, call: &Call) -> Result<Response<Body>, Failure> {
+        let client = match self {
+            Self::Kept(client) => client.clone(),
+            Self::Once(_) => Client::once(),
+        };
+        let headers = [("Content-Type", "application/json")];
+        let body = client::json(call);
+        client.post(order.address, "/v1/calls", &headers, &body, order.timeout)
+    }
+}
+
+/// Makes a call whose answer comes in one piece.
+pub fn whole(channel: Channel, order: &Order, call: &Call) -> Ending {
+    match channel.post(order, call) {
+        Ok(response) => read_whole(order, call, response),
+        Err(failure) => failed(failure),
+    }
+}
+
+/// Makes a call whose answer is streamed. Every token goes to `sink`, each
+/// index once and in order.
+pub fn stream(
+    channel: Channel,
+    order: &Order,
+    call: &Call,
+    sink: &mut impl FnMut(String),
+) -> Ending {
+    match channel.post(order, call) {
+        Ok(response) if response.status() == 200 => read_lines(call, response, sink),
+        Ok(response) => read_whole(order, call, response),
+        Err(failure) => failed(failure),
+    }
+}
+
+/// Tells an endpoint that an attempt is no longer needed.
+///
+/// # Errors
+///
+/// Returns how the call failed.
+pub fn cancel(
+    client: &Client,
+    address: SocketAddr,
+    attempt: &str,
+    timeout: Duration,
+) -> Result<(), Failure> {
+    let path = format!("/v1/calls/{}", attempt.replace('/', "%2F"));
+    client.delete(address, &path, timeout).map(drop)
+}
+
+fn failed(failure: Failure) -> Ending {
+    let end = match failure {
+        Failure::Broken(_) => End::Failed,
+        Failure::Refused(_) => End::NotRun { leaving: false },
+        Failure::TimedOut(_) => End::TimedOut,
+    };
+    Ending::new(end, failure.into_error().to_string())
+}
+
+fn read_whole(order: &Order, call: &Call, response: Response<Body>) -> Ending {
+    let status = response.status().as_u16();
+    let body = match client::body(order.address, order.timeout, response) {
+        Ok(body) => body,
+        Err(Failure::TimedOut(error)) => return Ending::new(End::TimedOut, error.to_string()),
+        Err(failure) => {
+            let detail = failure.into_error().to_string();
+            return Ending::discarded("truncated_answers", detail);
+        }
+    };
+    let reply: Reply = match serde_json::from_slice(&body) {
+        Ok(reply) => reply,
+        Err(error) => return Ending::discarded("truncated_answers", error.to_string()),
+    };
+
+    if reply.attempt != call.attempt || reply.request != call.request {
+        let detail = format!("the answer is for attempt {}", reply.attempt);
+        return Ending::discarded("crossed_answers", detail);
+    }
+
+    let tokens = reply.tokens;
+    let reason = reply.reason.unwrap_or_default();
+
+    match (status, reply.status, reply.output) {
+        (200, Status::Done, Some(output)) => Ending {
+            output: Some(output),
+            tokens,
+            ..Ending::new(End::Done { tokens }, "")
+        },
+        (200, Status::Done, None) => {
+            Ending::discarded("truncated_answers", "the answer has no output")
+        }
+        (503, Status::NotRun, _) => {
+            let leaving = reason == "leaving";
+            Ending::new(End::NotRun { leaving }, reason)
+        }
+        _ => Ending {
+            tokens,
+            ..Ending::new(End::Failed, reason)
+        },
+    }
+}
+
+fn read_lines(call: &Call, response: Response<Body>, sink: &mut impl FnMut(String)) -> Ending {
+    let mut reader = BufReader::new(response.into_body().into_reader());
+    let mut next = call.resume_from;
+    let mut discarded = None;
+
+    let ending = loop {
+        match read_line(&mut reader) {
+            Ok(Line::End {
+                attempt,
+                request,
+                tokens,
+                ..
+            }) if attempt == call.attempt && request == call.request => {
+                break if tokens == next {
+                    Ending::new(End::Done { tokens }, "")
+                } else {
+                    let detail = format!("{next} of {tokens} tokens arrived");
+                    Ending::discarded("truncated_answers", detail)
+                };
+            }
+            Ok(Line::Token {
+                attempt,
+                index,
+                token,
+            }) if attempt == call.attempt => {
+                if index > next {
+                    let detail = format!("token {next} is missing");
+                    break Ending::discarded("truncated_answers", detail);
+                }
+
+                if index < next {
+                    discarded = Some("repeated_lines");
+                    continue;
+                }
+
+                next += 1;
+                sink(token);
+            }
+            Ok(_) => discarded = Some("crossed_lines"),
+            Err(ending) => break ending,
+        }
+    };
+
+    Ending {
+        discarded: ending.discarded.or(discarded),
+        tokens: next - call.resume_from,
+        ..ending
+    }
+}
+
+fn read_line(reader: &mut impl BufRead) -> Result<Line, Ending> {
+    let mut line = Vec::new();
+    let read = reader.take(LINE_BYTES).read_until(b'\n', &mut line);
+
+    match read {
+        Err(error) if is_timeout(&error) => Err(Ending::new(End::TimedOut, error.to_string())),
+        Err(error) => Err(Ending::discarded("truncated_answers", error.to_string())),
+        Ok(_) if !line.ends_with(b"\n") => Err(Ending::discarded(
+            "truncated_answers",
+            "the stream ended without its last line",
+        )),
+        Ok(_) => serde_json::from_slice(&line)
+            .map_err(|error| Ending::discarded("truncated_answers", error.to_string())),
+    }
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    let inner = error.get_ref().and_then(|inner| inner.downcast_ref());
+    matches!(inner, Some(ureq::Error::Timeout(_))) || error.kind() == std::io::ErrorKind::TimedOut
+}
--- /dev/null
+++ b/src/coordination/body.rs
@@ -0,0 +1,130 @@
+//! Bodies of responses.
+
+use {
+    crate::{
+        coordination::{
+            gateway::Gateway,
+            problem,
+            record::{Outcome, Piece, Record},
+        },
+        transport::client,
+    },
+    rouille::{Response, ResponseBody},
+    serde::Serialize,
+    serde_json::{Value, json},
+    std::{
+        io::{self, Read},
+        sync::Arc,
+    },
+};
+
+/// Returns a response with a JSON body.
+pub fn json(value: &impl Serialize) -> Response {
+    Response::from_data("application/json", client::json(value))
+}
+
+/// Waits for the outcome of a request and returns it in one piece.
+pub fn whole(gateway: &Gateway, record: &Record) -> Response {
+    match record.wait() {
+        Outcome::Answered(answer) => json(&*answer),
+        Outcome::Refused(refusal) => {
+            problem::respond(gateway, Some(&record.subject.request), &refusal)
+        }
+    }
+}
+
+/// Waits for the first token of a request and returns its answer as a stream.
+pub fn stream(gateway: &Arc<Gateway>, record: &Arc<Record>) -> Response {
+    if let Piece::End(Outcome::Refused(refusal)) = record.next(0) {
+        return problem::respond(gateway, Some(&record.subject.request), &refusal);
+    }
+
+    Response {
+        status_code: 200,
+        headers: vec![("Content-Type".into(), "application/x-ndjson".into())],
+        data: ResponseBody::from_reader(Lines {
+            buffer: io::Cursor::default(),
+            ended: false,
+            gateway: Arc::clone(gateway),
+            index: 0,
+            record: Arc::clone(record),
+        }),
+        upgrade: None,
+    }
+}
+
+/// The lines of a streamed answer.
+struct Lines {
+    buffer: io::Cursor<Vec<u8>>,
+    ended: bool,
+    gateway: Arc<Gateway>,
+    index: usize,
+    record: Arc<Record>,
+}
+
+impl Lines {
+    fn fill(&mut self) {
+        let lines = match self.record.next(self.index) {
+            Piece::End(outcome) => {
+                self.ended = true;
+                self.last(&outcome)
+            }
+            Piece::Tokens(tokens) => tokens.iter().map(|token| self.token(token)).collect(),
+        };
+        let mut bytes = Vec::new();
+
+        for line in lines {
+            bytes.extend(client::json(&line));
+            bytes.push(b'\n');
+        }
+
+        self.buffer = io::Cursor::new(bytes);
+    }
+
+    fn token(&mut self, token: &str) -> Value {
+        let line = json!({"index": self.index, "token": token});
+        self.index += 1;
+        line
+    }
+
+    /// Returns the lines after the last token. An answer that came in one
+    /// piece becomes a single token. A refused request gets its problem and
+    /// no end line.
+    fn last(&mut self, outcome: &Outcome) -> Vec<Value> {
+        let request = &self.record.subject.request.clone();
+
+        match outcome {
+            Outcome::Answered(answer) => {
+                let mut lines = Vec::new();
+
+                if self.index == 0 && answer.output != "" {
+                    let text = match &answer.output {
+                        Value::String(text) => text.clone(),
+                        output => output.to_string(),
+                    };
+                    lines.push(self.token(&text));
+                }
+
+                lines.push(json!({"end": true, "request": request, "tokens": self.index}));
+                lines
+            }
+            Outcome::Refused(refusal) => {
+                let status = problem::status(refusal);
+                let problem = problem::document(&self.gateway, Some(request), refusal, status);
+                vec![json!({"problem": problem})]
+            }
+        }
+    }
+}
+
+impl Read for Lines {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.buffer.read(buffer)? {
+                0 if self.ended => return Ok(0),
+                0 => self.fill(),
+                read => return Ok(read),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/daemon.rs
@@ -0,0 +1,150 @@
+//! Puts the parts of one host together.
+
+use {
+    crate::{
+        coordination::{
+            bootstrap, claims::Claims, control::Control, discovery, drain, error::Error,
+            gateway::Gateway, membership::Membership, observer::Observer, published::Published,
+            records::Records, routes::Routes, scheduling::Scheduling, settings::Settings,
+            tickets::Tickets,
+        },
+        protocol::{self, daemon_file::File},
+        state::{
+            clock::Time,
+            id,
+            member::{Member, Phase},
+            scheduler::Scheduler,
+            view::View,
+        },
+        transport::{
+            boot_clock,
+            client::Client,
+            links::Links,
+            metrics::Metrics,
+            server::{self, Server},
+        },
+    },
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{
+        collections::BTreeMap,
+        process,
+        sync::{Arc, mpsc},
+        thread,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Runs the daemon until its planned stop is over.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound or a signal not be handled.
+pub fn run(file: File) -> Result<(), Error> {
+    let server = Server::bind(file.host.caller_address, server_limits(&file))
+        .map_err(protocol::Error::from)?;
+    let caller_address = server.address().map_err(protocol::Error::from)?;
+    let view = view(&file, caller_address);
+    let published = Published::new(view.clone());
+    let (control, events) = mpsc::channel();
+    let metrics = Metrics::new(file.statsd).map_err(protocol::Error::from)?;
+    let gateway = Arc::new(Gateway {
+        client: Client::new(),
+        control: control.clone(),
+        limits: file.limits.clone(),
+        links: Links {},
+        observer: Observer::new(metrics),
+        operator: file.keys.operator.clone(),
+        published: published.clone(),
+        records: Records::new(file.limits.requests, file.limits.answer_retention),
+        tickets: Tickets::new(file.keys.fleet.as_bytes()),
+    });
+    let seed = view.local.incarnation.0;
+    let parts = Control {
+        claims: Claims::new(&view, file.limits.witness_records),
+        membership: Membership::default(),
+        published,
+        scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
+        settings: Settings::default(),
+        view,
+    };
+    let host_list = file.platform.host_list;
+    let busy = server.busy();
+
+    handle_signals(&gateway)?;
+    thread::spawn(move || parts.run(&events));
+    thread::spawn(move || discovery::run(host_list, &control));
+    log::info!(
+        caller_address = caller_address.to_string().as_str(),
+        peer_address = file.host.peer_address.to_string().as_str();
+        "listening"
+    );
+    let routes = Arc::new(Routes(Arc::clone(&gateway)));
+    thread::spawn(move || server.run(routes));
+    drain::wait(&gateway, || busy.count());
+    log::info!("stopped");
+    Ok(())
+}
+
+fn server_limits(file: &File) -> server::Limits {
+    server::Limits {
+        body_bytes: file.limits.body_bytes,
+        connections: file.limits.connections,
+        header_bytes: file.limits.header_bytes,
+        read_timeout: file.limits.read_timeout,
+    }
+}
+
+fn view(file: &File, caller_address: std::net::SocketAddr) -> View {
+    let local = Member {
+        caller_address,
+        clock: boot_clock::now(),
+        demand: BTreeMap::new(),
+        domain: file.host.domain.clone(),
+        host: file.host.id.clone(),
+        incarnation: incarnation(),
+        outstanding: 0,
+        peer_address: file.host.peer_address,
+        phase: Phase::Alive,
+        settings: 0,
+    };
+
+    View {
+        endpoints: Arc::default(),
+        had_peers: false,
+        heard_peer: None,
+        heard_store: Some(Time::from_micros(u64::MAX)),
+        local,
+        members: Arc::default(),
+        policy: Arc::new(bootstrap::policy(file.platform.object_api)),
+    }
+}
+
+/// Returns the wall-clock time in microseconds.
+fn incarnation() -> id::Incarnation {
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Handles the stop signals: the first one starts the planned stop, the
+/// second one ends the process.
+fn handle_signals(gateway: &Arc<Gateway>) -> Result<(), Error> {
+    let mut signals =
+        Signals::new([SIGINT, SIGTERM]).map_err(|source| Error::Signals { source })?;
+    let gateway = Arc::clone(gateway);
+
+    thread::spawn(move || {
+        let mut signals = signals.forever();
+        signals.next();
+        drain::leave(&gateway);
+        signals.next();
+        drain::abandon(&gateway);
+        process::exit(1);
+    });
+
+    Ok(())
+}
--- a/src/coordination/error.rs
+++ b/src/coordination/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the coordination layer.
 
-use {crate::protocol, snafu::Snafu};
+use {crate::protocol, snafu::Snafu, std::io};
 
 /// A duty of this host could not be carried out.
 #[derive(Debug)]
@@ -9,6 +9,8 @@
 pub enum Error {
     #[snafu(transparent)]
     Protocol { source: protocol::Error },
+    #[snafu(display("cannot handle signals: {source}"))]
+    Signals { source: io::Error },
     #[snafu(display("the control thread has stopped"))]
     Stopped,
 }
--- /dev/null
+++ b/src/coordination/gateway.rs
@@ -0,0 +1,87 @@
+//! What the threads of one host share to serve callers.
+
+use {
+    crate::{
+        coordination::{
+            control, observer::Observer, published::Published, records::Records, tickets::Tickets,
+        },
+        protocol::{daemon_file::Limits, digest, secret::Secret},
+        state::{
+            id,
+            member::Phase,
+            refusal::{Reason, Refusal},
+        },
+        transport::{boot_clock, client::Client, links::Links},
+    },
+    std::{net::SocketAddr, sync::mpsc::Sender, time::Duration},
+};
+
+/// Longest silence of both the object API and all peers before this host
+/// stops accepting requests.
+pub const CONTACT: Duration = Duration::from_secs(5);
+
+/// What request threads need.
+#[derive(Debug)]
+pub struct Gateway {
+    pub client: Client,
+    pub control: Sender<control::Event>,
+    pub limits: Limits,
+    pub links: Links,
+    pub observer: Observer,
+    pub operator: Secret,
+    pub published: Published,
+    pub records: Records,
+    pub tickets: Tickets,
+}
+
+impl Gateway {
+    /// Returns why this host takes no new work, or `None` when it does.
+    pub fn unready(&self) -> Option<Refusal> {
+        let view = self.published.get();
+        let now = boot_clock::now();
+        let heard = [view.heard_peer, view.heard_store]
+            .into_iter()
+            .flatten()
+            .any(|heard| now.since(heard) < CONTACT);
+
+        match view.local.phase {
+            Phase::Leaving => Some((Reason::Leaving, "the host is stopping")),
+            Phase::Gone => Some((Reason::NotReady, "the peers declared this host gone")),
+            Phase::Alive | Phase::Suspect if view.policy.version == 0 => {
+                Some((Reason::NotReady, "no settings are in force"))
+            }
+            Phase::Alive | Phase::Suspect if !heard => Some((
+                Reason::NotReady,
+                "neither the object API nor a peer has answered for 5 s",
+            )),
+            Phase::Alive | Phase::Suspect => None,
+        }
+        .map(|(reason, detail)| Refusal::not_run(reason, detail))
+    }
+
+    /// Returns the address of another host that takes new work.
+    pub fn elsewhere(&self) -> Option<SocketAddr> {
+        let view = self.published.get();
+        view.members
+            .iter()
+            .filter(|member| member.phase == Phase::Alive)
+            .min_by_key(|member| (member.domain != view.local.domain, member.outstanding))
+            .map(|member| member.caller_address)
+    }
+
+    /// Returns a new request id with this host as its home.
+    pub fn request_id(&self) -> id::Request {
+        let view = self.published.get();
+        let (host, incarnation) = (&view.local.host, view.local.incarnation);
+        format!("{host}.{incarnation}.{:032x}", rand::random::<u128>()).into()
+    }
+
+    /// Returns whether a key is the operators'. The comparison takes the same
+    /// time for every wrong key of any length.
+    pub fn is_operator(&self, key: &str) -> bool {
+        digest::equal(
+            &digest::sha256(key.as_bytes()),
+            &digest::sha256(self.operator.as_bytes()),
+        )
+    }
+}
--- /dev/null
+++ b/src/coordination/problem.rs
@@ -0,0 +1,151 @@
+//! Refusals as HTTP responses.
+
+use {
+    crate::{
+        coordination::gateway::Gateway,
+        protocol::caller::Problem,
+        state::{
+            id,
+            refusal::{Outcome, Reason, Refusal},
+        },
+        transport::{client, server::Fault},
+    },
+    rouille::{Response, ResponseBody},
+    std::time::Duration,
+};
+
+/// When a caller may try again if the refusal does not say so itself.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns the response for a refused request.
+pub fn respond(gateway: &Gateway, request: Option<&id::Request>, refusal: &Refusal) -> Response {
+    response(gateway, request, refusal, status(refusal))
+}
+
+/// Returns the response for a missing or wrong key.
+pub fn forbidden(gateway: &Gateway, status: u16, detail: &str) -> Response {
+    gateway.observer.count("wrong_keys");
+    let refusal = Refusal::not_run(Reason::Forbidden, detail);
+    response(gateway, None, &refusal, status).with_additional_header("WWW-Authenticate", "Bearer")
+}
+
+/// Returns the response for a request that broke a limit of the server.
+pub fn fault(gateway: &Gateway, fault: &Fault) -> Response {
+    let (name, status, reason, detail) = match fault {
+        Fault::Body { bytes, limit } => (
+            "refused_body_bytes",
+            413,
+            Reason::Limit,
+            format!("body_bytes is {bytes}, expected at most {limit}"),
+        ),
+        Fault::Connections { limit } => (
+            "refused_connections",
+            503,
+            Reason::Limit,
+            format!("connections are more than {limit}, expected at most {limit}"),
+        ),
+        Fault::Header { limit } => (
+            "refused_header_bytes",
+            431,
+            Reason::Limit,
+            format!("header_bytes is more than {limit}, expected at most {limit}"),
+        ),
+        Fault::Invalid { detail } => ("refused_invalid", 400, Reason::Invalid, detail.clone()),
+        Fault::Slow { limit } => (
+            "refused_read_timeout",
+            408,
+            Reason::Limit,
+            format!(
+                "the request took more than {limit} ms, expected at most {limit} ms",
+                limit = limit.as_millis()
+            ),
+        ),
+    };
+    gateway.observer.count(name);
+    response(gateway, None, &Refusal::not_run(reason, detail), status)
+}
+
+/// Returns the problem document of a refusal.
+pub fn document(
+    gateway: &Gateway,
+    request: Option<&id::Request>,
+    refusal: &Refusal,
+    status: u16,
+) -> Problem {
+    let mut refusal = refusal.clone();
+
+    if matches!(status, 429 | 503) && refusal.retry_after.is_zero() {
+        refusal.retry_after = RETRY_AFTER;
+    }
+
+    let elsewhere = matches!(
+        refusal.reason,
+        Reason::Leaving | Reason::NotReady | Reason::Overload | Reason::Limit
+    ) && status == 503;
+
+    Problem {
+        entrypoint: elsewhere.then(|| gateway.elsewhere()).flatten(),
+        kind: format!("urn:persimmoncleat:{}", name(refusal.reason)),
+        request: request.cloned(),
+        status,
+        title: title(refusal.outcome).into(),
+        refusal,
+    }
+}
+
+/// Returns the HTTP status of a refusal.
+pub fn status(refusal: &Refusal) -> u16 {
+    match refusal.reason {
+        Reason::Conflict | Reason::Ticket => 409,
+        Reason::Deadline => 504,
+        Reason::Forbidden => 403,
+        Reason::Invalid => 400,
+        Reason::Leaving
+        | Reason::Limit
+        | Reason::NoEndpoint
+        | Reason::NotReady
+        | Reason::Overload
+        | Reason::Witness => 503,
+        Reason::Missing => 404,
+        Reason::Stage => 502,
+        Reason::TeamLimit => 429,
+    }
+}
+
+fn response(
+    gateway: &Gateway,
+    request: Option<&id::Request>,
+    refusal: &Refusal,
+    status: u16,
+) -> Response {
+    let problem = document(gateway, request, refusal, status);
+    let retry_after = problem.refusal.retry_after;
+    let mut headers = vec![("Content-Type".into(), "application/problem+json".into())];
+
+    if !retry_after.is_zero() {
+        let seconds = retry_after.as_millis().div_ceil(1000).to_string();
+        headers.push(("Retry-After".into(), seconds.into()));
+    }
+
+    Response {
+        status_code: status,
+        headers,
+        data: ResponseBody::from_data(client::json(&problem)),
+        upgrade: None,
+    }
+}
+
+fn name(reason: Reason) -> String {
+    match serde_json::to_value(reason) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => String::new(),
+    }
+}
+
+fn title(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Failed => "The request ran and failed",
+        Outcome::NotRun => "The request did not run",
+        Outcome::Unknown => "The request may have run",
+    }
+}
--- /dev/null
+++ b/src/coordination/records.rs
@@ -0,0 +1,203 @@
+//! The records of this host's requests.
+
+use {
+    crate::{
+        coordination::record::{Outcome, Record, Subject},
+        state::{clock::Time, home, id},
+    },
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Records held at a time. At 26 requests a second and 60 s of retention a
+/// host holds about 1,600.
+const RECORDS: usize = 100_000;
+
+/// How a request is found or opened.
+#[derive(Debug)]
+pub enum Opened {
+    /// The same key or ticket came with another body.
+    Conflict,
+    /// No room: the name of the limit.
+    Full(&'static str),
+    /// The request is known: its run is in progress or its answer recorded.
+    Known(Arc<Record>),
+    /// The request is new and must now be run or refused.
+    New(Arc<Record>),
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// When ended records may go, earliest first.
+    due: BTreeSet<(Time, id::Request)>,
+    keys: HashMap<(id::Team, String), id::Request>,
+    records: HashMap<id::Request, Arc<Record>>,
+    running: usize,
+}
+
+/// The bounded table of records.
+#[derive(Debug)]
+pub struct Records {
+    capacity: usize,
+    inner: Mutex<Inner>,
+    requests: usize,
+    retention: Duration,
+}
+
+impl Records {
+    /// Builds a table for `requests` in progress, whose answers are kept for
+    /// `retention`.
+    pub fn new(requests: usize, retention: Duration) -> Self {
+        Self {
+            capacity: RECORDS.max(requests),
+            inner: Mutex::default(),
+            requests,
+            retention,
+        }
+    }
+
+    /// Returns the record of a request.
+    pub fn get(&self, now: Time, request: &id::Request) -> Option<Arc<Record>> {
+        let mut inner = self.lock();
+        inner.expire(now);
+        inner.records.get(request).cloned()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn running(&self) -> usize {
+        self.lock().running
+    }
+
+    /// Returns the requests in progress and their deadlines.
+    pub fn unfinished(&self) -> Vec<(id::Request, Time)> {
+        self.lock()
+            .records
+            .values()
+            .filter(|record| !record.ended())
+            .map(|record| (record.subject.request.clone(), record.subject.deadline))
+            .collect()
+    }
+
+    /// Finds the record of a request by its id or its idempotency key.
+    pub fn find(&self, now: Time, subject: &Subject) -> Option<Opened> {
+        let mut inner = self.lock();
+        inner.expire(now);
+        inner.find(subject)
+    }
+
+    /// Finds the record of a request, or opens one.
+    pub fn open(&self, now: Time, subject: Subject) -> Opened {
+        let mut inner = self.lock();
+        inner.expire(now);
+
+        if let Some(known) = inner.find(&subject) {
+            return known;
+        }
+
+        if inner.running >= self.requests {
+            return Opened::Full("requests");
+        }
+
+        if inner.records.len() >= self.capacity {
+            return Opened::Full("records");
+        }
+
+        inner.running += 1;
+        Opened::New(inner.insert(subject))
+    }
+
+    /// Opens a record and ends it at once. A ticket that was refused gets one,
+    /// so that a late copy of the same request never runs. Returns `None`
+    /// when twice the usual number of records is reached.
+    pub fn close(&self, now: Time, subject: Subject, outcome: &Outcome) -> Option<Arc<Record>> {
+        let mut inner = self.lock();
+        inner.expire(now);
+
+        if let Some(record) = inner.records.get(&subject.request) {
+            return Some(Arc::clone(record));
+        }
+
+        if inner.records.len() >= self.capacity.saturating_mul(2) {
+            return None;
+        }
+
+        let record = inner.insert(subject);
+        record.end(outcome.clone());
+        inner.keep(now, &record, self.retention);
+        Some(record)
+    }
+
+    /// Ends a request that was opened; the first outcome stays.
+    pub fn end(&self, now: Time, record: &Record, outcome: Outcome) -> bool {
+        let mut inner = self.lock();
+        let first = record.end(outcome);
+
+        if first {
+            inner.running = inner.running.saturating_sub(1);
+            inner.keep(now, record, self.retention);
+        }
+
+        first
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn expire(&mut self, now: Time) {
+        while let Some((due, _)) = self.due.first()
+            && *due <= now
+            && let Some((_, request)) = self.due.pop_first()
+        {
+            if let Some(record) = self.records.remove(&request)
+                && let Some(key) = &record.subject.key
+            {
+                let team = record.subject.team.clone();
+                self.keys.remove(&(team, key.clone()));
+            }
+        }
+    }
+
+    fn find(&self, subject: &Subject) -> Option<Opened> {
+        let request = match &subject.key {
+            Some(key) => self.keys.get(&(subject.team.clone(), key.clone()))?,
+            None => &subject.request,
+        };
+        let record = self.records.get(request)?;
+
+        if record.subject.digest != subject.digest {
+            return Some(Opened::Conflict);
+        }
+
+        Some(Opened::Known(Arc::clone(record)))
+    }
+
+    fn insert(&mut self, subject: Subject) -> Arc<Record> {
+        let request = subject.request.clone();
+
+        if let Some(key) = &subject.key {
+            let team = subject.team.clone();
+            self.keys.insert((team, key.clone()), request.clone());
+        }
+
+        let record = Arc::new(Record::new(subject));
+        self.records.insert(request, Arc::clone(&record));
+        record
+    }
+
+    /// Keeps an ended record for its retention. That of a ticket stays at
+    /// least until the home no longer answers for tickets of its age.
+    fn keep(&mut self, now: Time, record: &Record, retention: Duration) {
+        let answer = now + retention;
+        let due = match record.subject.ticket {
+            Some(issued) => answer.max(issued + home::RETENTION),
+            None => answer,
+        };
+        self.due.insert((due, record.subject.request.clone()));
+    }
+}
--- /dev/null
+++ b/src/coordination/run.rs
@@ -0,0 +1,568 @@
+//! One request on its way through the stages of its pipeline.
+
+use {
+    crate::{
+        coordination::{
+            attempt::{self, Channel, Ending, Order},
+            claim::{Claim, Permitted},
+            control,
+            gateway::Gateway,
+            record::{Outcome, Record},
+            scheduling,
+        },
+        protocol::{
+            call::Call,
+            caller::{Answer, Body, StageReport},
+        },
+        state::{
+            action::Action,
+            attempt::{End, Report},
+            clock::Time,
+            event, id,
+            journal::Entry,
+            once::Once,
+            pool::Kind,
+            refusal::{Outcome as Proof, Reason, Refusal},
+            request::Request,
+            tokens::Tokens,
+        },
+        transport::boot_clock,
+    },
+    serde_json::Value,
+    std::{
+        collections::HashMap,
+        mem,
+        sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc::Sender},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Longest time to tell an endpoint that an attempt is cancelled.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What is to be run.
+#[derive(Debug)]
+pub struct Job {
+    pub body: Body,
+    /// The witness's grant; a request that is not repeatable needs one.
+    pub claim: Option<Claim<Permitted>>,
+    pub record: Arc<Record>,
+    pub request: Request,
+    pub stream: bool,
+}
+
+/// A request in progress, shared by its runner and its attempts.
+#[derive(Debug)]
+pub struct Run {
+    gateway: Arc<Gateway>,
+    job: Job,
+    progress: Mutex<Progress>,
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    attempts: u32,
+    /// Whether a call may have reached an endpoint in any stage.
+    called: bool,
+    ended: bool,
+    live: HashMap<id::Attempt, Order>,
+    once: Once,
+    output: Option<Value>,
+    reports: Vec<StageReport>,
+    stage: usize,
+    started: Time,
+    tokens: Tokens,
+}
+
+impl Run {
+    /// Builds a run that has not started.
+    pub fn new(gateway: Arc<Gateway>, job: Job) -> Self {
+        Self {
+            gateway,
+            job,
+            progress: Mutex::default(),
+        }
+    }
+
+    /// Asks the scheduler to admit the request.
+    pub fn start(&self, actions: Sender<Action>) {
+        let request = &self.job.request;
+        self.note(Entry::new(
+            "arrived",
+            format!("for pipeline {}", request.pipeline),
+        ));
+        self.tell(scheduling::Event::Register {
+            actions,
+            request: request.request.clone(),
+        });
+        self.schedule(event::Event::Arrived(request.clone()));
+    }
+
+    /// Returns the time left until the deadline.
+    pub fn left(&self) -> Duration {
+        self.job.request.deadline.since(boot_clock::now())
+    }
+
+    /// Does what the scheduler asks for.
+    pub fn handle(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Admitted { .. } => {
+                self.note(Entry::new("admitted", ""));
+                self.ready(0);
+            }
+            Action::Cancelled { attempt, .. } => self.cancel(attempt),
+            Action::Dispatched {
+                attempt,
+                endpoint,
+                hedge,
+                stage,
+                timeout,
+                ..
+            } => {
+                let order = self.order(attempt, &endpoint, hedge, stage, timeout);
+                self.dispatch(attempt, order);
+            }
+            Action::Failed { refusal, stage, .. } => {
+                let current = self.lock().stage == stage;
+
+                if current {
+                    self.refuse(refusal);
+                }
+            }
+            Action::Refused { refusal, .. } => self.refuse(refusal),
+            Action::Warned(_) => {}
+        }
+    }
+
+    /// Ends the request because of its deadline.
+    pub fn expire(&self) {
+        self.refuse(Refusal::not_run(Reason::Deadline, "the deadline passed"));
+    }
+
+    /// Ends the request with a refusal unless it has ended.
+    pub fn refuse_open(&self, refusal: Refusal) {
+        let ended = self.lock().ended;
+
+        if !ended {
+            self.refuse(refusal);
+        }
+    }
+
+    /// Ends the request with a refusal that claims no more than this host
+    /// knows about it.
+    pub fn refuse(&self, refusal: Refusal) {
+        let refusal = self.lock().honest(refusal, self.job.request.repeatable);
+        self.note(Entry::new(
+            "refused",
+            format!("{:?}: {}", refusal.outcome, refusal.detail),
+        ));
+        self.end(Outcome::Refused(refusal));
+    }
+
+    fn order(
+        &self,
+        attempt: id::Attempt,
+        endpoint: &id::Endpoint,
+        hedge: bool,
+        stage: usize,
+        timeout: Duration,
+    ) -> Option<Order> {
+        let view = self.gateway.published.get();
+        let known = view
+            .endpoints
+            .iter()
+            .find(|known| known.endpoint == *endpoint)?;
+
+        Some(Order {
+            address: known.address,
+            attempt,
+            endpoint: endpoint.clone(),
+            hedge,
+            stage,
+            started: boot_clock::now(),
+            timeout: timeout.min(self.left()),
+        })
+    }
+
+    fn dispatch(self: &Arc<Self>, attempt: id::Attempt, order: Option<Order>) {
+        let Some(order) = order else {
+            self.report(attempt, End::NotRun { leaving: true }, Duration::ZERO);
+            return;
+        };
+        let stage = self.job.request.stages[order.stage].name.clone();
+        let event = if order.hedge { "hedged" } else { "dispatched" };
+        self.note(
+            Entry::new(event, "")
+                .stage(&stage)
+                .attempt(attempt, &order.endpoint),
+        );
+
+        match self.lock().begin(&order, self.job.request.repeatable) {
+            Begin::Refused => {
+                self.gateway.observer.count("repeated_dispatches");
+                self.report(attempt, End::Failed, Duration::ZERO);
+                return;
+            }
+            Begin::Late => {
+                self.report(attempt, End::Cancelled, Duration::ZERO);
+                return;
+            }
+            Begin::Sent => {}
+        }
+
+        let run = Arc::clone(self);
+        let perform = move || {
+            let ending = run.perform(&order);
+            run.finish(&order, ending);
+        };
+
+        if thread::Builder::new()
+            .name("attempt".into())
+            .spawn(perform)
+            .is_err()
+        {
+            self.lock().unsent(attempt);
+            self.report(attempt, End::NotRun { leaving: false }, Duration::ZERO);
+        }
+    }
+
+    fn perform(&self, order: &Order) -> Ending {
+        let channel = match (&self.job.claim, self.job.request.repeatable) {
+            (_, true) => Channel::Kept(&self.gateway.client),
+            (Some(claim), false) => Channel::Once(claim),
+            (None, false) => {
+                return Ending {
+                    end: End::NotRun { leaving: false },
+                    detail: "the witness has not granted the request".into(),
+                    output: None,
+                    discarded: None,
+                    tokens: 0,
+                };
+            }
+        };
+        let call = self.call(order);
+
+        if !call.stream {
+            return attempt::whole(channel, order, &call);
+        }
+
+        let start = usize::try_from(call.resume_from).unwrap_or(usize::MAX);
+        let mut read = Vec::new();
+        let ending = attempt::stream(channel, order, &call, &mut |token| {
+            read.push(token);
+            let mut progress = self.lock();
+
+            if progress.live.contains_key(&order.attempt) {
+                let fresh = progress.tokens.offer(order.attempt, start, &read);
+                self.job.record.push(fresh);
+            }
+        });
+
+        self.close_stream(order, start, &read, ending)
+    }
+
+    fn close_stream(&self, order: &Order, start: usize, read: &[String], ending: Ending) -> Ending {
+        let mut progress = self.lock();
+
+        if !matches!(ending.end, End::Done { .. }) {
+            progress.tokens.release(order.attempt);
+            return ending;
+        }
+
+        if !progress.live.contains_key(&order.attempt) {
+            return ending;
+        }
+
+        let Some(fresh) = progress.tokens.finish(order.attempt, start, read) else {
+            return Ending {
+                end: End::Failed,
+                detail: "another attempt has streamed more tokens".into(),
+                ..ending
+            };
+        };
+
+        self.job.record.push(fresh);
+        Ending {
+            output: Some(self.job.record.tokens().concat().into()),
+            ..ending
+        }
+    }
+
+    fn call(&self, order: &Order) -> Call {
+        let request = &self.job.request;
+        let stage = &request.stages[order.stage];
+        let policy = &self.gateway.published.get().policy;
+        let engine = policy
+            .pools
+            .get(&stage.pool)
+            .is_some_and(|pool| pool.kind == Kind::Engine);
+        let progress = self.lock();
+        let stream = self.job.stream && engine && order.stage + 1 == request.stages.len();
+        let resumed = if stream {
+            progress.tokens.delivered()
+        } else {
+            0
+        };
+
+        Call {
+            attempt: self.wire(order.attempt),
+            class: request.class.clone(),
+            deadline: self.left(),
+            input: progress
+                .output
+                .clone()
+                .or_else(|| self.job.body.input.clone()),
+            max_tokens: self.job.body.max_tokens,
+            prefix: self.job.body.prefix.clone(),
+            priority: policy
+                .class(&request.team, &request.class)
+                .map_or(0, |class| class.priority),
+            prompt: self.job.body.prompt.clone(),
+            repeatable: request.repeatable,
+            request: request.request.clone(),
+            resume_from: u32::try_from(resumed).unwrap_or(u32::MAX),
+            stage: stage.name.clone(),
+            stream,
+            team: request.team.clone(),
+        }
+    }
+
+    fn finish(&self, order: &Order, ending: Ending) {
+        let stage = self.job.request.stages[order.stage].name.clone();
+        let elapsed = boot_clock::now().since(order.started);
+        let observer = &self.gateway.observer;
+        observer.spend(&self.job.request, &stage, ending.tokens, elapsed);
+
+        if let Some(name) = ending.discarded {
+            observer.count(name);
+        }
+
+        self.note(
+            Entry::new(
+                "finished",
+                format!("{:?} {}", ending.end, ending.detail).trim_end(),
+            )
+            .stage(&stage)
+            .attempt(order.attempt, &order.endpoint),
+        );
+
+        let finished = self.lock().finish(order, &stage, &ending);
+
+        match finished {
+            Finish::Late => observer.count("late_answers"),
+            Finish::Failed => self.report(order.attempt, ending.end, elapsed),
+            Finish::Stage { took, losers } => {
+                self.report(order.attempt, ending.end, elapsed);
+                observer.time(&self.job.request, Some(&stage), took);
+                losers.into_iter().for_each(|loser| self.stop(loser));
+                self.advance(order.stage + 1);
+            }
+        }
+    }
+
+    fn advance(&self, next: usize) {
+        if next < self.job.request.stages.len() {
+            self.ready(next);
+            return;
+        }
+
+        let (output, stages) = {
+            let mut progress = self.lock();
+            (progress.output.take(), mem::take(&mut progress.reports))
+        };
+        let answer = Answer {
+            complete: true,
+            output: output.unwrap_or_default(),
+            request: self.job.request.request.clone(),
+            stages,
+        };
+        self.end(Outcome::Answered(Arc::new(answer)));
+    }
+
+    fn ready(&self, stage: usize) {
+        self.lock().started = boot_clock::now();
+        self.schedule(event::Event::Ready {
+            request: self.job.request.request.clone(),
+            stage,
+        });
+    }
+
+    fn cancel(&self, attempt: id::Attempt) {
+        let order = self.lock().forget(attempt);
+
+        if let Some(order) = order {
+            self.stop(order);
+        }
+    }
+
+    /// Reports an attempt as cancelled and tells its endpoint so.
+    fn stop(&self, order: Order) {
+        let elapsed = boot_clock::now().since(order.started);
+        self.report(order.attempt, End::Cancelled, elapsed);
+        let wire = self.wire(order.attempt);
+        let stage = self.job.request.stages[order.stage].name.clone();
+        self.note(
+            Entry::new("cancelled", "")
+                .stage(&stage)
+                .attempt(order.attempt, &order.endpoint),
+        );
+        let client = self.gateway.client.clone();
+        let _ = thread::Builder::new().name("cancel".into()).spawn(move || {
+            if let Err(failure) = attempt::cancel(&client, order.address, &wire, CANCEL_TIMEOUT) {
+                log::debug!(attempt = wire.as_str(); "cannot cancel: {}", failure.into_error());
+            }
+        });
+    }
+
+    fn end(&self, outcome: Outcome) {
+        let live = {
+            let mut progress = self.lock();
+
+            if mem::replace(&mut progress.ended, true) {
+                return;
+            }
+
+            mem::take(&mut progress.live)
+        };
+
+        let now = boot_clock::now();
+        let request = &self.job.request;
+
+        if matches!(outcome, Outcome::Answered(_)) {
+            self.note(Entry::new("answered", ""));
+            let elapsed = now.since(request.arrived);
+            self.gateway.observer.time(request, None, elapsed);
+        }
+
+        live.into_values().for_each(|order| self.stop(order));
+        self.gateway.records.end(now, &self.job.record, outcome);
+        self.schedule(event::Event::Ended {
+            request: request.request.clone(),
+        });
+    }
+
+    fn report(&self, attempt: id::Attempt, end: End, elapsed: Duration) {
+        self.schedule(event::Event::Finished {
+            attempt,
+            report: Report { elapsed, end },
+        });
+    }
+
+    fn schedule(&self, event: event::Event) {
+        self.tell(scheduling::Event::Scheduler(event));
+    }
+
+    fn tell(&self, event: scheduling::Event) {
+        // A send fails only after the control thread has stopped; the runner
+        // then gets no action and ends the request at its deadline.
+        let _ = self.gateway.control.send(control::Event::Scheduling(event));
+    }
+
+    fn note(&self, entry: Entry) {
+        self.gateway.observer.event(&self.job.request, entry);
+    }
+
+    fn wire(&self, attempt: id::Attempt) -> String {
+        format!("{}/{attempt}", self.job.request.request)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+enum Begin {
+    /// The attempt is for a stage or a request that is over.
+    Late,
+    /// Another attempt of a request that is not repeatable may have run.
+    Refused,
+    Sent,
+}
+
+enum Finish {
+    Failed,
+    /// The request no longer needs the attempt.
+    Late,
+    /// The stage is done; the other attempts at it are to be cancelled.
+    Stage {
+        losers: Vec<Order>,
+        took: Duration,
+    },
+}
+
+impl Progress {
+    fn begin(&mut self, order: &Order, repeatable: bool) -> Begin {
+        if self.ended || self.stage != order.stage {
+            return Begin::Late;
+        }
+
+        if !repeatable && !self.once.begin(order.attempt) {
+            return Begin::Refused;
+        }
+
+        self.attempts += 1;
+        self.live.insert(order.attempt, order.clone());
+        Begin::Sent
+    }
+
+    fn finish(&mut self, order: &Order, stage: &id::Stage, ending: &Ending) -> Finish {
+        let not_run = matches!(ending.end, End::NotRun { .. });
+
+        if not_run {
+            self.once.not_run(order.attempt);
+        } else {
+            self.called = true;
+        }
+
+        if self.live.remove(&order.attempt).is_none() {
+            return Finish::Late;
+        }
+
+        let (End::Done { tokens }, Some(output)) = (&ending.end, &ending.output) else {
+            return Finish::Failed;
+        };
+
+        let took = boot_clock::now().since(self.started);
+        self.reports.push(StageReport {
+            attempts: mem::take(&mut self.attempts),
+            endpoint: order.endpoint.clone(),
+            elapsed: took,
+            stage: stage.clone(),
+            tokens: *tokens,
+        });
+        self.output = Some(output.clone());
+        self.once = Once::default();
+        self.stage += 1;
+
+        Finish::Stage {
+            losers: mem::take(&mut self.live).into_values().collect(),
+            took,
+        }
+    }
+
+    fn forget(&mut self, attempt: id::Attempt) -> Option<Order> {
+        self.live.remove(&attempt)
+    }
+
+    fn unsent(&mut self, attempt: id::Attempt) {
+        self.live.remove(&attempt);
+        self.once.not_run(attempt);
+    }
+
+    /// Returns the refusal with the outcome that this host can prove.
+    fn honest(&self, refusal: Refusal, repeatable: bool) -> Refusal {
+        let outcome = if !repeatable && self.once.may_have_run() {
+            Proof::Unknown
+        } else if self.called || !self.live.is_empty() {
+            match refusal.outcome {
+                Proof::Unknown => Proof::Unknown,
+                Proof::Failed | Proof::NotRun => Proof::Failed,
+            }
+        } else {
+            refusal.outcome
+        };
+
+        Refusal { outcome, ..refusal }
+    }
+}
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,10 +2,14 @@
 
 pub mod call;
 pub mod caller;
+pub mod daemon_file;
+pub mod digest;
 pub mod error;
+pub mod fields;
 pub mod hex;
 pub mod hosts;
 pub mod object;
+pub mod secret;
 pub mod ticket;
 
 pub use error::Error;
--- /dev/null
+++ b/src/protocol/fields.rs
@@ -0,0 +1,190 @@
+//! Reads typed fields from an INI text and collects every fault.
+
+use {
+    ini::Ini,
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Display},
+        str::FromStr,
+    },
+};
+
+/// One thing wrong with a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    pub expected: String,
+    pub field: String,
+    pub value: String,
+}
+
+impl Fault {
+    /// Builds a fault.
+    pub fn new(field: impl Display, value: impl Display, expected: impl Display) -> Self {
+        Self {
+            expected: expected.to_string(),
+            field: field.to_string(),
+            value: value.to_string(),
+        }
+    }
+}
+
+impl Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Self {
+            expected,
+            field,
+            value,
+        } = self;
+        write!(f, "{field} is {value:?}, expected {expected}")
+    }
+}
+
+/// The fields of a text and the faults found so far.
+#[derive(Debug)]
+pub struct Fields {
+    faults: Vec<Fault>,
+    values: BTreeMap<(String, String), String>,
+}
+
+impl Fields {
+    /// Parses a text whose sections and keys are `known`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when the text is not INI at all.
+    pub fn parse(text: &str, known: &[(&str, &[&str])]) -> Result<Self, Vec<Fault>> {
+        let ini = Ini::load_from_str_noescape(text).map_err(|error| {
+            vec![Fault::new(
+                format!("line {}", error.line + 1),
+                error.msg,
+                "a [section], a key = value pair, or a comment",
+            )]
+        })?;
+        let mut fields = Self {
+            faults: Vec::new(),
+            values: BTreeMap::new(),
+        };
+
+        for (section, properties) in &ini {
+            let section = section.unwrap_or("");
+
+            for (key, value) in properties {
+                fields.add(known, section, key, value);
+            }
+        }
+
+        Ok(fields)
+    }
+
+    /// Returns the faults found.
+    pub fn faults(self) -> Vec<Fault> {
+        self.faults
+    }
+
+    /// Adds a fault of a field.
+    pub fn fault(&mut self, section: &str, key: &str, value: &str, expected: &str) {
+        let field = format!("[{section}] {key}");
+        self.faults.push(Fault::new(field, value, expected));
+    }
+
+    /// Returns a field that must be there.
+    pub fn required<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Option<T> {
+        if self.value(section, key).is_none() {
+            self.fault(section, key, "", expected);
+        }
+
+        self.optional(section, key, expected)
+    }
+
+    /// Returns a field that may be left out.
+    pub fn optional<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Option<T> {
+        let value = self.value(section, key)?;
+        let parsed = value.parse().ok();
+
+        if parsed.is_none() {
+            self.fault(section, key, &value, expected);
+        }
+
+        parsed
+    }
+
+    /// Returns the items of a list separated by commas.
+    pub fn list<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Vec<T> {
+        let value = self.value(section, key).unwrap_or_default();
+        let mut items = Vec::new();
+
+        for item in value.split(',').map(str::trim).filter(|s| !s.is_empty()) {
+            match item.parse() {
+                Ok(item) => items.push(item),
+                Err(_) => self.fault(section, key, item, expected),
+            }
+        }
+
+        items
+    }
+
+    /// Returns a whole number from `min` to `max`.
+    pub fn number(&mut self, section: &str, key: &str, min: u64, max: u64) -> Option<u64> {
+        let expected = format!("a whole number from {min} to {max}");
+        let number = self.optional(section, key, &expected)?;
+
+        if !(min..=max).contains(&number) {
+            self.fault(section, key, &number.to_string(), &expected);
+            return None;
+        }
+
+        Some(number)
+    }
+
+    fn add(&mut self, known: &[(&str, &[&str])], section: &str, key: &str, value: &str) {
+        // The parser takes a name without ']' to go on in the next lines.
+        if let Some((line, _)) = section.split_once('\n') {
+            let expected = "']' after the section's name";
+            self.faults.push(Fault::new("section", line, expected));
+            return;
+        }
+
+        // The parser takes a line without '=' as the start of the next key.
+        if let Some((line, _)) = key.split_once('\n') {
+            self.fault(section, line, "", "a key = value pair");
+            return;
+        }
+
+        let Some((_, keys)) = known.iter().find(|(name, _)| *name == section) else {
+            let names = known.iter().map(|(name, _)| *name);
+            let expected = format!(
+                "a key in a known section, nearest is [{}]",
+                nearest(section, names)
+            );
+            self.fault(section, key, value, &expected);
+            return;
+        };
+
+        if !keys.contains(&key) {
+            let expected = format!(
+                "a known key, nearest is {}",
+                nearest(key, keys.iter().copied())
+            );
+            self.fault(section, key, value, &expected);
+            return;
+        }
+
+        let field = (section.to_string(), key.to_string());
+
+        if self.values.insert(field, value.to_string()).is_some() {
+            self.fault(section, key, value, "the key once only");
+        }
+    }
+
+    fn value(&self, section: &str, key: &str) -> Option<String> {
+        self.values
+            .get(&(section.to_string(), key.to_string()))
+            .cloned()
+    }
+}
+
+fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> &'a str {
+    known
+        .max_by(|a, b| strsim::jaro_winkler(name, a).total_cmp(&strsim::jaro_winkler(name, b)))
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,181 @@
+//! The HTTP client.
+
+use {
+    crate::transport::error::Error,
+    serde::Serialize,
+    std::{io, net::SocketAddr, time::Duration},
+    ureq::{Agent, Body, http::Response},
+};
+
+/// Longest body read in one piece.
+const BODY_BYTES: u64 = 16 * 1024 * 1024;
+
+/// How a call failed.
+#[derive(Debug)]
+pub enum Failure {
+    /// The connection broke, or the answer is not HTTP.
+    Broken(Error),
+    /// The connection was refused, so no byte of the request was sent.
+    Refused(Error),
+    /// No answer in time.
+    TimedOut(Error),
+}
+
+impl Failure {
+    /// Returns the error for a log or a message.
+    pub fn into_error(self) -> Error {
+        match self {
+            Self::Broken(error) | Self::Refused(error) | Self::TimedOut(error) => error,
+        }
+    }
+}
+
+/// A client that keeps connections for later calls.
+#[derive(Clone, Debug)]
+pub struct Client(Agent);
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Client {
+    /// Builds a client.
+    pub fn new() -> Self {
+        Self(agent(16))
+    }
+
+    /// Builds a client for one call on a connection of its own.
+    pub fn once() -> Self {
+        Self(agent(0))
+    }
+
+    /// Gets a path.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed; any HTTP status is a success.
+    pub fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        timeout: Duration,
+    ) -> Result<Response<Body>, Failure> {
+        let request = headers.iter().fold(
+            self.0.get(format!("http://{address}{path}")),
+            |request, (name, value)| request.header(*name, *value),
+        );
+
+        request
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .call()
+            .map_err(|error| failure(address, timeout, &error))
+    }
+
+    /// Posts a body to a path.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed; any HTTP status is a success.
+    pub fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<Response<Body>, Failure> {
+        let request = headers.iter().fold(
+            self.0.post(format!("http://{address}{path}")),
+            |request, (name, value)| request.header(*name, *value),
+        );
+
+        request
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .send(body)
+            .map_err(|error| failure(address, timeout, &error))
+    }
+
+    /// Deletes a path.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed; any HTTP status is a success.
+    pub fn delete(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Response<Body>, Failure> {
+        self.0
+            .delete(format!("http://{address}{path}"))
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .call()
+            .map_err(|error| failure(address, timeout, &error))
+    }
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns how the reading failed.
+pub fn body(
+    address: SocketAddr,
+    timeout: Duration,
+    response: Response<Body>,
+) -> Result<Vec<u8>, Failure> {
+    response
+        .into_body()
+        .with_config()
+        .limit(BODY_BYTES)
+        .read_to_vec()
+        .map_err(|error| failure(address, timeout, &error))
+}
+
+/// Returns the body as JSON bytes.
+///
+/// # Panics
+///
+/// Panics if the value has map keys that are not text.
+pub fn json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("the messages have text keys only")
+}
+
+/// Redirects are off because following one would send a request twice, and
+/// proxies because addresses are the platform's own.
+fn agent(idle: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(idle * 64)
+        .max_idle_connections_per_host(idle)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .build()
+        .new_agent()
+}
+
+fn failure(address: SocketAddr, timeout: Duration, error: &ureq::Error) -> Failure {
+    let message = error.to_string();
+    let address = address.to_string();
+
+    match error {
+        ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Failure::Refused(Error::Connect { address, message })
+        }
+        ureq::Error::Timeout(_) => Failure::TimedOut(Error::Timeout {
+            address,
+            millis: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
+        }),
+        _ => Failure::Broken(Error::Broken { address, message }),
+    }
+}
--- /dev/null
+++ b/src/transport/connection.rs
@@ -0,0 +1,210 @@
+//! One caller's connection: reads requests in time, writes responses.
+
+use {
+    crate::{
+        state::clock::Time,
+        transport::{
+            boot_clock,
+            head::Head,
+            server::{Busy, Fault, Handler, Limits},
+        },
+    },
+    rouille::{Request, Response},
+    std::{
+        io::{self, BufRead, BufReader, Read, Write},
+        net::{Shutdown, SocketAddr, TcpStream},
+        time::Duration,
+    },
+};
+
+/// Longest time that a connection may wait for its next request.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// Longest time to read on after a refusal, so that the caller gets to read
+/// it before the connection is reset.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Bytes read at a time after a refusal.
+const LINGER_BYTES: usize = 16 * 1024;
+
+/// Serves requests until the caller or a fault ends the connection.
+pub fn serve(stream: TcpStream, limits: &Limits, handler: &impl Handler, busy: &Busy) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(limits.read_timeout));
+    let Ok(caller) = stream.peer_addr() else {
+        return;
+    };
+    let due = boot_clock::now() + IDLE;
+    let mut reader = BufReader::new(Source { due, stream });
+
+    while let Ok(true) = wait(&mut reader) {
+        reader.get_mut().due = boot_clock::now() + limits.read_timeout;
+
+        match read(&mut reader, limits, caller) {
+            Ok(Some((head, request))) => {
+                let written = busy.during(|| {
+                    let response = handler.handle(&request);
+                    write(&reader.get_ref().stream, response, &head)
+                });
+
+                if written.is_err() || !head.keep {
+                    return;
+                }
+            }
+            Ok(None) => return,
+            Err(fault) => {
+                let fault = slow(reader.get_ref(), limits, fault);
+                refuse(reader.into_inner().stream, handler, &fault);
+                return;
+            }
+        }
+    }
+}
+
+/// Answers a connection with a refusal and closes it.
+pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault) {
+    let _ = stream.set_write_timeout(Some(LINGER));
+    let head = Head {
+        headers: Vec::new(),
+        keep: false,
+        method: String::new(),
+        modern: true,
+        target: String::new(),
+    };
+
+    if write(&stream, handler.refuse(fault), &head).is_err() {
+        return;
+    }
+
+    let _ = stream.shutdown(Shutdown::Write);
+    let due = boot_clock::now() + LINGER;
+    let mut source = Source { due, stream };
+    let mut buffer = vec![0; LINGER_BYTES];
+    while matches!(source.read(&mut buffer), Ok(1..)) {}
+}
+
+/// Reads from a socket until a moment.
+struct Source {
+    due: Time,
+    stream: TcpStream,
+}
+
+impl Source {
+    fn left(&self) -> Duration {
+        self.due.since(boot_clock::now())
+    }
+}
+
+impl Read for Source {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let left = self.left();
+
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+
+        self.stream.set_read_timeout(Some(left))?;
+        self.stream.read(buffer)
+    }
+}
+
+fn wait(reader: &mut BufReader<Source>) -> io::Result<bool> {
+    reader.get_mut().due = boot_clock::now() + IDLE;
+    Ok(!reader.fill_buf()?.is_empty())
+}
+
+fn slow(source: &Source, limits: &Limits, fault: Fault) -> Fault {
+    match fault {
+        Fault::Invalid { .. } if source.left().is_zero() => Fault::Slow {
+            limit: limits.read_timeout,
+        },
+        fault => fault,
+    }
+}
+
+fn read(
+    reader: &mut BufReader<Source>,
+    limits: &Limits,
+    caller: SocketAddr,
+) -> Result<Option<(Head, Request)>, Fault> {
+    let Some(head) = Head::read(reader, limits.header_bytes)? else {
+        return Ok(None);
+    };
+    let bytes = head.body_bytes()?;
+    let limit = limits.body_bytes;
+
+    if bytes > u64::try_from(limit).unwrap_or(u64::MAX) {
+        return Err(Fault::Body { bytes, limit });
+    }
+
+    if head.header("expect").is_some() {
+        let _ = (&reader.get_ref().stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    let mut body = Vec::new();
+    let read = reader.take(bytes).read_to_end(&mut body);
+
+    if read.is_err() || u64::try_from(body.len()) != Ok(bytes) {
+        return Err(Fault::Invalid {
+            detail: format!("the body broke off after {} of {bytes} bytes", body.len()),
+        });
+    }
+
+    let Head {
+        headers,
+        method,
+        target,
+        ..
+    } = head.clone();
+    let request = Request::fake_http_from(caller, method, target, headers, body);
+    Ok(Some((head, request)))
+}
+
+fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
+    let mut stream = stream;
+    let (mut body, length) = response.data.into_reader_and_size();
+    let chunked = length.is_none() && head.modern;
+    let mut text = format!("HTTP/1.1 {} \r\n", response.status_code);
+
+    for (name, value) in &response.headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+
+    match length {
+        Some(length) => text.push_str(&format!("Content-Length: {length}\r\n")),
+        None if chunked => text.push_str("Transfer-Encoding: chunked\r\n"),
+        None => {}
+    }
+
+    if !head.keep {
+        text.push_str("Connection: close\r\n");
+    }
+
+    text.push_str("\r\n");
+
+    if chunked {
+        stream.write_all(text.as_bytes())?;
+        return write_chunks(stream, &mut body);
+    }
+
+    let mut bytes = text.into_bytes();
+    body.read_to_end(&mut bytes)?;
+    stream.write_all(&bytes)
+}
+
+/// Writes each piece of a body as soon as the body yields it.
+fn write_chunks(mut stream: &TcpStream, body: &mut impl Read) -> io::Result<()> {
+    let mut buffer = vec![0; LINGER_BYTES];
+
+    loop {
+        let read = body.read(&mut buffer)?;
+        let mut chunk = format!("{read:x}\r\n").into_bytes();
+        chunk.extend_from_slice(&buffer[..read]);
+        chunk.extend_from_slice(b"\r\n");
+        stream.write_all(&chunk)?;
+
+        if read == 0 {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/metrics.rs
@@ -0,0 +1,60 @@
+//! Metrics for a statsd address.
+
+use {
+    crate::transport::error::Error,
+    cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink},
+    std::{
+        net::{SocketAddr, UdpSocket},
+        time::Duration,
+    },
+};
+
+/// Prefix of every metric.
+const PREFIX: &str = "persimmoncleat";
+
+/// Metrics that wait to be sent; further ones are dropped.
+const QUEUE: usize = 4096;
+
+/// Sends metrics, or drops them when there is no address.
+#[derive(Debug)]
+pub struct Metrics(StatsdClient);
+
+impl Metrics {
+    /// Builds metrics that go to an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no UDP socket can be opened.
+    pub fn new(address: Option<SocketAddr>) -> Result<Self, Error> {
+        let Some(address) = address else {
+            return Ok(Self(StatsdClient::from_sink(PREFIX, NopMetricSink)));
+        };
+        let failed = |message: String| Error::Connect {
+            address: address.to_string(),
+            message,
+        };
+        let local: SocketAddr = match address {
+            SocketAddr::V4(_) => ([0; 4], 0).into(),
+            SocketAddr::V6(_) => ([0; 16], 0).into(),
+        };
+        let socket = UdpSocket::bind(local).map_err(|error| failed(error.to_string()))?;
+        socket
+            .set_nonblocking(true)
+            .map_err(|error| failed(error.to_string()))?;
+        let sink =
+            UdpMetricSink::from(address, socket).map_err(|error| failed(error.to_string()))?;
+        let queue = QueuingMetricSink::with_capacity(sink, QUEUE);
+
+        Ok(Self(StatsdClient::from_sink(PREFIX, queue)))
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, name: &str) {
+        let _ = self.0.count(name, 1);
+    }
+
+    /// Records a time.
+    pub fn time(&self, name: &str, elapsed: Duration) {
+        let _ = self.0.time(name, elapsed);
+    }
+}
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,188 @@
+//! The HTTP server: accepts connections and bounds them.
+//!
+//! Requests and responses are rouille's types. The connections are read here
+//! because rouille's own server (tiny_http 0.12) bounds neither the header nor
+//! the time a caller takes to send it, holds streamed tokens back until 8 KB
+//! have come together, and stops accepting after one failed `accept`.
+
+use {
+    crate::transport::{connection, error::Error},
+    rouille::{Request, Response},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+/// Pause after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Connections above the limit that are still told why they are refused;
+/// further ones are closed without an answer.
+const REFUSED_CONNECTIONS: usize = 64;
+
+/// Enough for a request thread; the default of 2 MB would reserve 4 GB of
+/// address space at the connection limit.
+const STACK_BYTES: usize = 512 * 1024;
+
+/// Upper bounds of one server.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub body_bytes: usize,
+    pub connections: usize,
+    pub header_bytes: usize,
+    /// Longest time from the first to the last byte of a request.
+    pub read_timeout: Duration,
+}
+
+/// Why a request was refused before the handler saw it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Fault {
+    Body { bytes: u64, limit: usize },
+    Connections { limit: usize },
+    Header { limit: usize },
+    Invalid { detail: String },
+    Slow { limit: Duration },
+}
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: &Request) -> Response;
+
+    /// Answers a request that broke a limit.
+    fn refuse(&self, fault: &Fault) -> Response;
+}
+
+/// A server that listens but does not accept yet.
+#[derive(Debug)]
+pub struct Server {
+    busy: Busy,
+    limits: Limits,
+    listener: TcpListener,
+}
+
+impl Server {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn bind(address: SocketAddr, limits: Limits) -> Result<Self, Error> {
+        let listener = TcpListener::bind(address).map_err(|error| listen(address, &error))?;
+        Ok(Self {
+            busy: Busy::default(),
+            limits,
+            listener,
+        })
+    }
+
+    /// Returns the count of answers in progress.
+    pub fn busy(&self) -> Busy {
+        self.busy.clone()
+    }
+
+    /// Returns the address it listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket has no address.
+    pub fn address(&self) -> Result<SocketAddr, Error> {
+        self.listener
+            .local_addr()
+            .map_err(|error| listen(([0; 4], 0).into(), &error))
+    }
+
+    /// Accepts connections until the process ends, a thread for each.
+    pub fn run(self, handler: Arc<impl Handler>) -> ! {
+        let count = Arc::new(AtomicUsize::new(0));
+
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => self.start(stream, &handler, &count),
+                Err(error) => {
+                    log::warn!("cannot accept a connection: {error}");
+                    thread::sleep(ACCEPT_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn start(&self, stream: TcpStream, handler: &Arc<impl Handler>, count: &Arc<AtomicUsize>) {
+        let slot = Slot::take(count);
+
+        if slot.number >= self.limits.connections + REFUSED_CONNECTIONS {
+            return;
+        }
+
+        let handler = Arc::clone(handler);
+        let limits = self.limits.clone();
+        let busy = self.busy.clone();
+        let started = thread::Builder::new()
+            .name("caller".into())
+            .stack_size(STACK_BYTES)
+            .spawn(move || {
+                if slot.number < limits.connections {
+                    connection::serve(stream, &limits, &*handler, &busy);
+                } else {
+                    let limit = limits.connections;
+                    connection::refuse(stream, &*handler, &Fault::Connections { limit });
+                }
+                drop(slot);
+            });
+
+        if let Err(error) = started {
+            log::warn!("cannot start a thread for a connection: {error}");
+        }
+    }
+}
+
+/// Counts the requests whose answer is not yet written in full.
+#[derive(Clone, Debug, Default)]
+pub struct Busy(Arc<AtomicUsize>);
+
+impl Busy {
+    /// Returns the number of requests.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Counts one request while `answer` runs.
+    pub fn during<T>(&self, answer: impl FnOnce() -> T) -> T {
+        let _slot = Slot::take(&self.0);
+        answer()
+    }
+}
+
+struct Slot {
+    count: Arc<AtomicUsize>,
+    number: usize,
+}
+
+impl Slot {
+    fn take(count: &Arc<AtomicUsize>) -> Self {
+        Self {
+            count: Arc::clone(count),
+            number: count.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn listen(address: SocketAddr, error: &io::Error) -> Error {
+    Error::Connect {
+        address: address.to_string(),
+        message: error.to_string(),
+    }
+}
--- /dev/null
+++ b/tests/gateway/runner.rs
@@ -0,0 +1,389 @@
+//! Attempts that cross, repeat, break off or lose, with the test in the place
+//! of the scheduler.
+
+use {
+    crate::support::{Fake, Host, done, end, lines, not_run, parse, token, wait_for},
+    persimmoncleat::{
+        coordination::{control, scheduling},
+        protocol::{call::Call, daemon_file::Limits},
+        state::{action::Action, attempt::End, event::Event, id, pool::Kind},
+    },
+    rouille::Response,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            mpsc::{Receiver, Sender},
+        },
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
+};
+
+const BODY: &str = r#"{"prompt": "tides of May"}"#;
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A host whose scheduler is the test.
+struct Script {
+    actions: Option<Sender<Action>>,
+    events: Receiver<control::Event>,
+    host: Arc<Host>,
+    request: id::Request,
+}
+
+impl Script {
+    fn start(endpoints: &[SocketAddr]) -> Self {
+        let pools = [("generate", Kind::Engine, endpoints)];
+        let (host, _parts, events) = Host::scripted(&pools, Limits::default());
+
+        Self {
+            actions: None,
+            events,
+            host: Arc::new(host),
+            request: "".into(),
+        }
+    }
+
+    /// Posts a request in a thread and admits it.
+    fn post(&mut self, query: &'static str) -> JoinHandle<(u16, String)> {
+        let host = Arc::clone(&self.host);
+        let caller = thread::spawn(move || host.post(query, &[], BODY));
+        self.admit();
+        caller
+    }
+
+    fn admit(&mut self) {
+        match self.event() {
+            control::Event::Scheduling(scheduling::Event::Register { actions, request }) => {
+                self.actions = Some(actions);
+                self.request = request;
+            }
+            event => panic!("{event:?}"),
+        }
+        assert!(matches!(self.next(), Event::Arrived(_)));
+        let request = self.request.clone();
+        self.act(Action::Admitted { request });
+        assert!(matches!(self.next(), Event::Ready { stage: 0, .. }));
+    }
+
+    fn event(&self) -> control::Event {
+        self.events.recv_timeout(TIMEOUT).unwrap()
+    }
+
+    fn next(&self) -> Event {
+        match self.event() {
+            control::Event::Scheduling(scheduling::Event::Scheduler(event)) => event,
+            event => panic!("{event:?}"),
+        }
+    }
+
+    fn act(&self, action: Action) {
+        self.actions.as_ref().unwrap().send(action).unwrap();
+    }
+
+    fn dispatch(&self, attempt: u64, endpoint: SocketAddr, timeout: Duration) {
+        self.act(Action::Dispatched {
+            attempt: id::Attempt(attempt),
+            endpoint: format!("generate-{}", endpoint.port()).into(),
+            hedge: attempt > 1,
+            request: self.request.clone(),
+            stage: 0,
+            timeout,
+        });
+    }
+
+    /// Waits for the report of an attempt.
+    fn finished(&self, attempt: u64) -> End {
+        match self.next() {
+            Event::Finished {
+                attempt: id,
+                report,
+            } if id == id::Attempt(attempt) => report.end,
+            event => panic!("{event:?}"),
+        }
+    }
+}
+
+/// Runs one attempt that goes wrong, then a good one, and checks that the
+/// caller gets the good answer, and how the bad one was counted.
+fn recover(
+    bad: impl Fn(&Call) -> Response + Send + Sync + 'static,
+    timeout: Duration,
+    end: &End,
+    counter: &str,
+) {
+    let wrong = Fake::start(move |_, call| bad(call));
+    let right = Fake::start(|_, call| done(call, "drafted"));
+    let mut script = Script::start(&[wrong.address, right.address]);
+    let caller = script.post("");
+
+    script.dispatch(1, wrong.address, timeout);
+    assert_eq!(script.finished(1), *end);
+    script.dispatch(2, right.address, TIMEOUT);
+
+    let (status, text) = caller.join().unwrap();
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(parse(&text)["output"], "drafted");
+    assert_eq!(script.host.counter(counter), u64::from(!counter.is_empty()));
+}
+
+macro_rules! recovers {
+    ($name:ident, $bad:expr, $timeout:expr, $end:expr, $counter:expr) => {
+        #[test]
+        fn $name() {
+            recover($bad, $timeout, &$end, $counter);
+        }
+    };
+}
+
+recovers!(
+    answer_of_another_request_is_discarded,
+    |call| {
+        let other = Call {
+            request: "h1.1.other".into(),
+            ..call.clone()
+        };
+        done(&other, "another caller's")
+    },
+    TIMEOUT,
+    End::Failed,
+    "crossed_answers"
+);
+recovers!(
+    answer_of_another_attempt_is_discarded,
+    |call| {
+        let other = Call {
+            attempt: format!("{}/99", call.request),
+            ..call.clone()
+        };
+        done(&other, "a late one")
+    },
+    TIMEOUT,
+    End::Failed,
+    "crossed_answers"
+);
+recovers!(
+    truncated_answer_is_a_failure,
+    |_| Response::from_data("application/json", r#"{"attempt": "#),
+    TIMEOUT,
+    End::Failed,
+    "truncated_answers"
+);
+recovers!(
+    answer_without_output_is_truncated,
+    |call| Response::json(&json!({
+        "attempt": call.attempt, "request": call.request, "status": "done"
+    })),
+    TIMEOUT,
+    End::Failed,
+    "truncated_answers"
+);
+recovers!(
+    stalled_answer_times_out,
+    |call| {
+        thread::sleep(Duration::from_secs(2));
+        done(call, "too late")
+    },
+    Duration::from_millis(50),
+    End::TimedOut,
+    ""
+);
+recovers!(
+    refusal_of_the_endpoint_is_not_run,
+    |call| not_run(call, "leaving"),
+    TIMEOUT,
+    End::NotRun { leaving: true },
+    ""
+);
+recovers!(
+    refusal_of_another_attempt_proves_nothing,
+    |call| not_run(
+        &Call {
+            attempt: "another".into(),
+            ..call.clone()
+        },
+        "full"
+    ),
+    TIMEOUT,
+    End::Failed,
+    "crossed_answers"
+);
+
+/// Streams with the given lines first; the second attempt goes on where the
+/// first one broke off, and the caller gets each token once.
+fn resume(first: impl Fn(&Call) -> Response + Send + Sync + 'static, tokens: u32) -> Script {
+    const TOKENS: u32 = 6;
+
+    let broken = Fake::start(move |_, call| first(call));
+    let right = Fake::start(|_, call| {
+        let mut all: Vec<_> = (call.resume_from..TOKENS).map(|i| token(call, i)).collect();
+        all.push(end(call, TOKENS));
+        lines(&all, true)
+    });
+    let mut script = Script::start(&[broken.address, right.address]);
+    let caller = script.post("?stream=true");
+
+    script.dispatch(1, broken.address, TIMEOUT);
+    assert_eq!(script.finished(1), End::Failed);
+    script.dispatch(2, right.address, TIMEOUT);
+    let (status, text) = caller.join().unwrap();
+    let lines: Vec<_> = text.lines().map(parse).collect();
+
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(right.calls.lock().unwrap()[0].resume_from, tokens);
+    let indices: Vec<_> = lines.iter().map(|line| line["index"].as_u64()).collect();
+    assert_eq!(
+        indices,
+        [Some(0), Some(1), Some(2), Some(3), Some(4), Some(5), None]
+    );
+    assert_eq!(lines[6]["end"], true);
+    script
+}
+
+macro_rules! resumes {
+    ($name:ident, $tokens:expr) => {
+        #[test]
+        fn $name() {
+            let first = |call: &Call| {
+                let some: Vec<_> = (0..$tokens).map(|index| token(call, index)).collect();
+                lines(&some, false)
+            };
+            resume(first, $tokens);
+        }
+    };
+}
+
+resumes!(stream_broken_before_the_first_token_restarts, 0);
+resumes!(stream_broken_at_token_1_resumes, 1);
+resumes!(stream_broken_at_token_5_resumes, 5);
+resumes!(stream_broken_before_its_end_line_resumes, 6);
+
+#[test]
+fn repeated_and_crossed_lines_are_dropped() {
+    let script = resume(
+        |call| {
+            let other = Call {
+                attempt: "another".into(),
+                ..call.clone()
+            };
+            let some = [
+                token(call, 0),
+                token(call, 0),
+                token(&other, 1),
+                token(call, 1),
+                end(&other, 2),
+            ];
+            lines(&some, false)
+        },
+        2,
+    );
+    assert_eq!(script.host.counter("truncated_answers"), 1);
+}
+
+#[test]
+fn stream_with_a_gap_is_broken_at_the_gap() {
+    resume(
+        |call| lines(&[token(call, 0), token(call, 2), end(call, 3)], true),
+        1,
+    );
+}
+
+#[test]
+fn loser_that_answers_after_its_cancel_is_discarded() {
+    let release = Arc::new(Mutex::new(()));
+    let held = release.lock().unwrap();
+    let gate = Arc::clone(&release);
+    let loser = Fake::start(move |_, call| {
+        drop(gate.lock().unwrap());
+        done(call, "from the loser")
+    });
+    let winner = Fake::start(|_, call| done(call, "from the winner"));
+    let mut script = Script::start(&[loser.address, winner.address]);
+    let caller = script.post("");
+
+    script.dispatch(1, loser.address, TIMEOUT);
+    wait_for(|| loser.count() == 1);
+    script.dispatch(2, winner.address, TIMEOUT);
+    assert_eq!(script.finished(2), End::Done { tokens: 1 });
+    assert_eq!(script.finished(1), End::Cancelled);
+    assert!(matches!(script.next(), Event::Ended { .. }));
+    let (_, text) = caller.join().unwrap();
+    assert_eq!(parse(&text)["output"], "from the winner");
+    wait_for(|| loser.cancelled.lock().unwrap().len() == 1);
+    let attempt = format!("{}/1", script.request);
+    assert_eq!(*loser.cancelled.lock().unwrap(), [attempt]);
+
+    drop(held);
+    wait_for(|| script.host.counter("late_answers") == 1);
+    let ledger = script.host.gateway.observer.ledger();
+    assert_eq!(ledger.costs()[0].tokens, 2, "the loser's cost is missing");
+}
+
+#[test]
+fn second_attempt_of_an_order_is_never_sent() {
+    let broken = Fake::start(|_, _| Response::text("cut off").with_status_code(500));
+    let other = Fake::start(|_, call| done(call, "a second issue"));
+    let mut script = Script::start(&[broken.address, other.address]);
+    let host = Arc::clone(&script.host);
+    let caller = thread::spawn(move || host.post_once(&host.ticket(BODY), BODY));
+    script.admit();
+
+    script.dispatch(1, broken.address, TIMEOUT);
+    assert_eq!(script.finished(1), End::Failed);
+    // A scheduler with a fault asks for another attempt.
+    script.dispatch(2, other.address, TIMEOUT);
+    assert_eq!(script.finished(2), End::Failed);
+    let refusal = persimmoncleat::state::refusal::Refusal::not_run(
+        persimmoncleat::state::refusal::Reason::Stage,
+        "no endpoint is left",
+    );
+    script.act(Action::Failed {
+        refusal,
+        request: script.request.clone(),
+        stage: 0,
+    });
+
+    let (status, text) = caller.join().unwrap();
+    assert_eq!(status, 502, "{text}");
+    assert_eq!(parse(&text)["outcome"], "unknown");
+    assert_eq!((broken.count(), other.count()), (1, 0));
+}
+
+#[test]
+fn order_moves_on_after_a_refused_connection() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let refused = gone.local_addr().unwrap();
+    drop(gone);
+    let right = Fake::start(|_, call| done(call, "published"));
+    let mut script = Script::start(&[refused, right.address]);
+    let host = Arc::clone(&script.host);
+    let caller = thread::spawn(move || host.post_once(&host.ticket(BODY), BODY));
+    script.admit();
+
+    script.dispatch(1, refused, TIMEOUT);
+    assert_eq!(script.finished(1), End::NotRun { leaving: false });
+    script.dispatch(2, right.address, TIMEOUT);
+    let (status, text) = caller.join().unwrap();
+
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(right.count(), 1);
+}
+
+#[test]
+fn request_ends_at_its_deadline() {
+    let stalled = Fake::start(|_, call| {
+        thread::sleep(Duration::from_secs(3));
+        done(call, "too late")
+    });
+    let mut script = Script::start(&[stalled.address]);
+    let host = Arc::clone(&script.host);
+    let headers = [("Persimmon-Deadline-Ms", "300")];
+    let caller = thread::spawn(move || host.post("", &headers, BODY));
+    script.admit();
+    script.dispatch(1, stalled.address, TIMEOUT);
+
+    let (status, text) = caller.join().unwrap();
+    assert_eq!(status, 504, "{text}");
+    assert_eq!(parse(&text)["outcome"], "failed");
+}
--- /dev/null
+++ b/tests/gateway/support.rs
@@ -0,0 +1,402 @@
+//! A host inside the test process and fake endpoints for it.
+
+use {
+    persimmoncleat::{
+        coordination::{
+            claims::Claims,
+            control::{self, Control},
+            gateway::Gateway,
+            membership::Membership,
+            observer::Observer,
+            published::Published,
+            records::Records,
+            routes::Routes,
+            scheduling::{self, Scheduling},
+            settings::Settings,
+            tickets::Tickets,
+        },
+        protocol::{call::Call, daemon_file::Limits, digest, secret::Secret},
+        state::{
+            clock::Time,
+            endpoint::{Endpoint, Phase},
+            event, id,
+            member::{self, Member},
+            pipeline::{Pipeline, Stage},
+            policy::{Policy, Team},
+            pool::{Kind, Pool},
+            scheduler::Scheduler,
+            view::View,
+        },
+        transport::{
+            boot_clock,
+            client::Client,
+            links::Links,
+            metrics::Metrics,
+            server::{self, Fault, Handler, Server},
+        },
+    },
+    rouille::{Request, Response, ResponseBody},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        io::{self, Read},
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            mpsc::{self, Receiver},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+pub const TEAM_KEY: &str = "the key of team hvarfdal";
+pub const OPERATOR_KEY: &str = "the key of the operators";
+pub const FLEET_KEY: &[u8] = b"the key of the whole fleet";
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+
+type Answer = dyn Fn(usize, &Call) -> Response + Send + Sync;
+
+/// An endpoint whose answers a test writes. The closure gets the number of
+/// calls before this one.
+pub struct Fake {
+    pub address: SocketAddr,
+    pub calls: Arc<Mutex<Vec<Call>>>,
+    pub cancelled: Arc<Mutex<Vec<String>>>,
+}
+
+struct FakeRoutes {
+    answer: Box<Answer>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    cancelled: Arc<Mutex<Vec<String>>>,
+}
+
+impl Handler for FakeRoutes {
+    fn handle(&self, request: &Request) -> Response {
+        if request.method() == "DELETE" {
+            let attempt = request.url().replace("/v1/calls/", "");
+            self.cancelled.lock().unwrap().push(attempt);
+            return Response::json(&json!({"cancelled": true}));
+        }
+
+        if request.url() != "/v1/calls" {
+            return Response::empty_404();
+        }
+
+        let call: Call = serde_json::from_reader(request.data().unwrap()).unwrap();
+        let before = {
+            let mut calls = self.calls.lock().unwrap();
+            calls.push(call.clone());
+            calls.len() - 1
+        };
+        (self.answer)(before, &call)
+    }
+
+    fn refuse(&self, _fault: &Fault) -> Response {
+        Response::empty_400()
+    }
+}
+
+impl Fake {
+    pub fn start(answer: impl Fn(usize, &Call) -> Response + Send + Sync + 'static) -> Self {
+        let (calls, cancelled) = <(Arc<Mutex<_>>, Arc<Mutex<_>>)>::default();
+        let routes = FakeRoutes {
+            answer: Box::new(answer),
+            calls: Arc::clone(&calls),
+            cancelled: Arc::clone(&cancelled),
+        };
+        let server = Server::bind(
+            ([127, 0, 0, 1], 0).into(),
+            server_limits(&Limits::default()),
+        );
+        let server = server.unwrap();
+        let address = server.address().unwrap();
+        thread::spawn(move || server.run(Arc::new(routes)));
+
+        Self {
+            address,
+            calls,
+            cancelled,
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.calls.lock().unwrap().len()
+    }
+}
+
+/// The whole answer of an endpoint that did its work.
+pub fn done(call: &Call, output: &str) -> Response {
+    Response::json(&json!({
+        "attempt": call.attempt, "request": call.request, "status": "done",
+        "output": output, "tokens": 1, "millis": 1,
+    }))
+}
+
+/// A refusal before anything ran.
+pub fn not_run(call: &Call, reason: &str) -> Response {
+    Response::json(&json!({
+        "attempt": call.attempt, "request": call.request,
+        "status": "not_run", "reason": reason,
+    }))
+    .with_status_code(503)
+}
+
+/// The line of one token.
+pub fn token(call: &Call, index: u32) -> Value {
+    json!({"attempt": call.attempt, "index": index, "token": format!("t{index} ")})
+}
+
+/// The last line of a stream.
+pub fn end(call: &Call, tokens: u32) -> Value {
+    json!({"attempt": call.attempt, "request": call.request, "end": true, "tokens": tokens})
+}
+
+/// A stream of lines. Without its end it breaks off.
+pub fn lines(lines: &[Value], whole: bool) -> Response {
+    let text: String = lines.iter().map(|line| format!("{line}\n")).collect();
+    let body = io::Cursor::new(text.into_bytes());
+    let data = if whole {
+        ResponseBody::from_reader(body)
+    } else {
+        ResponseBody::from_reader(body.chain(Broken))
+    };
+
+    Response {
+        status_code: 200,
+        headers: vec![],
+        data,
+        upgrade: None,
+    }
+}
+
+struct Broken;
+
+impl Read for Broken {
+    fn read(&mut self, _buffer: &mut [u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+}
+
+/// A host that runs inside the test process.
+pub struct Host {
+    pub address: SocketAddr,
+    pub gateway: Arc<Gateway>,
+}
+
+impl Host {
+    /// Starts a host whose pipeline `draft` has one stage per pool.
+    pub fn start(pools: &[(&str, Kind, &[SocketAddr])]) -> Self {
+        Self::with_limits(pools, Limits::default())
+    }
+
+    pub fn with_limits(pools: &[(&str, Kind, &[SocketAddr])], limits: Limits) -> Self {
+        let (host, parts, events) = Self::scripted(pools, limits);
+        let event = event::Event::Endpoints(endpoints(pools));
+        let event = control::Event::Scheduling(scheduling::Event::Scheduler(event));
+        host.gateway.control.send(event).unwrap();
+        thread::spawn(move || parts.run(&events));
+        host
+    }
+
+    /// Starts a host whose control thread is left to the test.
+    pub fn scripted(
+        pools: &[(&str, Kind, &[SocketAddr])],
+        limits: Limits,
+    ) -> (Self, Control, Receiver<control::Event>) {
+        let server = Server::bind(([127, 0, 0, 1], 0).into(), server_limits(&limits)).unwrap();
+        let address = server.address().unwrap();
+        let view = view(address, pools);
+        let published = Published::new(view.clone());
+        let (control, events) = mpsc::channel();
+        let gateway = Arc::new(Gateway {
+            client: Client::new(),
+            control,
+            limits: limits.clone(),
+            links: Links {},
+            observer: Observer::new(Metrics::new(None).unwrap()),
+            operator: Secret::parse(OPERATOR_KEY.as_bytes()).unwrap(),
+            published: published.clone(),
+            records: Records::new(limits.requests, limits.answer_retention),
+            tickets: Tickets::new(FLEET_KEY),
+        });
+        let parts = Control {
+            claims: Claims::new(&view, 100),
+            membership: Membership::default(),
+            published,
+            scheduling: Scheduling::new(Scheduler::new("d1".into(), 1)),
+            settings: Settings::default(),
+            view,
+        };
+        let routes = Arc::new(Routes(Arc::clone(&gateway)));
+        thread::spawn(move || server.run(routes));
+        (Self { address, gateway }, parts, events)
+    }
+
+    /// Posts a repeatable request; further headers replace nothing.
+    pub fn post(&self, query: &str, headers: &[(&str, &str)], body: &str) -> (u16, String) {
+        let mut all = vec![
+            ("Authorization", "Bearer the key of team hvarfdal"),
+            ("Persimmon-Class", "volume"),
+            ("Persimmon-Team", "hvarfdal"),
+        ];
+
+        if !headers
+            .iter()
+            .any(|(name, _)| *name == "Persimmon-Repeatable")
+        {
+            all.push(("Persimmon-Repeatable", "true"));
+        }
+
+        all.extend_from_slice(headers);
+        let path = format!("/v1/pipelines/draft/requests{query}");
+        self.send(&path, &all, body)
+    }
+
+    /// Posts to any path.
+    pub fn send(&self, path: &str, headers: &[(&str, &str)], body: &str) -> (u16, String) {
+        let response = Client::once()
+            .post(self.address, path, headers, body.as_bytes(), TIMEOUT)
+            .unwrap();
+        text(response)
+    }
+
+    /// Gets a path with a bearer key.
+    pub fn get(&self, path: &str, key: &str) -> (u16, String) {
+        let authorization = format!("Bearer {key}");
+        let headers = [("Authorization", authorization.as_str())];
+        let response = Client::once()
+            .get(self.address, path, &headers, TIMEOUT)
+            .unwrap();
+        text(response)
+    }
+
+    /// Returns a counter.
+    pub fn counter(&self, name: &str) -> u64 {
+        let ledger = self.gateway.observer.ledger();
+        ledger.counters().get(name).copied().unwrap_or(0)
+    }
+
+    /// Fetches a ticket for a body.
+    pub fn ticket(&self, body: &str) -> Value {
+        let ticket = json!({
+            "team": "hvarfdal", "class": "volume", "pipeline": "draft",
+            "body_sha256": digest::sha256_hex(body.as_bytes()), "deadline_ms": 5000,
+        });
+        let headers = [("Authorization", "Bearer the key of team hvarfdal")];
+        let (status, text) = self.send("/v1/tickets", &headers, &ticket.to_string());
+        assert_eq!(status, 200, "{text}");
+        serde_json::from_str(&text).unwrap()
+    }
+
+    /// Posts a request that is not repeatable.
+    pub fn post_once(&self, ticket: &Value, body: &str) -> (u16, String) {
+        let ticket = ticket["ticket"].as_str().unwrap();
+        let headers = [
+            ("Persimmon-Repeatable", "false"),
+            ("Persimmon-Ticket", ticket),
+        ];
+        self.post("", &headers, body)
+    }
+}
+
+pub fn text(response: ureq::http::Response<ureq::Body>) -> (u16, String) {
+    let status = response.status().as_u16();
+    (status, response.into_body().read_to_string().unwrap())
+}
+
+/// Parses a JSON body.
+pub fn parse(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_else(|error| panic!("{error}: {text}"))
+}
+
+/// Waits until a condition holds.
+pub fn wait_for(condition: impl Fn() -> bool) {
+    let start = boot_clock::now();
+
+    while !condition() {
+        assert!(
+            boot_clock::now().since(start) < TIMEOUT,
+            "condition never held"
+        );
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn server_limits(limits: &Limits) -> server::Limits {
+    server::Limits {
+        body_bytes: limits.body_bytes,
+        connections: limits.connections,
+        header_bytes: limits.header_bytes,
+        read_timeout: limits.read_timeout,
+    }
+}
+
+fn endpoints(pools: &[(&str, Kind, &[SocketAddr])]) -> Vec<Endpoint> {
+    let endpoint = |pool: &str, address: &SocketAddr| Endpoint {
+        address: *address,
+        domain: "d1".into(),
+        endpoint: format!("{pool}-{}", address.port()).into(),
+        phase: Phase::Live,
+        pool: pool.into(),
+    };
+
+    pools
+        .iter()
+        .flat_map(|(pool, _, addresses)| addresses.iter().map(|address| endpoint(pool, address)))
+        .collect()
+}
+
+fn view(address: SocketAddr, pools: &[(&str, Kind, &[SocketAddr])]) -> View {
+    let stages = pools.iter().map(|(pool, ..)| Stage {
+        name: id::Stage::from(*pool),
+        pool: id::Pool::from(*pool),
+    });
+    let pipeline = Pipeline {
+        deadline: None,
+        stages: stages.collect(),
+    };
+    let team = |key: &str| Team {
+        key_sha256: Some(digest::sha256_hex(key.as_bytes())),
+        ..Team::default()
+    };
+    let pool = |kind: Kind| Pool {
+        kind,
+        ..Pool::default()
+    };
+    let policy = Policy {
+        pipelines: [("draft".into(), pipeline)].into(),
+        pools: pools
+            .iter()
+            .map(|(name, kind, _)| (id::Pool::from(*name), pool(*kind)))
+            .collect(),
+        teams: [
+            ("hvarfdal".into(), team(TEAM_KEY)),
+            ("peachtree".into(), team("another team's key")),
+        ]
+        .into(),
+        version: 1,
+    };
+
+    View {
+        endpoints: Arc::new(endpoints(pools)),
+        had_peers: false,
+        heard_peer: None,
+        // The object API counts as heard for ever.
+        heard_store: Some(Time::from_micros(u64::MAX)),
+        local: Member {
+            caller_address: address,
+            clock: boot_clock::now(),
+            demand: BTreeMap::new(),
+            domain: "d1".into(),
+            host: "h1".into(),
+            incarnation: id::Incarnation(1),
+            outstanding: 0,
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            phase: member::Phase::Alive,
+            settings: 1,
+        },
+        members: Arc::default(),
+        policy: Arc::new(policy),
+    }
+}
