--- a/src/transport.rs
+++ b/src/transport.rs
@@ -2,9 +2,9 @@
 
 pub mod boot_clock;
 pub mod client;
-pub mod connection;
 pub mod error;
 pub mod head;
+pub mod http_connection;
 pub mod json_log;
 pub mod links;
 pub mod metrics;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -6,7 +6,7 @@
 //! have come together, and stops accepting after one failed `accept`.
 
 use {
-    crate::transport::{connection, error::Error},
+    crate::transport::{error::Error, http_connection},
     rouille::{Request, Response},
     std::{
         io,
@@ -129,10 +129,10 @@
             .stack_size(STACK_BYTES)
             .spawn(move || {
                 if slot.number < limits.connections {
-                    connection::serve(stream, &limits, &*handler, &busy);
+                    http_connection::serve(stream, &limits, &*handler, &busy);
                 } else {
                     let limit = limits.connections;
-                    connection::refuse(stream, &*handler, &Fault::Connections { limit });
+                    http_connection::refuse(stream, &*handler, &Fault::Connections { limit });
                 }
                 drop(slot);
             });
