Add the lease on a pool's engines, with fuzz and traces

Cause: one host at a time may order a pool's engines, and some engines do not check the fencing token, so a holder that was paused or whose renewals were lost must stop by itself before a successor starts. Change: state::lease, a pure machine over one object with conditional writes. Validity counts from the send time of the write that made the version; a write whose answer was lost is settled by reading back. Ruled out: counting from the receipt of the answer.

--- a/src/state.rs
+++ b/src/state.rs
@@ -9,6 +9,8 @@
 pub mod endpoint;
 pub mod event;
 pub mod id;
+pub mod lease;
+pub mod lease_trace;
 pub mod member;
 pub mod pipeline;
 pub mod policy;
--- /dev/null
+++ b/src/state/lease_trace.rs
@@ -0,0 +1,367 @@
+//! Recorded histories of a lease among several hosts, replayed against the
+//! rules that must hold.
+
+use {
+    crate::state::{
+        clock::Time,
+        id,
+        lease::{self, Event, Found, Lease, Next, Record, Standing, Written},
+        pool::Fencing,
+    },
+    serde::{Deserialize, Serialize},
+    snafu::{Snafu, ensure},
+    std::collections::VecDeque,
+};
+
+/// Clock rates of the hosts, in thousandths of true time.
+const RATES: [u64; 3] = [1000, 1030, 970];
+
+/// One step of a history.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", tag = "step")]
+pub enum Step {
+    /// True time passes.
+    Advance { millis: u64 },
+    /// The host gets the answer to what it sent.
+    Answer { host: usize },
+    /// The host becomes or stops being a candidate.
+    Candidate { candidate: bool, host: usize },
+    /// Every write meets this fate until the next such step.
+    Fate { write: Option<Write> },
+    /// The host does nothing until it wakes; its clock goes on.
+    Freeze { host: usize },
+    /// The oldest late write reaches the store.
+    Land,
+    /// The host stops as planned.
+    Leave { host: usize },
+    /// The store answers, or does not.
+    Outage { down: bool },
+    /// The host starts again with a new incarnation.
+    Restart { host: usize },
+    /// The host sends what its lease asks for; a read or write that is not
+    /// late is carried out at once.
+    Send { host: usize, write: Write },
+    /// The host goes on after a freeze.
+    Wake { host: usize },
+}
+
+/// What becomes of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Write {
+    /// It takes effect and is answered.
+    Answered,
+    /// It never takes effect, and no answer comes.
+    Dropped,
+    /// It reaches the store after its sender stopped waiting.
+    Late,
+    /// It takes effect, and the answer is lost.
+    Lost,
+}
+
+/// A rule that a history broke.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum Violation {
+    #[snafu(display("hosts {holders:?} may order at the end, expected {expected:?}"))]
+    Outcome {
+        expected: Vec<usize>,
+        holders: Vec<usize>,
+    },
+    #[snafu(display("hosts {first} and {second} may both send orders at {micros} us"))]
+    TwoHolders {
+        first: usize,
+        micros: u64,
+        second: usize,
+    },
+    #[snafu(display(
+        "host {host} may send orders with token {token}, but version {version} is stored"
+    ))]
+    StaleToken {
+        host: usize,
+        token: u64,
+        version: u64,
+    },
+    #[snafu(display("host {host} may order {millis} ms after host {previous} could still send"))]
+    Overlap {
+        host: usize,
+        millis: u64,
+        previous: usize,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Host {
+    answer: Option<Event>,
+    frozen: bool,
+    incarnation: u64,
+    lease: Lease,
+    rate: u64,
+}
+
+/// Several hosts, one store and the true time.
+#[derive(Clone, Debug)]
+pub struct World {
+    down: bool,
+    fate: Option<Write>,
+    fencing: Fencing,
+    hosts: Vec<Host>,
+    /// The last host that could send, and true time until which an order that
+    /// it began may still be on its way.
+    last_sender: Option<(usize, u64)>,
+    late: VecDeque<(Option<u64>, Record)>,
+    micros: u64,
+    store: Option<Found>,
+    version: u64,
+}
+
+impl World {
+    /// Builds hosts that are all candidates for one pool's lease.
+    pub fn new(hosts: usize, fencing: Fencing) -> Self {
+        let mut world = Self {
+            down: false,
+            fate: None,
+            fencing,
+            hosts: Vec::new(),
+            last_sender: None,
+            late: VecDeque::new(),
+            micros: 0,
+            store: None,
+            version: 0,
+        };
+
+        for index in 0..hosts {
+            world.hosts.push(Host {
+                answer: None,
+                frozen: false,
+                incarnation: 1,
+                lease: world.lease(index, 1),
+                rate: RATES[index % RATES.len()],
+            });
+        }
+
+        world
+    }
+
+    /// Returns the hosts that may send orders now.
+    pub fn holders(&self) -> Vec<usize> {
+        (0..self.hosts.len())
+            .filter(|host| self.standing(*host) != Standing::Follower)
+            .collect()
+    }
+
+    /// Carries out one step and checks the rules.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that the step broke.
+    pub fn step(&mut self, step: &Step) -> Result<(), Violation> {
+        match step {
+            Step::Advance { millis } => {
+                // Small strides, so that no moment of overlap is stepped over.
+                for _ in 0..millis.div_ceil(100) {
+                    self.micros += 100_000;
+                    self.check()?;
+                }
+            }
+            Step::Answer { host } => self.answer(*host),
+            Step::Candidate { candidate, host } => {
+                self.tell(*host, Event::Candidate(*candidate));
+            }
+            Step::Fate { write } => self.fate = *write,
+            Step::Freeze { host } => self.hosts[*host].frozen = true,
+            Step::Land => {
+                if let Some((expected, record)) = self.late.pop_front() {
+                    self.store(expected, record);
+                }
+            }
+            Step::Leave { host } => self.tell(*host, Event::Leaving),
+            Step::Outage { down } => self.down = *down,
+            Step::Restart { host } => {
+                let incarnation = self.hosts[*host].incarnation + 1;
+                let lease = self.lease(*host, incarnation);
+                let host = &mut self.hosts[*host];
+                host.answer = None;
+                host.incarnation = incarnation;
+                host.frozen = false;
+                host.lease = lease;
+            }
+            Step::Send { host, write } => self.send(*host, *write),
+            Step::Wake { host } => self.hosts[*host].frozen = false,
+        }
+
+        self.check()
+    }
+
+    fn lease(&self, index: usize, incarnation: u64) -> Lease {
+        let mut lease = Lease::new(
+            id::Host::from(format!("h{index}")),
+            id::Incarnation(incarnation),
+            self.fencing,
+        );
+        lease.handle(Time::ZERO, Event::Candidate(true));
+        lease
+    }
+
+    fn now(&self, host: usize) -> Time {
+        Time::from_micros(self.micros / 1000 * self.hosts[host].rate)
+    }
+
+    fn standing(&self, host: usize) -> Standing {
+        self.hosts[host].lease.standing(self.now(host))
+    }
+
+    fn tell(&mut self, host: usize, event: Event) {
+        let now = self.now(host);
+        self.hosts[host].lease.handle(now, event);
+    }
+
+    fn answer(&mut self, host: usize) {
+        if self.hosts[host].frozen {
+            return;
+        }
+
+        if let Some(event) = self.hosts[host].answer.take() {
+            self.tell(host, event);
+        }
+    }
+
+    fn send(&mut self, host: usize, write: Write) {
+        if self.hosts[host].frozen || self.hosts[host].answer.is_some() {
+            return;
+        }
+
+        let now = self.now(host);
+
+        self.hosts[host].answer = match self.hosts[host].lease.next(now) {
+            Next::Wait => None,
+            Next::Read if self.down => Some(Event::Unread),
+            Next::Read => Some(Event::Read(self.store.clone())),
+            Next::Write { expected, record } => {
+                Some(Event::Written(self.write(expected, record, write)))
+            }
+        };
+    }
+
+    fn write(&mut self, expected: Option<u64>, record: Record, write: Write) -> Written {
+        if self.down {
+            return Written::Unknown;
+        }
+
+        match self.fate.unwrap_or(write) {
+            Write::Answered => match self.store(expected, record) {
+                Some(version) => Written::Done { version },
+                None => Written::Lost,
+            },
+            Write::Dropped => Written::Unknown,
+            Write::Late => {
+                self.late.push_back((expected, record));
+                Written::Unknown
+            }
+            Write::Lost => {
+                self.store(expected, record);
+                Written::Unknown
+            }
+        }
+    }
+
+    /// Writes if the stored version is the expected one.
+    fn store(&mut self, expected: Option<u64>, record: Record) -> Option<u64> {
+        if self.store.as_ref().map(|found| found.version) != expected {
+            return None;
+        }
+
+        self.version += 1;
+        self.store = Some(Found {
+            record,
+            version: self.version,
+        });
+        Some(self.version)
+    }
+
+    fn check(&mut self) -> Result<(), Violation> {
+        let holders = self.holders();
+
+        if let [first, second, ..] = holders[..] {
+            return TwoHoldersSnafu {
+                first,
+                micros: self.micros,
+                second,
+            }
+            .fail();
+        }
+
+        let Some(&host) = holders.first() else {
+            return Ok(());
+        };
+
+        if let Standing::Holder { token, .. } = self.standing(host) {
+            ensure!(
+                token <= self.version,
+                StaleTokenSnafu {
+                    host,
+                    token,
+                    version: self.version
+                }
+            );
+        }
+
+        if let Some((previous, until)) = self.last_sender {
+            // Engines that enforce the token refuse what overlaps.
+            ensure!(
+                previous == host || self.fencing == Fencing::Enforced || self.micros >= until,
+                OverlapSnafu {
+                    host,
+                    millis: (until.saturating_sub(self.micros)) / 1000,
+                    previous
+                }
+            );
+        }
+
+        let order_timeout = u64::try_from(lease::ORDER_TIMEOUT.as_micros()).unwrap_or(u64::MAX);
+        self.last_sender = Some((host, self.micros + order_timeout));
+        Ok(())
+    }
+}
+
+/// A history with its stated outcome.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trace {
+    /// The failure that the history shows.
+    pub about: String,
+    pub fencing: Fencing,
+    /// The hosts that may order at the end.
+    pub holders: Vec<usize>,
+    pub hosts: usize,
+    pub steps: Vec<Step>,
+}
+
+impl Trace {
+    /// Replays the history.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that a step broke, or the outcome that differs from
+    /// the stated one.
+    pub fn replay(&self) -> Result<(), Violation> {
+        let mut world = World::new(self.hosts, self.fencing);
+
+        for step in &self.steps {
+            world.step(step)?;
+        }
+
+        let holders = world.holders();
+        ensure!(
+            holders == self.holders,
+            OutcomeSnafu {
+                expected: self.holders.clone(),
+                holders
+            }
+        );
+        Ok(())
+    }
+}
