--- a/src/state/lease.rs
+++ b/src/state/lease.rs
@@ -174,11 +174,11 @@
 
         self.next_look = now + RENEWAL;
 
-        if self.unsettled.is_none() {
-            if let Some(next) = self.write(now) {
-                self.pending = Pending::Write(now);
-                return next;
-            }
+        if self.unsettled.is_none()
+            && let Some(next) = self.write(now)
+        {
+            self.pending = Pending::Write(now);
+            return next;
         }
 
         self.pending = Pending::Read;
@@ -217,10 +217,10 @@
     }
 
     fn write(&self, now: Time) -> Option<Next> {
-        if let Some((token, sent)) = self.held {
-            if now < sent + DURATION {
-                return Some(self.conditional(Some(token)));
-            }
+        if let Some((token, sent)) = self.held
+            && now < sent + DURATION
+        {
+            return Some(self.conditional(Some(token)));
         }
 
         let seen = self.seen?;
