--- /dev/null
+++ b/src/state/subset.rs
@@ -0,0 +1,49 @@
+//! The part of a large pool that one host uses.
+
+use {
+    crate::state::{endpoint::Endpoint, id},
+    std::{
+        collections::BTreeMap,
+        hash::{DefaultHasher, Hash, Hasher},
+    },
+};
+
+/// Endpoints of one pool that a host uses. Today's pools are smaller, so every
+/// host uses all of them; in larger ones the connections and load reports of a
+/// host stay constant while the fleet grows.
+pub const SIZE: usize = 64;
+
+/// Keeps, in each pool, the `size` endpoints with the highest rendezvous hash
+/// for this host, so that a change of the pool moves few of them.
+pub fn subset(host: &id::Host, endpoints: Vec<Endpoint>, size: usize) -> Vec<Endpoint> {
+    let mut pools: BTreeMap<id::Pool, Vec<Endpoint>> = BTreeMap::new();
+
+    for endpoint in endpoints {
+        pools
+            .entry(endpoint.pool.clone())
+            .or_default()
+            .push(endpoint);
+    }
+
+    pools
+        .into_values()
+        .flat_map(|mut pool| {
+            if pool.len() > size {
+                pool.sort_by_cached_key(|endpoint| {
+                    std::cmp::Reverse(weight(host, &endpoint.endpoint))
+                });
+                pool.truncate(size);
+            }
+            pool
+        })
+        .collect()
+}
+
+/// `DefaultHasher::new` has fixed keys, so the choice is the same after a
+/// restart.
+fn weight(host: &id::Host, endpoint: &id::Endpoint) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    host.hash(&mut hasher);
+    endpoint.hash(&mut hasher);
+    hasher.finish()
+}
