--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -3,9 +3,12 @@
 pub mod call;
 pub mod caller;
 pub mod error;
+pub mod hex;
 pub mod hosts;
 pub mod object;
 pub mod order;
+pub mod object_api;
 pub mod ticket;
+pub mod tree_file;
 
 pub use error::Error;
