Add the links between hosts over Cap'n Proto

One thread with a tokio current-thread LocalSet keeps a connection per peer and accepts those of others. A connection starts with an exchange of nonces and HMACs under the fleet's key; only then does the server hand out the interface with the calls.

Reading annotations from the generator's own rust.capnp was ruled out because its place differs between machines; the schema declares the one annotation it needs under the same id.

--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,75 @@
+# Calls between hosts. `schema/generate` turns this file into
+# src/transport/peer_capnp.rs.
+
+@0xd8a4f0c3b1e97526;
+
+annotation parentModule @0xabee386cd1450364 (file) :Text;
+# The annotation of the Rust plugin, which finds it by this id.
+
+$parentModule("transport");
+
+enum Phase {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  gone @3;
+}
+
+enum Verdict {
+  expired @0;
+  full @1;
+  granted @2;
+  mayHaveRun @3;
+  taken @4;
+  voided @5;
+}
+
+struct Demand {
+  team @0 :Text;
+  requests @1 :UInt32;
+}
+
+struct Member {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  domain @2 :Text;
+  callerAddress @3 :Text;
+  peerAddress @4 :Text;
+  phase @5 :Phase;
+  settings @6 :UInt64;
+  clock @7 :UInt64;
+  # Microseconds on the member's own clock.
+  outstanding @8 :UInt32;
+  demand @9 :List(Demand);
+}
+
+struct Message {
+  from @0 :Member;
+  updates @1 :List(Member);
+}
+
+struct Subject {
+  # The part of a ticket that its witness needs.
+
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  request @2 :Text;
+  stamp @3 :UInt64;
+}
+
+interface Gate {
+  # The first interface of a connection. Both sides prove that they have the
+  # fleet's key: a proof is the HMAC-SHA-256 of the role and both nonces.
+
+  hello @0 (nonce :Data) -> (nonce :Data);
+  authenticate @1 (proof :Data) -> (proof :Data, peer :Peer);
+}
+
+interface Peer {
+  probe @0 (message :Message) -> (message :Message);
+  probeFor @1 (target :Text) -> (reached :Bool);
+  permit @2 (subject :Subject, nonce :UInt64) -> (verdict :Verdict);
+  void @3 (subject :Subject) -> (verdict :Verdict);
+  changesAfter @4 (version :UInt64) -> (changes :Text);
+  # Settings changes as JSON text.
+}
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod control;
 pub mod error;
+pub mod incoming;
 pub mod membership;
 pub mod published;
 pub mod scheduling;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,7 +1,15 @@
 //! Bytes in and out: HTTP client and server, peer links, metrics, clock.
 
 pub mod boot_clock;
+pub mod connection;
 pub mod error;
+pub mod fleet_key;
+pub mod incoming;
+pub mod link;
+pub mod link_server;
 pub mod links;
+pub mod peer_capnp;
+pub mod peer_server;
+pub mod wire;
 
 pub use error::Error;
--- /dev/null
+++ b/src/transport/connection.rs
@@ -0,0 +1,149 @@
+//! One authenticated connection to another host.
+
+use {
+    crate::transport::{
+        error::{ConnectSnafu, Error},
+        fleet_key::{FleetKey, Side},
+        peer_capnp::{gate, peer},
+    },
+    capnp_rpc::{Disconnector, RpcSystem, rpc_twoparty_capnp, twoparty::VatNetwork},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        net::TcpStream,
+        task::{JoinHandle, spawn_local},
+        time::timeout,
+    },
+    tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
+};
+
+/// Longest time for connecting and authenticating.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time for an orderly end of a connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The ends of one connection of the Cap'n Proto network.
+pub type Network = VatNetwork<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>;
+
+/// An open connection to another host that has proved to have the fleet's key.
+pub struct Connection {
+    disconnector: Disconnector<rpc_twoparty_capnp::Side>,
+    peer: peer::Client,
+    system: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Connects and authenticates.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host does not answer in time, or either side
+    /// does not accept the other's proof.
+    pub async fn open(address: SocketAddr, key: &FleetKey) -> Result<Self, Error> {
+        let message = match timeout(CONNECT_TIMEOUT, Self::start(address, key)).await {
+            Ok(Ok(connection)) => return Ok(connection),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("no answer within {} ms", CONNECT_TIMEOUT.as_millis()),
+        };
+
+        let address = address.to_string();
+        ConnectSnafu { address, message }.fail()
+    }
+
+    /// Returns the other host's interface, or `None` once the connection has
+    /// ended.
+    pub fn peer(&self) -> Option<peer::Client> {
+        (!self.system.is_finished()).then(|| self.peer.clone())
+    }
+
+    /// Ends the connection in the background.
+    pub fn close(self) {
+        spawn_local(async move {
+            let _ = timeout(CLOSE_TIMEOUT, self.disconnector).await;
+            self.system.abort();
+        });
+    }
+
+    async fn start(address: SocketAddr, key: &FleetKey) -> capnp::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        let mut system = rpc_system(stream, rpc_twoparty_capnp::Side::Client, None)?;
+        let gate: gate::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let disconnector = system.get_disconnector();
+        let system = spawn_local(async move {
+            if let Err(error) = system.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        let guard = Abort(Some(system));
+        let peer = authenticate(&gate, key).await?;
+
+        Ok(Self {
+            disconnector,
+            peer,
+            system: guard.release(),
+        })
+    }
+}
+
+/// Builds one side of a connection. `bootstrap` is what it offers.
+///
+/// # Errors
+///
+/// Returns an error if the socket cannot be set up.
+pub fn rpc_system(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+    bootstrap: Option<capnp::capability::Client>,
+) -> capnp::Result<RpcSystem<rpc_twoparty_capnp::Side>> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    let network = Network::new(
+        reader.compat(),
+        writer.compat_write(),
+        side,
+        capnp::message::ReaderOptions::new(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), bootstrap);
+    system.set_background_error_handler(|error| log::debug!("peer connection: {error}"));
+    Ok(system)
+}
+
+async fn authenticate(gate: &gate::Client, key: &FleetKey) -> capnp::Result<peer::Client> {
+    let client = rand::random::<[u8; 32]>();
+    let mut hello = gate.hello_request();
+    hello.get().set_nonce(&client);
+    let hello = hello.send().promise.await?;
+    let server = hello.get()?.get_nonce()?;
+
+    let mut request = gate.authenticate_request();
+    request
+        .get()
+        .set_proof(&key.prove(Side::Client, &client, server));
+    let response = request.send().promise.await?;
+    let response = response.get()?;
+
+    if key.accepts(Side::Server, &client, server, response.get_proof()?) {
+        response.get_peer()
+    } else {
+        Err(capnp::Error::failed(
+            "the other host does not have the fleet's key".into(),
+        ))
+    }
+}
+
+/// Ends the task of a connection that did not get as far as being used.
+struct Abort(Option<JoinHandle<()>>);
+
+impl Abort {
+    fn release(mut self) -> JoinHandle<()> {
+        self.0.take().expect("the handle is taken only here")
+    }
+}
+
+impl Drop for Abort {
+    fn drop(&mut self) {
+        if let Some(task) = &self.0 {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/incoming.rs
@@ -0,0 +1,41 @@
+//! Calls from other hosts, each with the channel for its answer.
+
+use {
+    crate::state::{
+        gossip::Message,
+        witness::{Subject, Verdict},
+    },
+    std::{net::SocketAddr, sync::mpsc},
+    tokio::sync::oneshot,
+};
+
+/// A call from another host. Dropping the channel refuses the call.
+#[derive(Debug)]
+pub enum Incoming {
+    /// Asks for the settings changes after a version, as JSON text.
+    ChangesAfter {
+        reply: mpsc::Sender<String>,
+        version: u64,
+    },
+    /// Asks whether the request may be sent.
+    Permit {
+        nonce: u64,
+        reply: oneshot::Sender<Verdict>,
+        subject: Subject,
+    },
+    /// Exchanges member records.
+    Probe {
+        message: Message,
+        reply: oneshot::Sender<Message>,
+    },
+    /// Asks whether this host reaches another one.
+    ProbeFor {
+        reply: oneshot::Sender<bool>,
+        target: SocketAddr,
+    },
+    /// Asks to rule out that the request runs.
+    Void {
+        reply: oneshot::Sender<Verdict>,
+        subject: Subject,
+    },
+}
--- /dev/null
+++ b/src/transport/link_server.rs
@@ -0,0 +1,137 @@
+//! Serves the calls of other hosts.
+
+use {
+    crate::transport::{
+        connection::rpc_system,
+        fleet_key::{FleetKey, Side},
+        incoming::Incoming,
+        peer_capnp::{gate, peer},
+        peer_server::PeerServer,
+    },
+    capnp_rpc::{new_client, rpc_twoparty_capnp},
+    std::{
+        cell::{Cell, RefCell},
+        net::TcpListener,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Most connections of other hosts at a time.
+const CONNECTIONS: usize = 4096;
+
+/// Longest time a connection may take to authenticate.
+const AUTHENTICATION_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, for example when no descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The receiver of other hosts' calls.
+pub type Deliver = Rc<dyn Fn(Incoming)>;
+
+/// Accepts connections until the task is dropped.
+pub async fn run(listener: TcpListener, key: FleetKey, deliver: Deliver) {
+    let listener = listener
+        .set_nonblocking(true)
+        .and_then(|()| tokio::net::TcpListener::from_std(listener));
+    let listener = match listener {
+        Ok(listener) => listener,
+        Err(error) => return log::error!("cannot listen for other hosts: {error}"),
+    };
+    let connections = Rc::new(());
+
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if Rc::strong_count(&connections) <= CONNECTIONS => {
+                let gate = Gate::new(key.clone(), Rc::clone(&deliver));
+                let counted = Rc::clone(&connections);
+                spawn_local(async move {
+                    if let Err(error) = serve(stream, gate).await {
+                        log::debug!("connection of another host ended: {error}");
+                    }
+                    drop(counted);
+                });
+            }
+            Ok(_) => log::warn!("refused a connection of another host: {CONNECTIONS} are open"),
+            Err(error) => {
+                log::warn!("cannot accept a connection of another host: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, gate: Gate) -> capnp::Result<()> {
+    let authenticated = Rc::clone(&gate.authenticated);
+    let gate: gate::Client = new_client(gate);
+    let mut system = rpc_system(stream, rpc_twoparty_capnp::Side::Server, Some(gate.client))?;
+
+    match timeout(AUTHENTICATION_TIMEOUT, &mut system).await {
+        Ok(result) => result,
+        Err(_) if authenticated.get() => system.await,
+        Err(_) => {
+            let _ = system.get_disconnector().await;
+            Ok(())
+        }
+    }
+}
+
+struct Gate {
+    authenticated: Rc<Cell<bool>>,
+    client_nonce: RefCell<Vec<u8>>,
+    deliver: Deliver,
+    key: FleetKey,
+    server_nonce: [u8; 32],
+}
+
+impl Gate {
+    fn new(key: FleetKey, deliver: Deliver) -> Self {
+        Self {
+            authenticated: Rc::default(),
+            client_nonce: RefCell::default(),
+            deliver,
+            key,
+            server_nonce: rand::random(),
+        }
+    }
+}
+
+impl gate::Server for Gate {
+    async fn hello(
+        self: Rc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> capnp::Result<()> {
+        *self.client_nonce.borrow_mut() = params.get()?.get_nonce()?.to_vec();
+        results.get().set_nonce(&self.server_nonce);
+        Ok(())
+    }
+
+    async fn authenticate(
+        self: Rc<Self>,
+        params: gate::AuthenticateParams,
+        mut results: gate::AuthenticateResults,
+    ) -> capnp::Result<()> {
+        let client = self.client_nonce.borrow();
+        let server = &self.server_nonce;
+        let proof = params.get()?.get_proof()?;
+
+        if !self.key.accepts(Side::Client, &client, server, proof) {
+            return Err(capnp::Error::failed(
+                "the caller does not have the fleet's key".into(),
+            ));
+        }
+
+        self.authenticated.set(true);
+        let proof = self.key.prove(Side::Server, &client, server);
+        let peer: peer::Client = new_client(PeerServer::new(Rc::clone(&self.deliver)));
+        results.get().set_proof(&proof);
+        results.get().set_peer(peer);
+        Ok(())
+    }
+}
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -3,44 +3,140 @@
 use {
     crate::{
         protocol::ticket::Ticket,
-        state::{gossip::Message, witness::Verdict},
-        transport::error::{ConnectSnafu, Error},
+        state::{
+            gossip::Message,
+            witness::{Subject, Verdict},
+        },
+        transport::{
+            error::{BrokenSnafu, ConnectSnafu, Error, TimeoutSnafu},
+            fleet_key::FleetKey,
+            incoming::Incoming,
+            link::{Link, Send as SendCall},
+            link_server, wire,
+        },
+    },
+    futures::future::LocalBoxFuture,
+    std::{
+        collections::HashMap,
+        fmt,
+        net::{SocketAddr, TcpListener},
+        rc::Rc,
+        sync::mpsc::{RecvTimeoutError, sync_channel},
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        runtime::Builder,
+        sync::mpsc,
+        task::{LocalSet, spawn_local},
+        time::Instant,
     },
-    std::{net::SocketAddr, time::Duration},
 };
 
+/// Most calls waiting for the links' thread.
+const QUEUE: usize = 4096;
+
+/// Most threads that wait for answers to calls for settings changes.
+const BLOCKING_THREADS: usize = 4;
+
+/// Additional time that a blocking caller leaves the links' thread to report a
+/// timeout.
+const GRACE: Duration = Duration::from_secs(1);
+
+struct Command {
+    address: SocketAddr,
+    run: Box<dyn FnOnce(Rc<Link>) -> LocalBoxFuture<'static, ()> + Send>,
+}
+
 /// A handle on the thread that keeps the connections to other hosts.
-#[derive(Clone, Debug)]
-pub struct Links {}
+///
+/// The thread ends, and every connection with it, when the last handle is
+/// dropped.
+#[derive(Clone)]
+pub struct Links(mpsc::Sender<Command>);
+
+impl fmt::Debug for Links {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("Links")
+    }
+}
 
 impl Links {
+    /// Starts the thread. It accepts other hosts' connections on `listener`,
+    /// and passes their calls to `deliver`, which must not block.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be started.
+    pub fn start(
+        listener: TcpListener,
+        fleet_key: &[u8],
+        deliver: impl Fn(Incoming) + Send + 'static,
+    ) -> Result<Self, Error> {
+        let address = listener.local_addr();
+        let address = address.map_or_else(|error| error.to_string(), |address| address.to_string());
+        let key = FleetKey::new(fleet_key);
+        let (sender, receiver) = mpsc::channel(QUEUE);
+
+        thread::Builder::new()
+            .name("links".into())
+            .spawn(move || run(listener, &key, receiver, deliver))
+            .map_err(|error| Error::Connect {
+                address,
+                message: error.to_string(),
+            })?;
+
+        Ok(Self(sender))
+    }
+
     /// Asks the witness at `address` whether the ticket's request may be sent.
     ///
     /// # Errors
     ///
-    /// Returns an error if no answer arrived in time, or the connection broke.
+    /// Returns an error if no answer arrived in time, the connection broke, or
+    /// the ticket names no witness.
     pub fn permit(
         &self,
         address: SocketAddr,
-        _ticket: &Ticket,
-        _nonce: u64,
-        _timeout: Duration,
+        ticket: &Ticket,
+        nonce: u64,
+        timeout: Duration,
     ) -> Result<Verdict, Error> {
-        Self::unconnected(address)
+        let subject = subject(address, ticket)?;
+
+        self.wait(address, timeout, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.permit_request();
+                request.get().set_nonce(nonce);
+                wire::write_subject(request.get().init_subject(), &subject);
+                let response = request.send().promise.await?;
+                Ok(wire::read_verdict(response.get()?.get_verdict()?))
+            })
+        })
     }
 
     /// Asks the witness at `address` to rule out that the request runs.
     ///
     /// # Errors
     ///
-    /// Returns an error if no answer arrived in time, or the connection broke.
+    /// Returns an error if no answer arrived in time, the connection broke, or
+    /// the ticket names no witness.
     pub fn void(
         &self,
         address: SocketAddr,
-        _ticket: &Ticket,
-        _timeout: Duration,
+        ticket: &Ticket,
+        timeout: Duration,
     ) -> Result<Verdict, Error> {
-        Self::unconnected(address)
+        let subject = subject(address, ticket)?;
+
+        self.wait(address, timeout, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.void_request();
+                wire::write_subject(request.get().init_subject(), &subject);
+                let response = request.send().promise.await?;
+                Ok(wire::read_verdict(response.get()?.get_verdict()?))
+            })
+        })
     }
 
     /// Fetches the settings changes after `version`, as JSON text.
@@ -51,41 +147,159 @@
     pub fn changes_after(
         &self,
         address: SocketAddr,
-        _version: u64,
-        _timeout: Duration,
+        version: u64,
+        timeout: Duration,
     ) -> Result<String, Error> {
-        Self::unconnected(address)
+        self.wait(address, timeout, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.changes_after_request();
+                request.get().set_version(version);
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_changes()?.to_string()?)
+            })
+        })
     }
 
     /// Exchanges member records with the host at `address`, and passes its
-    /// answer to `done` without blocking.
+    /// answer to `done` on the links' thread without blocking the caller.
     pub fn probe(
         &self,
         address: SocketAddr,
-        _message: Message,
-        _timeout: Duration,
+        message: Message,
+        timeout: Duration,
         done: impl FnOnce(Result<Message, Error>) + Send + 'static,
     ) {
-        done(Self::unconnected(address));
+        self.submit(address, timeout, done, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.probe_request();
+                wire::write_message(request.get().init_message(), &message);
+                let response = request.send().promise.await?;
+                wire::read_message(response.get()?.get_message()?)
+            })
+        });
     }
 
     /// Asks the host at `address` whether it reaches `target`, and passes its
-    /// answer to `done` without blocking.
+    /// answer to `done` on the links' thread without blocking the caller.
     pub fn probe_for(
         &self,
         address: SocketAddr,
-        _target: SocketAddr,
-        _timeout: Duration,
+        target: SocketAddr,
+        timeout: Duration,
         done: impl FnOnce(Result<bool, Error>) + Send + 'static,
     ) {
-        done(Self::unconnected(address));
+        self.submit(address, timeout, done, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.probe_for_request();
+                request.get().set_target(target.to_string());
+                let response = request.send().promise.await?;
+                Ok(response.get()?.get_reached())
+            })
+        });
     }
 
-    fn unconnected<T>(address: SocketAddr) -> Result<T, Error> {
-        ConnectSnafu {
+    fn wait<T: Send + 'static>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        send: impl FnOnce(
+            crate::transport::peer_capnp::peer::Client,
+        ) -> LocalBoxFuture<'static, capnp::Result<T>>
+        + Send
+        + 'static,
+    ) -> Result<T, Error> {
+        let (sender, receiver) = sync_channel(1);
+        let done = move |result| drop(sender.send(result));
+        self.submit(address, timeout, done, send);
+
+        receiver
+            .recv_timeout(timeout + GRACE)
+            .unwrap_or_else(|error| match error {
+                RecvTimeoutError::Disconnected => stopped(address),
+                RecvTimeoutError::Timeout => TimeoutSnafu {
+                    address: address.to_string(),
+                    millis: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
+                }
+                .fail(),
+            })
+    }
+
+    fn submit<T: 'static>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        done: impl FnOnce(Result<T, Error>) + Send + 'static,
+        send: impl FnOnce(
+            crate::transport::peer_capnp::peer::Client,
+        ) -> LocalBoxFuture<'static, capnp::Result<T>>
+        + Send
+        + 'static,
+    ) {
+        let started = Instant::now();
+        let Ok(slot) = self.0.try_reserve() else {
+            return done(stopped(address));
+        };
+        let send: SendCall<T> = Box::new(send);
+
+        slot.send(Command {
+            address,
+            run: Box::new(move |link| {
+                Box::pin(async move { done(link.call(started, timeout, send).await) })
+            }),
+        });
+    }
+}
+
+fn run(
+    listener: TcpListener,
+    key: &FleetKey,
+    mut commands: mpsc::Receiver<Command>,
+    deliver: impl Fn(Incoming) + 'static,
+) {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(BLOCKING_THREADS)
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return log::error!("the links' thread cannot start: {error}"),
+    };
+
+    LocalSet::new().block_on(&runtime, async {
+        spawn_local(link_server::run(listener, key.clone(), Rc::new(deliver)));
+        let mut links = HashMap::new();
+
+        while let Some(Command { address, run }) = commands.recv().await {
+            let link = links
+                .entry(address)
+                .or_insert_with(|| Rc::new(Link::new(address, key.clone())));
+            spawn_local(run(Rc::clone(link)));
+        }
+    });
+
+    runtime.shutdown_background();
+}
+
+fn subject(address: SocketAddr, ticket: &Ticket) -> Result<Subject, Error> {
+    match &ticket.witness {
+        Some(witness) => Ok(Subject {
+            host: witness.host.clone(),
+            incarnation: witness.incarnation,
+            request: ticket.request.clone(),
+            stamp: witness.stamp,
+        }),
+        None => ConnectSnafu {
             address: address.to_string(),
-            message: "links are not running",
+            message: "the ticket names no witness",
         }
-        .fail()
+        .fail(),
+    }
+}
+
+fn stopped<T>(address: SocketAddr) -> Result<T, Error> {
+    BrokenSnafu {
+        address: address.to_string(),
+        message: "the links' thread has stopped or has too many calls waiting",
     }
+    .fail()
 }
--- /dev/null
+++ b/tests/links.rs
@@ -0,0 +1,231 @@
+//! Calls between two link servers on loopback.
+
+mod support;
+
+use {
+    persimmoncleat::{
+        protocol::ticket::{Home, Ticket, Witness as WitnessHost},
+        state::{
+            clock::Time,
+            home::{self, Permission},
+            id::Incarnation,
+            witness::{Verdict, Witness},
+        },
+        transport::{Error, incoming::Incoming, links::Links},
+    },
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::mpsc::{Receiver, channel},
+        thread,
+        time::{Duration, Instant},
+    },
+    support::relay::Relay,
+};
+
+const KEY: &[u8] = b"fleet";
+const SHORT: Duration = Duration::from_millis(300);
+const LONG: Duration = Duration::from_secs(10);
+
+struct Server {
+    address: SocketAddr,
+    _links: Links,
+}
+
+impl Server {
+    fn start(deliver: impl Fn(Incoming) + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let _links = Links::start(listener, KEY, deliver).unwrap();
+        Self { address, _links }
+    }
+
+    /// Answers as a witness.
+    fn witness() -> Self {
+        let (sender, receiver) = channel();
+        thread::spawn(move || {
+            let mut witness = Witness::new("w".into(), Incarnation(7), 1_000_000);
+            for call in receiver {
+                match call {
+                    Incoming::Permit {
+                        nonce,
+                        reply,
+                        subject,
+                    } => {
+                        let _ = reply.send(witness.permit(Time::ZERO, &subject, nonce));
+                    }
+                    Incoming::Void { reply, subject } => {
+                        let _ = reply.send(witness.void(Time::ZERO, &subject));
+                    }
+                    Incoming::ChangesAfter { reply, version } => {
+                        drop(reply.send(format!("[{version}]")));
+                    }
+                    Incoming::Probe { .. } | Incoming::ProbeFor { .. } => {}
+                }
+            }
+        });
+
+        Self::start(move |call| drop(sender.send(call)))
+    }
+
+    /// Keeps every call without an answer.
+    fn mute() -> (Self, Receiver<Incoming>) {
+        let (sender, receiver) = channel();
+        (Self::start(move |call| drop(sender.send(call))), receiver)
+    }
+}
+
+fn client(key: &[u8]) -> Links {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    Links::start(listener, key, drop).unwrap()
+}
+
+fn ticket(request: usize) -> Ticket {
+    let address = "127.0.0.1:1".parse().unwrap();
+
+    Ticket {
+        body_sha256: String::new(),
+        class: "urgent".into(),
+        deadline: LONG,
+        home: Home {
+            address,
+            host: "h".into(),
+            incarnation: Incarnation(3),
+        },
+        issued: Time::ZERO,
+        pipeline: "publish".into(),
+        request: format!("h.3.{request}").into(),
+        team: "hvarfdal".into(),
+        witness: Some(WitnessHost {
+            address,
+            host: "w".into(),
+            incarnation: Incarnation(7),
+            stamp: Time::ZERO,
+        }),
+    }
+}
+
+/// Repeats the call until it succeeds.
+fn eventually<T>(mut call: impl FnMut() -> Result<T, Error>) -> T {
+    let started = Instant::now();
+
+    loop {
+        match call() {
+            Ok(answer) => return answer,
+            Err(error) => assert!(started.elapsed() < LONG * 3, "{error}"),
+        }
+
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn assert_closed(verdict: Result<Verdict, Error>) {
+    let verdict = verdict.map_err(|error| error.to_string());
+    assert!(
+        matches!(home::permission(Some(verdict)), Permission::Close(_)),
+        "a call without an answer was taken as a grant",
+    );
+}
+
+/// Guards against serving hosts of another fleet.
+#[test]
+fn wrong_key_is_refused() {
+    let server = Server::witness();
+    let error = client(b"other")
+        .permit(server.address, &ticket(0), 1, LONG)
+        .unwrap_err();
+
+    assert!(error.to_string().contains("fleet's key"), "{error}");
+}
+
+/// Guards against verdicts that are mixed up or lost on the way.
+#[test]
+fn verdicts_round_trip() {
+    let server = Server::witness();
+    let links = client(KEY);
+    let permit = |request, nonce| {
+        links
+            .permit(server.address, &ticket(request), nonce, LONG)
+            .unwrap()
+    };
+    let void = |request| links.void(server.address, &ticket(request), LONG).unwrap();
+
+    assert_eq!(permit(0, 1), Verdict::Granted);
+    assert_eq!(permit(0, 1), Verdict::Granted);
+    assert_eq!(permit(0, 2), Verdict::Taken);
+    assert_eq!(void(0), Verdict::MayHaveRun);
+    assert_eq!(void(1), Verdict::Voided);
+    assert_eq!(permit(1, 1), Verdict::Voided);
+    let changes = links.changes_after(server.address, 5, LONG);
+    assert_eq!(changes.unwrap(), "[5]");
+}
+
+/// Guards against taking a broken connection for a grant, and against a link
+/// that stays down.
+#[test]
+fn cut_connection_fails_the_call_and_reconnects() {
+    let (server, calls) = Server::mute();
+    let relay = Relay::start(server.address);
+    let links = client(KEY);
+
+    let (calling, address) = (links.clone(), relay.address);
+    let call = thread::spawn(move || calling.permit(address, &ticket(0), 1, LONG));
+    let pending = calls.recv_timeout(LONG).unwrap();
+    relay.cut(true);
+    let result = call.join().unwrap();
+    assert!(matches!(result, Err(Error::Broken { .. })), "{result:?}");
+    assert_closed(result);
+    assert_closed(links.permit(relay.address, &ticket(0), 1, SHORT));
+    drop(pending);
+
+    relay.cut(false);
+    let answering = thread::spawn(move || match calls.recv_timeout(LONG * 3).unwrap() {
+        Incoming::Void { reply, .. } => reply.send(Verdict::Voided).unwrap(),
+        call => panic!("{call:?}"),
+    });
+    let verdict = eventually(|| links.void(relay.address, &ticket(1), LONG));
+    assert_eq!(verdict, Verdict::Voided);
+    answering.join().unwrap();
+}
+
+/// Guards against a caller that waits for ever, and against a connection that
+/// stays in use although its peer does not answer.
+#[test]
+fn silent_peer_times_out_and_is_reached_again() {
+    let server = Server::witness();
+    let relay = Relay::start(server.address);
+    let links = client(KEY);
+    eventually(|| links.permit(relay.address, &ticket(0), 1, LONG));
+
+    relay.silence(true);
+    for _ in 0..3 {
+        let result = links.permit(relay.address, &ticket(0), 1, SHORT);
+        assert!(matches!(result, Err(Error::Timeout { .. })), "{result:?}");
+        assert_closed(result);
+    }
+
+    relay.silence(false);
+    let verdict = eventually(|| links.permit(relay.address, &ticket(0), 1, LONG));
+    assert_eq!(verdict, Verdict::Granted);
+}
+
+/// Prints how long a permit takes on loopback; run with `--nocapture`.
+#[test]
+fn permit_round_trip_times() {
+    let server = Server::witness();
+    let links = client(KEY);
+    eventually(|| links.permit(server.address, &ticket(0), 1, LONG));
+
+    let mut micros = (1..=5000)
+        .map(|request| {
+            let ticket = ticket(request);
+            let started = Instant::now();
+            let verdict = links.permit(server.address, &ticket, 1, LONG);
+            assert_eq!(verdict.unwrap(), Verdict::Granted);
+            started.elapsed().as_micros()
+        })
+        .collect::<Vec<u128>>();
+
+    micros.sort_unstable();
+    let (median, high) = (micros[micros.len() / 2], micros[micros.len() * 99 / 100]);
+    println!("permit on loopback: median {median} us, 99th percentile {high} us");
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Parts that several tests share.
+
+pub mod relay;
