Add stand-ins for the object API, the host list and endpoints

Cause: tests and the demo need a platform whose faults can be switched and whose record shows what really ran.

The crate has its own message types, so that a test checks the contract.

--- /dev/null
+++ b/stand-ins/src/host_list.rs
@@ -0,0 +1,164 @@
+//! The host list.
+
+use {
+    crate::{
+        error::Error,
+        http::{Reply, Request},
+        server::{Handler, Server, lock},
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+/// Whether a host is up; a `gone` record is removed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    Gone,
+    Leaving,
+    Live,
+}
+
+/// One record.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Host {
+    pub address: SocketAddr,
+    pub domain: String,
+    pub id: String,
+    pub phase: Phase,
+    pub pool: String,
+}
+
+/// Switches of the host list's faults; `None` leaves a switch as it is.
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Changes show only after this time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lag_ms: Option<u64>,
+    /// Every read answers 503.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub outage: Option<bool>,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Faults,
+    /// Every record ever set, with the time at which it was set.
+    records: Vec<(Instant, Host)>,
+}
+
+#[derive(Default)]
+struct List(Mutex<State>);
+
+/// A running host list.
+pub struct Handle {
+    list: Arc<List>,
+    server: Server,
+}
+
+impl Handle {
+    /// Returns the address that is listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address as the start of a URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Sets one record.
+    pub fn put(&self, host: Host) {
+        self.list.put(host);
+    }
+
+    /// Sets fault switches.
+    pub fn set(&self, faults: Faults) {
+        self.list.set(faults);
+    }
+}
+
+/// Starts a host list; port 0 picks a free port.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be listened on.
+pub fn start(listen: SocketAddr) -> Result<Handle, Error> {
+    let list = Arc::<List>::default();
+    let server = Server::start(listen, Arc::clone(&list))?;
+    Ok(Handle { list, server })
+}
+
+impl Handler for List {
+    fn handle(&self, request: Request) -> Reply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/v1/hosts") => self.get(),
+            ("POST", "/v1/hosts") => match request.json() {
+                Ok(host) => {
+                    self.put(host);
+                    Reply::ok(json!({}))
+                }
+                Err(reply) => reply,
+            },
+            ("POST", "/v1/faults") => match request.json() {
+                Ok(faults) => {
+                    self.set(faults);
+                    Reply::ok(json!({}))
+                }
+                Err(reply) => reply,
+            },
+            _ => Reply::problem(404, "no such call"),
+        }
+    }
+}
+
+impl List {
+    fn get(&self) -> Reply {
+        let state = lock(&self.0);
+
+        if state.faults.outage == Some(true) {
+            return Reply::problem(503, "the host list is down");
+        }
+
+        let lag = Duration::from_millis(state.faults.lag_ms.unwrap_or(0));
+        let mut hosts = BTreeMap::new();
+        let mut revision = 0;
+
+        for (at, host) in &state.records {
+            if at.elapsed() < lag {
+                break;
+            }
+
+            revision += 1;
+
+            if host.phase == Phase::Gone {
+                hosts.remove(&host.id);
+            } else {
+                hosts.insert(&host.id, host);
+            }
+        }
+
+        let hosts: Vec<&&Host> = hosts.values().collect();
+        Reply::ok(json!({ "hosts": hosts, "revision": revision }))
+    }
+
+    fn put(&self, host: Host) {
+        lock(&self.0).records.push((Instant::now(), host));
+    }
+
+    fn set(&self, faults: Faults) {
+        let now = &mut lock(&self.0).faults;
+        now.lag_ms = faults.lag_ms.or(now.lag_ms);
+        now.outage = faults.outage.or(now.outage);
+    }
+}
--- /dev/null
+++ b/stand-ins/src/http.rs
@@ -0,0 +1,285 @@
+//! HTTP/1.1 messages as the stand-ins read and write them.
+//!
+//! Faults need control over single bytes: rouille collects streamed bodies in
+//! chunks of 8 KB and cannot close a connection without an answer.
+
+use {
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        io::{self, BufRead, ErrorKind, Read, Write},
+    },
+};
+
+/// Largest body that is read; above it the answer is 413.
+pub const BODY_LIMIT_BYTES: usize = 1 << 20;
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Request {
+    pub body: Vec<u8>,
+    /// Whether the body was above the limit and left out.
+    pub oversized: bool,
+    pub headers: BTreeMap<String, String>,
+    pub method: String,
+    /// Path without the query, percent-decoded.
+    pub path: String,
+    pub query: BTreeMap<String, String>,
+}
+
+impl Request {
+    /// Reads a request, or `None` at the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks or the request is malformed.
+    pub fn read(reader: &mut impl BufRead) -> io::Result<Option<Self>> {
+        let Some(first) = line(reader)? else {
+            return Ok(None);
+        };
+
+        let mut words = first.split(' ');
+        let (Some(method), Some(target)) = (words.next(), words.next()) else {
+            return Err(ErrorKind::InvalidData.into());
+        };
+
+        let headers = headers(reader)?;
+        let length = match headers.get("content-length") {
+            Some(text) => text.parse().map_err(|_| ErrorKind::InvalidData)?,
+            None => 0,
+        };
+        let oversized = length > BODY_LIMIT_BYTES;
+        let mut body = Vec::new();
+
+        if oversized {
+            io::copy(&mut reader.take(length as u64), &mut io::sink())?;
+        } else {
+            body.resize(length, 0);
+            reader.read_exact(&mut body)?;
+        }
+
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+
+        Ok(Some(Self {
+            body,
+            oversized,
+            headers,
+            method: method.into(),
+            path: decode(path),
+            query: query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .map(|(key, value)| (decode(key), decode(value)))
+                .collect(),
+        }))
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to send when the body is not as expected.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        if self.oversized {
+            return Err(Reply::problem(413, "the body is above 1 MB"));
+        }
+
+        serde_json::from_slice(&self.body).map_err(|error| Reply::problem(400, &error.to_string()))
+    }
+
+    /// Returns a number from the query, or `default` when it is absent or not a
+    /// number.
+    pub fn number(&self, key: &str, default: u64) -> u64 {
+        self.query
+            .get(key)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(default)
+    }
+
+    /// Returns a text from the query, empty when it is absent.
+    pub fn text(&self, key: &str) -> &str {
+        self.query.get(key).map_or("", String::as_str)
+    }
+}
+
+/// Whether the connection serves another request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Flow {
+    Close,
+    Keep,
+}
+
+/// Writes a streamed body.
+pub type Streamer = Box<dyn FnOnce(&mut Body) -> io::Result<Flow>>;
+
+/// What a handler answers.
+pub enum Reply {
+    /// The connection is closed without an answer.
+    Close,
+    Json {
+        status: u16,
+        value: Value,
+    },
+    /// The same answer is sent twice.
+    Repeated(Value),
+    Stream(Streamer),
+    /// The body breaks off after `at` bytes.
+    Truncated {
+        at: usize,
+        value: Value,
+    },
+}
+
+impl Reply {
+    /// Answers 200 with a JSON body.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the value has no JSON form.
+    pub fn ok(value: impl Serialize) -> Self {
+        Self::status(200, value)
+    }
+
+    /// Answers with a status and a JSON body.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the value has no JSON form.
+    pub fn status(status: u16, value: impl Serialize) -> Self {
+        Self::Json {
+            status,
+            value: serde_json::to_value(value).expect("answer has no JSON form"),
+        }
+    }
+
+    /// Answers with a status and an explanation.
+    pub fn problem(status: u16, detail: &str) -> Self {
+        Self::status(status, json!({ "detail": detail }))
+    }
+
+    /// Writes the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks.
+    pub fn write(self, writer: &mut dyn Write) -> io::Result<Flow> {
+        match self {
+            Self::Close => Ok(Flow::Close),
+            Self::Json { status, value } => whole(writer, status, &value),
+            Self::Repeated(value) => {
+                whole(writer, 200, &value)?;
+                whole(writer, 200, &value)
+            }
+            Self::Stream(streamer) => {
+                writer.write_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n",
+                )?;
+                streamer(&mut Body(writer))
+            }
+            Self::Truncated { at, value } => {
+                let body = value.to_string();
+                head(writer, 200, body.len())?;
+                writer.write_all(&body.as_bytes()[..at.min(body.len() - 1)])?;
+                writer.flush()?;
+                Ok(Flow::Close)
+            }
+        }
+    }
+}
+
+/// A streamed body of JSON lines; each line is one chunk and sent at once.
+pub struct Body<'a>(&'a mut dyn Write);
+
+impl Body<'_> {
+    /// Sends one line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks.
+    pub fn line(&mut self, value: &Value) -> io::Result<()> {
+        let text = format!("{value}\n");
+        write!(self.0, "{:x}\r\n{text}\r\n", text.len())?;
+        self.0.flush()
+    }
+
+    /// Ends the body in the regular way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks.
+    pub fn end(&mut self) -> io::Result<Flow> {
+        self.0.write_all(b"0\r\n\r\n")?;
+        self.0.flush()?;
+        Ok(Flow::Keep)
+    }
+}
+
+fn whole(writer: &mut dyn Write, status: u16, value: &Value) -> io::Result<Flow> {
+    let body = value.to_string();
+    head(writer, status, body.len())?;
+    writer.write_all(body.as_bytes())?;
+    writer.flush()?;
+    Ok(Flow::Keep)
+}
+
+fn head(writer: &mut dyn Write, status: u16, length: usize) -> io::Result<()> {
+    write!(
+        writer,
+        "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n\
+        Content-Length: {length}\r\n\r\n",
+    )
+}
+
+fn line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
+    let mut text = String::new();
+
+    if reader.read_line(&mut text)? == 0 {
+        return Ok(None);
+    }
+
+    Ok(Some(text.trim_end().into()))
+}
+
+fn headers(reader: &mut impl BufRead) -> io::Result<BTreeMap<String, String>> {
+    let mut headers = BTreeMap::new();
+
+    while let Some(text) = line(reader)? {
+        if text.is_empty() {
+            return Ok(headers);
+        }
+
+        if let Some((name, value)) = text.split_once(':') {
+            headers.insert(name.to_ascii_lowercase(), value.trim().into());
+        }
+    }
+
+    Err(ErrorKind::UnexpectedEof.into())
+}
+
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+
+    while let Some((&first, tail)) = rest.split_first() {
+        let escaped = (first == b'%')
+            .then(|| tail.get(..2))
+            .flatten()
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+
+        match escaped {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            None => {
+                bytes.push(first);
+                rest = tail;
+            }
+        }
+    }
+
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,1 +1,25 @@
+//! Small local stand-ins for the platform: the object API, the host list and
+//! the endpoints, with faults that are switched over HTTP.
+//!
+//! `docs/platform.md` describes the interfaces. The stand-ins share no code
+//! with the daemon, so that a test checks the contract and not a common type.
 
+pub mod batch;
+pub mod cache;
+pub mod call;
+pub mod client;
+pub mod endpoint;
+pub mod error;
+pub mod faults;
+pub mod host_list;
+pub mod http;
+pub mod object_api;
+pub mod oracle;
+pub mod orders;
+pub mod relay;
+pub mod run;
+pub mod server;
+pub mod store;
+pub mod work;
+
+pub use error::Error;
--- /dev/null
+++ b/stand-ins/src/object_api.rs
@@ -0,0 +1,294 @@
+//! The object API.
+
+use {
+    crate::{
+        error::Error,
+        http::{Reply, Request},
+        server::{Handler, Server, lock},
+        store::{Condition, Conflict, Store},
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Condvar, Mutex, PoisonError},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest time between two looks of a waiting watch; delayed events and
+/// outages do not signal.
+const WATCH_STEP: Duration = Duration::from_millis(10);
+
+/// Longest time that a watch waits, whatever it asks for.
+const WATCH_LIMIT_MS: u64 = 60_000;
+
+/// Calls by kind.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Counts {
+    pub delete: u64,
+    pub get: u64,
+    pub list: u64,
+    pub put: u64,
+    pub watch: u64,
+}
+
+/// Switches of the object API's faults; `None` leaves a switch as it is.
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call answers 503.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub outage: Option<bool>,
+    /// The next writes are carried out and not answered.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lose_replies: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow_ms: Option<u64>,
+    /// Changes show in watches only after this time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub watch_delay_ms: Option<u64>,
+    /// The next changes never show in a watch.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub watch_drop: Option<u32>,
+    /// Watches return their events in reverse order.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub watch_shuffle: Option<bool>,
+}
+
+#[derive(Default)]
+struct State {
+    counts: Counts,
+    faults: Faults,
+    store: Store,
+}
+
+#[derive(Default)]
+struct Api {
+    changed: Condvar,
+    state: Mutex<State>,
+}
+
+/// A running object API.
+pub struct Handle {
+    api: Arc<Api>,
+    server: Server,
+}
+
+impl Handle {
+    /// Returns the address that is listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the address as the start of a URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Returns the calls so far.
+    pub fn counts(&self) -> Counts {
+        lock(&self.api.state).counts
+    }
+
+    /// Sets fault switches.
+    pub fn set(&self, faults: Faults) {
+        self.api.set(faults);
+    }
+
+    /// Returns the value of one object, past every fault.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        let state = lock(&self.api.state);
+        state.store.get(key).map(|object| object.value.clone())
+    }
+}
+
+/// Starts an object API; port 0 picks a free port.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be listened on.
+pub fn start(listen: SocketAddr) -> Result<Handle, Error> {
+    let api = Arc::<Api>::default();
+    let server = Server::start(listen, Arc::clone(&api))?;
+    Ok(Handle { api, server })
+}
+
+impl Handler for Api {
+    fn handle(&self, request: Request) -> Reply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/v1/counts") => Reply::ok(lock(&self.state).counts),
+            ("POST", "/v1/faults") => match request.json() {
+                Ok(faults) => {
+                    self.set(faults);
+                    Reply::ok(json!({}))
+                }
+                Err(reply) => reply,
+            },
+            ("GET", "/v1/watch") => {
+                self.disturbed(&request, |counts| &mut counts.watch, Self::watch)
+            }
+            ("GET", "/v1/objects") => {
+                self.disturbed(&request, |counts| &mut counts.list, Self::list)
+            }
+            ("GET", _) => self.disturbed(&request, |counts| &mut counts.get, Self::get),
+            ("PUT", _) => self.disturbed(&request, |counts| &mut counts.put, Self::put),
+            ("DELETE", _) => self.disturbed(&request, |counts| &mut counts.delete, Self::delete),
+            _ => Reply::problem(405, "GET, PUT and DELETE are served"),
+        }
+    }
+}
+
+impl Api {
+    fn set(&self, faults: Faults) {
+        let mut state = lock(&self.state);
+        let now = &mut state.faults;
+        now.outage = faults.outage.or(now.outage);
+        now.lose_replies = faults.lose_replies.or(now.lose_replies);
+        now.slow_ms = faults.slow_ms.or(now.slow_ms);
+        now.watch_delay_ms = faults.watch_delay_ms.or(now.watch_delay_ms);
+        now.watch_drop = faults.watch_drop.or(now.watch_drop);
+        now.watch_shuffle = faults.watch_shuffle.or(now.watch_shuffle);
+        self.changed.notify_all();
+    }
+
+    fn disturbed(
+        &self,
+        request: &Request,
+        count: fn(&mut Counts) -> &mut u64,
+        call: fn(&Self, &Request) -> Reply,
+    ) -> Reply {
+        let slow = {
+            let mut state = lock(&self.state);
+            *count(&mut state.counts) += 1;
+            state.faults.slow_ms.unwrap_or(0)
+        };
+
+        thread::sleep(Duration::from_millis(slow));
+
+        if self.outage() {
+            return outage();
+        }
+
+        call(self, request)
+    }
+
+    fn outage(&self) -> bool {
+        lock(&self.state).faults.outage == Some(true)
+    }
+
+    fn get(&self, request: &Request) -> Reply {
+        let state = lock(&self.state);
+
+        match key(request).and_then(|key| state.store.get(key)) {
+            Some(object) => Reply::ok(object),
+            None => Reply::problem(404, "no object has this key"),
+        }
+    }
+
+    fn list(&self, request: &Request) -> Reply {
+        let state = lock(&self.state);
+        let limit = usize::try_from(request.number("limit", 1000)).unwrap_or(usize::MAX);
+        let objects = state
+            .store
+            .list(request.text("prefix"), request.text("after"), limit);
+        Reply::ok(json!({ "objects": objects, "revision": state.store.revision() }))
+    }
+
+    fn put(&self, request: &Request) -> Reply {
+        match request.json::<Value>() {
+            Ok(value) => self.write(request, Some(value)),
+            Err(reply) => reply,
+        }
+    }
+
+    fn delete(&self, request: &Request) -> Reply {
+        self.write(request, None)
+    }
+
+    fn write(&self, request: &Request, value: Option<Value>) -> Reply {
+        let (Some(key), Some(condition)) = (key(request), condition(request)) else {
+            return Reply::problem(428, "a write needs a key and If-Match or If-None-Match: *");
+        };
+
+        let mut state = lock(&self.state);
+        let dropped = state.faults.watch_drop.unwrap_or(0);
+
+        let version = match state.store.write(key, value, condition, dropped == 0) {
+            Ok(version) => version,
+            Err(Conflict(version)) => {
+                return Reply::status(412, json!({ "key": key, "version": version }));
+            }
+        };
+
+        state.faults.watch_drop = Some(dropped.saturating_sub(1));
+        self.changed.notify_all();
+
+        match state.faults.lose_replies {
+            Some(lose @ 1..) => {
+                state.faults.lose_replies = Some(lose - 1);
+                Reply::Close
+            }
+            _ => Reply::ok(json!({ "key": key, "version": version })),
+        }
+    }
+
+    fn watch(&self, request: &Request) -> Reply {
+        let wait = Duration::from_millis(request.number("wait_ms", 0).min(WATCH_LIMIT_MS));
+        let end = Instant::now() + wait;
+        let mut state = lock(&self.state);
+
+        loop {
+            if state.faults.outage == Some(true) {
+                return outage();
+            }
+
+            let delay = Duration::from_millis(state.faults.watch_delay_ms.unwrap_or(0));
+            let mut watch =
+                state
+                    .store
+                    .changes(request.text("prefix"), request.number("after", 0), delay);
+
+            if !watch.events.is_empty() || Instant::now() >= end {
+                if state.faults.watch_shuffle == Some(true) {
+                    watch.events.reverse();
+                }
+
+                return Reply::ok(watch);
+            }
+
+            state = self
+                .changed
+                .wait_timeout(state, WATCH_STEP)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+}
+
+fn outage() -> Reply {
+    Reply::problem(503, "the object API is down")
+}
+
+fn key(request: &Request) -> Option<&str> {
+    request
+        .path
+        .strip_prefix("/v1/objects/")
+        .filter(|key| !key.is_empty())
+}
+
+fn condition(request: &Request) -> Option<Condition> {
+    if request
+        .headers
+        .get("if-none-match")
+        .is_some_and(|value| value == "*")
+    {
+        return Some(Condition::Absent);
+    }
+
+    let version = request.headers.get("if-match")?;
+    Some(Condition::Version(version.trim_matches('"').parse().ok()?))
+}
--- /dev/null
+++ b/stand-ins/src/orders.rs
@@ -0,0 +1,98 @@
+//! Orders to a model engine, with or without fencing.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeSet, str::FromStr},
+};
+
+/// Whether an order with an old token is refused.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fencing {
+    #[default]
+    Enforced,
+    Ignored,
+}
+
+impl FromStr for Fencing {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "enforced" => Ok(Self::Enforced),
+            "ignored" => Ok(Self::Ignored),
+            _ => Err(format!("fencing is {text:?}, expected enforced or ignored")),
+        }
+    }
+}
+
+/// What an order changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    LoadAdapter,
+    LoadModel,
+    LoadVersion,
+    SetRole,
+}
+
+/// One order.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub struct Order {
+    pub kind: Kind,
+    pub name: String,
+    pub operation: String,
+    pub token: u64,
+}
+
+/// The state that orders change.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
+pub struct Orders {
+    pub adapters: BTreeSet<String>,
+    #[serde(skip)]
+    fencing: Fencing,
+    pub models: BTreeSet<String>,
+    /// Applied operations in order.
+    pub operations: Vec<String>,
+    pub role: String,
+    /// Highest token seen.
+    pub token: u64,
+    pub versions: BTreeSet<String>,
+}
+
+impl Orders {
+    /// Starts without any order applied.
+    pub fn new(fencing: Fencing) -> Self {
+        Self {
+            fencing,
+            role: "serve".into(),
+            ..Self::default()
+        }
+    }
+
+    /// Applies an order once and returns whether its token was accepted.
+    pub fn apply(&mut self, order: Order) -> bool {
+        if self.fencing == Fencing::Enforced && order.token < self.token {
+            return false;
+        }
+
+        self.token = self.token.max(order.token);
+
+        if self.operations.contains(&order.operation) {
+            return true;
+        }
+
+        self.operations.push(order.operation);
+
+        match order.kind {
+            Kind::LoadAdapter => drop(self.adapters.insert(order.name)),
+            Kind::LoadModel => drop(self.models.insert(order.name)),
+            Kind::LoadVersion => drop(self.versions.insert(order.name)),
+            Kind::SetRole => self.role = order.name,
+        }
+
+        true
+    }
+}
