--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -6,8 +6,8 @@
 pub mod hex;
 pub mod hosts;
 pub mod object;
-pub mod order;
 pub mod object_api;
+pub mod order;
 pub mod ticket;
 pub mod tree_file;
 
