--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -16,6 +16,7 @@
 pub mod error;
 pub mod forward;
 pub mod gateway;
+pub mod incoming;
 pub mod membership;
 pub mod observer;
 pub mod posted;
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -10,6 +10,9 @@
 pub mod hosts;
 pub mod object;
 pub mod secret;
+pub mod object_api;
+pub mod order;
 pub mod ticket;
+pub mod tree_file;
 
 pub use error::Error;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -9,5 +9,16 @@
 pub mod links;
 pub mod metrics;
 pub mod server;
+pub mod connection;
+pub mod error;
+pub mod fleet_key;
+pub mod incoming;
+pub mod link;
+pub mod link_server;
+pub mod links;
+pub mod object_api;
+pub mod peer_capnp;
+pub mod peer_server;
+pub mod wire;
 
 pub use error::Error;
