--- a/stand-ins/src/endpoint.rs
+++ b/stand-ins/src/endpoint.rs
@@ -38,6 +38,15 @@
 }
 
 impl Kind {
+    /// Returns the name in settings and options.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Engine => "engine",
+            Self::Pool => "pool",
+            Self::Service => "service",
+        }
+    }
+
     fn capacity(self) -> usize {
         match self {
             Self::Engine => 16,
@@ -211,11 +220,11 @@
             let mut faults = lock(&self.faults);
 
             if faults.leaving == Some(true) {
-                return not_run(&call, "leaving");
+                return self.refuse(&call, "leaving");
             }
 
             if faults.refuses() {
-                return not_run(&call, "full");
+                return self.refuse(&call, "full");
             }
         }
 
@@ -223,8 +232,8 @@
 
         match self.batch.enter(call.priority, limit) {
             Ok(slot) => Run::begin(Arc::clone(self), call, slot).answer(),
-            Err(Refusal::Deadline) => not_run(&call, "deadline"),
-            Err(Refusal::Full) => not_run(&call, "full"),
+            Err(Refusal::Deadline) => self.refuse(&call, "deadline"),
+            Err(Refusal::Full) => self.refuse(&call, "full"),
         }
     }
 
@@ -266,16 +275,18 @@
         let value: Value = json!({ "applied": applied, "token": orders.token });
         Reply::status(status, value)
     }
-}
 
-fn not_run(call: &Call, reason: &str) -> Reply {
-    Reply::status(
-        503,
-        json!({
-            "attempt": call.attempt,
-            "reason": reason,
-            "request": call.request,
-            "status": "not_run",
-        }),
-    )
+    fn refuse(&self, call: &Call, reason: &str) -> Reply {
+        lock(&self.oracle).refused += 1;
+
+        Reply::status(
+            503,
+            json!({
+                "attempt": call.attempt,
+                "reason": reason,
+                "request": call.request,
+                "status": "not_run",
+            }),
+        )
+    }
 }
--- a/stand-ins/src/object_api.rs
+++ b/stand-ins/src/object_api.rs
@@ -99,6 +99,19 @@
         self.api.set(faults);
     }
 
+    /// Creates an object, past every fault.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the key is taken.
+    pub fn create(&self, key: &str, value: Value) {
+        let written = lock(&self.api.state)
+            .store
+            .write(key, Some(value), Condition::Absent, true);
+        written.expect("the key is free");
+        self.api.changed.notify_all();
+    }
+
     /// Returns the value of one object, past every fault.
     pub fn value(&self, key: &str) -> Option<Value> {
         let state = lock(&self.api.state);
--- a/stand-ins/src/oracle.rs
+++ b/stand-ins/src/oracle.rs
@@ -20,6 +20,8 @@
 #[derive(Deserialize, Serialize)]
 pub struct Oracle {
     pub calls: Vec<Row>,
+    /// Number of calls that were refused before they ran.
+    pub refused: u64,
 }
 
 impl Oracle {
--- /dev/null
+++ b/stand-ins/src/outcome.rs
@@ -0,0 +1,72 @@
+//! What a caller learns about its request.
+
+use {crate::client::Answer, serde_json::Value, std::io};
+
+/// The outcome of a request in the caller's eyes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// A whole answer with this output.
+    Answered(String),
+    /// The request ran and failed.
+    Failed,
+    /// No answer, a truncated one, or one that is neither an answer nor a
+    /// refusal.
+    Lost,
+    /// Proven not to have run.
+    NotRun,
+    /// May have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Reads an answer that is not streamed.
+    pub fn whole(answer: &io::Result<Answer>) -> Self {
+        Self::read(answer, |answer| {
+            let body = answer.json();
+            let complete = body["complete"] == true;
+            body["output"].as_str().filter(|_| complete).map(Into::into)
+        })
+    }
+
+    /// Reads a streamed answer: tokens numbered without gaps, then the end
+    /// line with their number.
+    pub fn streamed(answer: &io::Result<Answer>) -> Self {
+        Self::read(answer, |answer| {
+            let mut output = String::new();
+            let mut lines = answer.text.lines();
+
+            for (next, line) in (&mut lines).enumerate() {
+                let line: Value = serde_json::from_str(line).ok()?;
+
+                if line["end"] == true {
+                    return (line["tokens"] == next && lines.next().is_none()).then_some(output);
+                }
+
+                if line["index"] != next {
+                    return None;
+                }
+
+                output.push_str(line["token"].as_str()?);
+            }
+
+            None
+        })
+    }
+
+    fn read(answer: &io::Result<Answer>, output: impl Fn(&Answer) -> Option<String>) -> Self {
+        let Ok(answer) = answer else {
+            return Self::Lost;
+        };
+
+        if answer.status == 200 {
+            return output(answer).map_or(Self::Lost, Self::Answered);
+        }
+
+        match answer.json()["outcome"].as_str() {
+            Some("failed") => Self::Failed,
+            Some("not_run") => Self::NotRun,
+            Some("unknown") => Self::Unknown,
+            _ => Self::Lost,
+        }
+    }
+}
--- a/stand-ins/tests/endpoint.rs
+++ b/stand-ins/tests/endpoint.rs
@@ -137,7 +137,7 @@
         endpoint.set(Change { refuse: Some(1), die: Some(1), ..Change::default() });
         let (status, refusal) = post(&endpoint, json!({})).unwrap();
         assert_eq!((status, &refusal["status"], &refusal["reason"]), (503, &json!("not_run"), &json!("full")));
-        assert_eq!(endpoint.oracle().calls_of("h1.1.a"), 0);
+        assert_eq!((endpoint.oracle().calls_of("h1.1.a"), endpoint.oracle().refused), (0, 1));
         assert_eq!(post(&endpoint, json!({})), None);
         assert_eq!(endpoint.oracle().effects_of("h1.1.a"), 1);
         endpoint.set(Change { leaving: Some(true), ..Change::default() });
