Read a problem line at the end of a stream

Cause: a refusal after the first token comes as the last line of the stream and was classed as a lost answer.

--- a/stand-ins/src/outcome.rs
+++ b/stand-ins/src/outcome.rs
@@ -29,8 +29,18 @@
     }
 
     /// Reads a streamed answer: tokens numbered without gaps, then the end
-    /// line with their number.
+    /// line with their number, or a problem in its place.
     pub fn streamed(answer: &io::Result<Answer>) -> Self {
+        let last = match answer {
+            Ok(answer) => answer.text.lines().last().unwrap_or_default(),
+            Err(_) => return Self::Lost,
+        };
+        let last: Value = serde_json::from_str(last).unwrap_or_default();
+
+        if let Some(refusal) = Self::refusal(&last["problem"]) {
+            return refusal;
+        }
+
         Self::read(answer, |answer| {
             let mut output = String::new();
             let mut lines = answer.text.lines();
@@ -62,11 +72,15 @@
             return output(answer).map_or(Self::Lost, Self::Answered);
         }
 
-        match answer.json()["outcome"].as_str() {
-            Some("failed") => Self::Failed,
-            Some("not_run") => Self::NotRun,
-            Some("unknown") => Self::Unknown,
-            _ => Self::Lost,
+        Self::refusal(&answer.json()).unwrap_or(Self::Lost)
+    }
+
+    fn refusal(problem: &Value) -> Option<Self> {
+        match problem["outcome"].as_str()? {
+            "failed" => Some(Self::Failed),
+            "not_run" => Some(Self::NotRun),
+            "unknown" => Some(Self::Unknown),
+            _ => None,
         }
     }
 }
