--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -30,6 +30,7 @@
     },
     std::{
         collections::BTreeMap,
+        net::{SocketAddr, TcpListener},
         process,
         sync::{Arc, mpsc},
         thread,
@@ -46,15 +47,26 @@
     let server = Server::bind(file.host.caller_address, server_limits(&file))
         .map_err(protocol::Error::from)?;
     let caller_address = server.address().map_err(protocol::Error::from)?;
-    let view = view(&file, caller_address);
+    let peers =
+        TcpListener::bind(file.host.peer_address).map_err(|source| Error::Listen { source })?;
+    let peer_address = peers
+        .local_addr()
+        .map_err(|source| Error::Listen { source })?;
+    let view = view(&file, caller_address, peer_address);
     let published = Published::new(view.clone());
     let (control, events) = mpsc::channel();
+    let incoming = control.clone();
+    let links = Links::start(peers, file.keys.fleet.as_bytes(), move |call| {
+        // A send fails only after the control thread has stopped.
+        let _ = incoming.send(call.into());
+    })
+    .map_err(protocol::Error::from)?;
     let metrics = Metrics::new(file.statsd).map_err(protocol::Error::from)?;
     let gateway = Arc::new(Gateway {
         client: Client::new(),
         control: control.clone(),
         limits: file.limits.clone(),
-        links: Links {},
+        links,
         observer: Observer::new(metrics),
         operator: file.keys.operator.clone(),
         published: published.clone(),
@@ -78,7 +90,7 @@
     thread::spawn(move || discovery::run(host_list, &control));
     log::info!(
         caller_address = caller_address.to_string().as_str(),
-        peer_address = file.host.peer_address.to_string().as_str();
+        peer_address = peer_address.to_string().as_str();
         "listening"
     );
     let routes = Arc::new(Routes(Arc::clone(&gateway)));
@@ -97,7 +109,7 @@
     }
 }
 
-fn view(file: &File, caller_address: std::net::SocketAddr) -> View {
+fn view(file: &File, caller_address: SocketAddr, peer_address: SocketAddr) -> View {
     let local = Member {
         caller_address,
         clock: boot_clock::now(),
@@ -106,7 +118,7 @@
         host: file.host.id.clone(),
         incarnation: incarnation(),
         outstanding: 0,
-        peer_address: file.host.peer_address,
+        peer_address,
         phase: Phase::Alive,
         settings: 0,
     };
--- a/src/coordination/error.rs
+++ b/src/coordination/error.rs
@@ -7,6 +7,8 @@
 #[derive(Snafu)]
 #[snafu(visibility(pub))]
 pub enum Error {
+    #[snafu(display("cannot listen for peers: {source}"))]
+    Listen { source: io::Error },
     #[snafu(transparent)]
     Protocol { source: protocol::Error },
     #[snafu(display("cannot handle signals: {source}"))]
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -9,9 +9,9 @@
 pub mod hex;
 pub mod hosts;
 pub mod object;
-pub mod secret;
 pub mod object_api;
 pub mod order;
+pub mod secret;
 pub mod ticket;
 pub mod tree_file;
 
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -2,23 +2,21 @@
 
 pub mod boot_clock;
 pub mod client;
-pub mod error;
-pub mod head;
-pub mod http_connection;
-pub mod json_log;
-pub mod links;
-pub mod metrics;
-pub mod server;
 pub mod connection;
 pub mod error;
 pub mod fleet_key;
+pub mod head;
+pub mod http_connection;
 pub mod incoming;
+pub mod json_log;
 pub mod link;
 pub mod link_server;
 pub mod links;
+pub mod metrics;
 pub mod object_api;
 pub mod peer_capnp;
 pub mod peer_server;
+pub mod server;
 pub mod wire;
 
 pub use error::Error;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -40,7 +40,7 @@
     std::{
         collections::BTreeMap,
         io::{self, Read},
-        net::SocketAddr,
+        net::{SocketAddr, TcpListener},
         sync::{
             Arc, Mutex,
             mpsc::{self, Receiver},
@@ -209,11 +209,17 @@
         let view = view(address, pools);
         let published = Published::new(view.clone());
         let (control, events) = mpsc::channel();
+        let incoming = control.clone();
+        let peers = TcpListener::bind("127.0.0.1:0").unwrap();
+        let links = Links::start(peers, FLEET_KEY, move |call| {
+            let _ = incoming.send(call.into());
+        });
+        let links = links.unwrap();
         let gateway = Arc::new(Gateway {
             client: Client::new(),
             control,
             limits: limits.clone(),
-            links: Links {},
+            links,
             observer: Observer::new(Metrics::new(None).unwrap()),
             operator: Secret::parse(OPERATOR_KEY.as_bytes()).unwrap(),
             published: published.clone(),
