--- a/src/protocol/daemon_file.rs
+++ b/src/protocol/daemon_file.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         protocol::{
-            fields::{Fault, Fields},
+            fields::Fields,
             secret::{self, Secret},
         },
-        state::id,
+        state::{fault::Fault, id},
     },
     log::LevelFilter,
     std::{fs, net::SocketAddr, path::Path, time::Duration},
@@ -114,11 +114,11 @@
     /// Returns every fault that the file has.
     pub fn read(path: &Path) -> Result<Self, Vec<Fault>> {
         let text = fs::read_to_string(path).map_err(|error| {
-            vec![Fault::new(
-                "file",
-                path.display(),
-                format!("a readable file ({error})"),
-            )]
+            vec![Fault {
+                field: "file".into(),
+                value: path.display().to_string(),
+                expected: format!("a readable file ({error})"),
+            }]
         })?;
         Self::parse(&text, path.parent().unwrap_or(Path::new("")))
     }
--- a/src/protocol/fields.rs
+++ b/src/protocol/fields.rs
@@ -1,44 +1,11 @@
 //! Reads typed fields from an INI text and collects every fault.
 
 use {
+    crate::state::fault::Fault,
     ini::Ini,
-    std::{
-        collections::BTreeMap,
-        fmt::{self, Display},
-        str::FromStr,
-    },
+    std::{collections::BTreeMap, str::FromStr},
 };
 
-/// One thing wrong with a file.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Fault {
-    pub expected: String,
-    pub field: String,
-    pub value: String,
-}
-
-impl Fault {
-    /// Builds a fault.
-    pub fn new(field: impl Display, value: impl Display, expected: impl Display) -> Self {
-        Self {
-            expected: expected.to_string(),
-            field: field.to_string(),
-            value: value.to_string(),
-        }
-    }
-}
-
-impl Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Self {
-            expected,
-            field,
-            value,
-        } = self;
-        write!(f, "{field} is {value:?}, expected {expected}")
-    }
-}
-
 /// The fields of a text and the faults found so far.
 #[derive(Debug)]
 pub struct Fields {
@@ -54,11 +21,11 @@
     /// Returns a fault when the text is not INI at all.
     pub fn parse(text: &str, known: &[(&str, &[&str])]) -> Result<Self, Vec<Fault>> {
         let ini = Ini::load_from_str_noescape(text).map_err(|error| {
-            vec![Fault::new(
-                format!("line {}", error.line + 1),
-                error.msg,
-                "a [section], a key = value pair, or a comment",
-            )]
+            vec![Fault {
+                field: format!("line {}", error.line + 1),
+                value: error.msg.into_owned(),
+                expected: "a [section], a key = value pair, or a comment".into(),
+            }]
         })?;
         let mut fields = Self {
             faults: Vec::new(),
@@ -83,8 +50,7 @@
 
     /// Adds a fault of a field.
     pub fn fault(&mut self, section: &str, key: &str, value: &str, expected: &str) {
-        let field = format!("[{section}] {key}");
-        self.faults.push(Fault::new(field, value, expected));
+        self.faults.push(Fault::new(section, key, value, expected));
     }
 
     /// Returns a field that must be there.
@@ -140,7 +106,7 @@
         // The parser takes a name without ']' to go on in the next lines.
         if let Some((line, _)) = section.split_once('\n') {
             let expected = "']' after the section's name";
-            self.faults.push(Fault::new("section", line, expected));
+            self.fault(line, "", line, expected);
             return;
         }
 
--- a/tests/daemon_file.rs
+++ b/tests/daemon_file.rs
@@ -66,11 +66,11 @@
     assert_eq!(
         faults(&text, directory.path()),
         [
-            "[host] regoin is \"is-south\", expected a known key, nearest is region",
-            "[host] id is \"h 1\", expected letters, digits, '-', '_' and '.'",
-            "[host] region is \"\", expected letters, digits, '-', '_' and '.'",
-            "[limits] read_timeout_ms is \"0\", expected a whole number from 1 to 600000",
-            "[platform] object_api is \"https://store\", expected http:// followed by an IP \
+            "[host] regoin: \"is-south\", expected a known key, nearest is region",
+            "[host] id: \"h 1\", expected letters, digits, '-', '_' and '.'",
+            "[host] region: \"\", expected letters, digits, '-', '_' and '.'",
+            "[limits] read_timeout_ms: \"0\", expected a whole number from 1 to 600000",
+            "[platform] object_api: \"https://store\", expected http:// followed by an IP \
              address and port",
         ]
     );
@@ -92,10 +92,10 @@
 
 fault!(unknown_section_names_the_nearest, "[limits]" => "[limit]", "nearest is [limits]");
 fault!(repeated_key_is_a_fault, "id = h1" => "id = h1\nid = h2", "the key once only");
-fault!(missing_key_file_is_a_fault, "fleet.key" => "none.key", "fleet_file is \"none.key\"");
-fault!(wrong_peer_is_named, "127.0.0.1:7103" => "peer", "[host] peers is \"peer\"");
-fault!(line_without_value_is_named, "id = h1" => "id", "[host] id is \"\", expected a key = value pair");
-fault!(open_section_is_named, "[keys]" => "[keys", "section is \"keys\", expected ']'");
+fault!(missing_key_file_is_a_fault, "fleet.key" => "none.key", "fleet_file: \"none.key\"");
+fault!(wrong_peer_is_named, "127.0.0.1:7103" => "peer", "[host] peers: \"peer\"");
+fault!(line_without_value_is_named, "id = h1" => "id", "[host] id: \"\", expected a key = value pair");
+fault!(open_section_is_named, "[keys]" => "[keys", "[keys]: \"keys\", expected ']'");
 
 #[test]
 fn daemon_checks_the_file_and_exits() {
@@ -118,5 +118,5 @@
     assert_eq!(run(GOOD, &["--wrong"]).0, 2);
     let (code, text) = run(&GOOD.replace("[host]", "[hots]"), &["--check"]);
     assert_eq!(code, 2);
-    assert!(text.contains("error: [hots] id is \"h1\""), "{text}");
+    assert!(text.contains("error: [hots] id: \"h1\""), "{text}");
 }
--- /dev/null
+++ b/tests/gateway/records.rs
@@ -0,0 +1,153 @@
+//! Requests that come twice: idempotency keys and tickets.
+
+use {
+    crate::support::{Fake, Host, done, parse, wait_for},
+    persimmoncleat::{protocol::daemon_file::Limits, state::pool::Kind},
+    rouille::Response,
+    std::{sync::Arc, thread, time::Duration},
+};
+
+const BODY: &str = r#"{"prompt": "issue 7"}"#;
+const OTHER: &str = r#"{"prompt": "issue 8"}"#;
+
+fn service(fake: &Fake) -> Host {
+    Host::start(&[("publish", Kind::Service, &[fake.address])])
+}
+
+#[test]
+fn same_key_gets_the_recorded_answer() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+    let key = [("Idempotency-Key", "order-7")];
+
+    let first = host.post("", &key, BODY);
+    assert_eq!(first.0, 200, "{}", first.1);
+    assert_eq!(host.post("", &key, BODY), first);
+    assert_eq!(fake.count(), 1);
+}
+
+#[test]
+fn same_key_joins_the_run_in_progress() {
+    let fake = Fake::start(|_, call| {
+        thread::sleep(Duration::from_millis(300));
+        done(call, "published")
+    });
+    let host = Arc::new(service(&fake));
+    let first = Arc::clone(&host);
+    let first = thread::spawn(move || first.post("", &[("Idempotency-Key", "k")], BODY));
+    wait_for(|| fake.count() == 1);
+
+    let second = host.post("", &[("Idempotency-Key", "k")], BODY);
+    assert_eq!(first.join().unwrap(), second);
+    assert_eq!(fake.count(), 1);
+}
+
+#[test]
+fn same_key_with_another_body_is_a_conflict() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+    let key = [("Idempotency-Key", "order-7")];
+    host.post("", &key, BODY);
+
+    let (status, text) = host.post("", &key, OTHER);
+    assert_eq!(status, 409, "{text}");
+    assert_eq!(parse(&text)["reason"], "conflict");
+    assert_eq!(fake.count(), 1);
+}
+
+#[test]
+fn same_ticket_runs_once() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+    let ticket = host.ticket(BODY);
+
+    let first = host.post_once(&ticket, BODY);
+    assert_eq!(first.0, 200, "{}", first.1);
+    assert_eq!(host.post_once(&ticket, BODY), first);
+    assert_eq!(parse(&first.1)["request"], ticket["request"]);
+    assert_eq!(fake.count(), 1);
+}
+
+#[test]
+fn ticket_with_another_body_is_a_conflict() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+
+    let (status, text) = host.post_once(&host.ticket(BODY), OTHER);
+    assert_eq!(status, 409, "{text}");
+    assert_eq!(fake.count(), 0);
+}
+
+#[test]
+fn forged_ticket_is_refused() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+    let mut ticket = host.ticket(BODY);
+    let forged = ticket["ticket"]
+        .as_str()
+        .unwrap()
+        .replacen("7b22", "7b20", 1);
+    ticket["ticket"] = forged.into();
+
+    let (status, text) = host.post_once(&ticket, BODY);
+    assert_eq!(status, 409, "{text}");
+    assert_eq!(parse(&text)["reason"], "ticket");
+    assert_eq!(fake.count(), 0);
+}
+
+#[test]
+fn refused_ticket_stays_closed() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let limits = Limits {
+        requests: 1,
+        ..Limits::default()
+    };
+    let slow = Fake::start(|_, call| {
+        thread::sleep(Duration::from_millis(500));
+        done(call, "slow")
+    });
+    let host = Host::with_limits(&[("publish", Kind::Service, &[slow.address])], limits);
+    let host = Arc::new(host);
+    let ticket = host.ticket(BODY);
+    let busy = Arc::clone(&host);
+    let busy = thread::spawn(move || busy.post("", &[], OTHER));
+    wait_for(|| slow.count() == 1);
+
+    let (status, text) = host.post_once(&ticket, BODY);
+    assert_eq!(status, 503, "{text}");
+    assert_eq!(parse(&text)["outcome"], "not_run");
+    assert_eq!(busy.join().unwrap().0, 200);
+    // There is room again, but a copy of the refused request must not run.
+    assert_eq!(host.post_once(&ticket, BODY).0, 503);
+    assert_eq!((slow.count(), fake.count()), (1, 0));
+}
+
+#[test]
+fn order_that_may_have_run_is_unknown_and_stays_so() {
+    let fake = Fake::start(|_, _| Response::text("broken").with_status_code(500));
+    let host = service(&fake);
+    let ticket = host.ticket(BODY);
+
+    let first = host.post_once(&ticket, BODY);
+    assert_eq!(parse(&first.1)["outcome"], "unknown", "{}", first.1);
+    assert_eq!(host.post_once(&ticket, BODY), first);
+    assert_eq!(fake.count(), 1);
+}
+
+#[test]
+fn run_goes_on_after_the_caller_is_gone() {
+    let fake = Fake::start(|_, call| {
+        thread::sleep(Duration::from_millis(300));
+        done(call, "published")
+    });
+    let host = service(&fake);
+    let ticket = host.ticket(BODY);
+    let text = ticket["ticket"].as_str().unwrap();
+    host.post_and_leave(text, BODY);
+    wait_for(|| fake.count() == 1);
+
+    let path = format!("/v1/requests/{}", ticket["request"].as_str().unwrap());
+    let (status, text) = host.get(&path, crate::support::TEAM_KEY);
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(parse(&text)["output"], "published");
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -39,8 +39,8 @@
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
-        io::{self, Read},
-        net::{SocketAddr, TcpListener},
+        io::{self, Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
         sync::{
             Arc, Mutex,
             mpsc::{self, Receiver},
@@ -259,6 +259,18 @@
         self.send(&path, &all, body)
     }
 
+    /// Posts a request that is not repeatable and closes the connection.
+    pub fn post_and_leave(&self, ticket: &str, body: &str) {
+        let mut stream = TcpStream::connect(self.address).unwrap();
+        let length = body.len();
+        let text = format!(
+            "POST /v1/pipelines/draft/requests HTTP/1.1\r\nAuthorization: Bearer {TEAM_KEY}\r\n\
+             Persimmon-Class: volume\r\nPersimmon-Repeatable: false\r\nPersimmon-Team: hvarfdal\r\n\
+             Persimmon-Ticket: {ticket}\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        stream.write_all(text.as_bytes()).unwrap();
+    }
+
     /// Posts to any path.
     pub fn send(&self, path: &str, headers: &[(&str, &str)], body: &str) -> (u16, String) {
         let response = Client::once()
