Share rendezvous hashing and the hash of prompt prefixes

Cause: subsets, lease candidates and cache hints each need the same hash on every host. Change: state::rendezvous and request::prefix_hash.

--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
 pub mod pool;
 pub mod refusal;
 pub mod registry;
+pub mod rendezvous;
 pub mod request;
 pub mod resolution;
 pub mod rollout;
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -1,6 +1,9 @@
 //! What the decision code knows of a request.
 
-use crate::state::{clock::Time, id, pipeline::Stage};
+use {
+    crate::state::{clock::Time, id, pipeline::Stage},
+    std::hash::{DefaultHasher, Hash, Hasher},
+};
 
 /// A request without its body.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,3 +22,11 @@
     pub stages: Vec<Stage>,
     pub team: id::Team,
 }
+
+/// Returns the hash of a prompt prefix's name, the same on every host.
+pub fn prefix_hash(prefix: &str) -> u64 {
+    // `DefaultHasher::new` has fixed keys.
+    let mut hasher = DefaultHasher::new();
+    prefix.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/state/rollout.rs
+++ b/src/state/rollout.rs
@@ -29,12 +29,6 @@
 }
 
 impl Rollout {
-    /// Forgets what was ordered under an earlier lease; the engines are read
-    /// anew.
-    pub fn reset(&mut self) {
-        self.ordered.clear();
-    }
-
     /// Returns what to do, given the models that each engine has now.
     pub fn next(
         &mut self,
--- a/src/state/subset.rs
+++ b/src/state/subset.rs
@@ -1,11 +1,8 @@
 //! The part of a large pool that one host uses.
 
 use {
-    crate::state::{endpoint::Endpoint, id},
-    std::{
-        collections::BTreeMap,
-        hash::{DefaultHasher, Hash, Hasher},
-    },
+    crate::state::{endpoint::Endpoint, id, rendezvous},
+    std::collections::BTreeMap,
 };
 
 /// Endpoints of one pool that a host uses. Today's pools are smaller, so every
@@ -30,7 +27,7 @@
         .flat_map(|mut pool| {
             if pool.len() > size {
                 pool.sort_by_cached_key(|endpoint| {
-                    std::cmp::Reverse(weight(host, &endpoint.endpoint))
+                    std::cmp::Reverse(rendezvous::weight(host, &endpoint.endpoint))
                 });
                 pool.truncate(size);
             }
@@ -38,12 +35,3 @@
         })
         .collect()
 }
-
-/// `DefaultHasher::new` has fixed keys, so the choice is the same after a
-/// restart.
-fn weight(host: &id::Host, endpoint: &id::Endpoint) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    host.hash(&mut hasher);
-    endpoint.hash(&mut hasher);
-    hasher.finish()
-}
