Split the running of requests into smaller files

Progress, the call of an attempt, the intake of requests and the orders that are not repeatable now have a file each; behaviour is unchanged. Entrypoints use the shared rendezvous hash.

--- a/src/coordination/entrypoints.rs
+++ b/src/coordination/entrypoints.rs
@@ -6,14 +6,11 @@
         state::{
             id,
             member::{Member, Phase},
+            rendezvous,
             view::View,
         },
     },
-    std::{
-        collections::hash_map::DefaultHasher,
-        hash::{Hash, Hasher},
-        time::Duration,
-    },
+    std::time::Duration,
 };
 
 /// How long callers may keep the answer.
@@ -56,8 +53,7 @@
 /// Returns the weighted rendezvous cost: a host with twice the requests is
 /// first for about half the callers.
 fn cost(caller: &str, member: &Member) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (caller, member.host.as_str()).hash(&mut hasher);
-    let share = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
+    let hash = rendezvous::weight(&caller, &member.host);
+    let share = (hash >> 11) as f64 / (1_u64 << 53) as f64;
     -(share.max(f64::MIN_POSITIVE)).ln() * (1.0 + f64::from(member.outstanding))
 }
--- /dev/null
+++ b/src/coordination/intake.rs
@@ -0,0 +1,105 @@
+//! From a posted request to its run.
+
+use {
+    crate::{
+        coordination::{
+            claim::{Claim, Permitted},
+            gateway::Gateway,
+            posted::Posted,
+            record::Record,
+            records::Opened,
+            run::Job,
+            runner,
+        },
+        state::{
+            id,
+            pipeline::Stage,
+            refusal::{Reason, Refusal},
+            request::{Request, prefix_hash},
+        },
+        transport::boot_clock,
+    },
+    std::sync::Arc,
+};
+
+/// Returns the record that was found, or the refusal.
+///
+/// # Errors
+///
+/// Returns a refusal if there is none.
+pub fn known(gateway: &Gateway, opened: Opened) -> Result<Arc<Record>, Refusal> {
+    match opened {
+        Opened::Conflict => {
+            gateway.observer.count("conflicts");
+            Err(Refusal::unknown(
+                Reason::Conflict,
+                "the same key or ticket came with another body",
+            ))
+        }
+        Opened::Full(limit) => Err(full(gateway, limit)),
+        Opened::Known(record) | Opened::New(record) => {
+            gateway.observer.count("joined");
+            Ok(record)
+        }
+    }
+}
+
+/// Builds the refusal of a table at its limit, and counts it.
+pub fn full(gateway: &Gateway, limit: &'static str) -> Refusal {
+    gateway.observer.count(match limit {
+        "requests" => "refused_requests",
+        _ => "refused_records",
+    });
+    Refusal::not_run(Reason::Limit, format!("{limit} are at their limit"))
+}
+
+/// Starts the run of an open record.
+pub fn start(
+    gateway: &Arc<Gateway>,
+    posted: &Posted,
+    claim: Option<Claim<Permitted>>,
+    record: &Arc<Record>,
+    stages: Vec<Stage>,
+) {
+    let job = Job {
+        body: posted.body.clone(),
+        claim,
+        record: Arc::clone(record),
+        request: Request {
+            arrived: boot_clock::now(),
+            class: posted.class.clone(),
+            deadline: record.subject.deadline,
+            max_tokens: posted.body.max_tokens,
+            pipeline: posted.pipeline.clone(),
+            prefix: posted.body.prefix.as_deref().map(prefix_hash),
+            repeatable: posted.repeatable,
+            request: record.subject.request.clone(),
+            stages,
+            team: posted.team.clone(),
+        },
+        stream: posted.stream,
+    };
+    runner::start(gateway, job);
+}
+
+/// Returns the stages of the pipeline.
+///
+/// # Errors
+///
+/// Returns a refusal if there is none.
+pub fn stages(gateway: &Gateway, posted: &Posted) -> Result<Vec<Stage>, Refusal> {
+    let policy = &gateway.published.get().policy;
+
+    match policy.pipelines.get(&posted.pipeline) {
+        Some(pipeline) if !pipeline.stages.is_empty() => Ok(pipeline.stages.clone()),
+        _ => Err(unknown_pipeline(&posted.pipeline)),
+    }
+}
+
+/// Builds the refusal of a pipeline that the settings do not have.
+pub fn unknown_pipeline(pipeline: &id::Pipeline) -> Refusal {
+    Refusal::not_run(
+        Reason::Missing,
+        format!("pipeline {pipeline} is not in the settings"),
+    )
+}
--- /dev/null
+++ b/src/coordination/orders.rs
@@ -0,0 +1,215 @@
+//! Requests that are not repeatable: their tickets and their single run.
+
+use {
+    crate::{
+        coordination::{
+            auth, body,
+            claim::{self, Claim},
+            forward,
+            gateway::Gateway,
+            intake,
+            posted::{self, Posted},
+            problem,
+            record::{Outcome, Record, Subject},
+            records::Opened,
+        },
+        protocol::{
+            caller::{TicketAnswer, TicketBody},
+            ticket::Ticket,
+        },
+        state::{
+            home::{self, Admission},
+            refusal::{Reason, Refusal},
+            resolution::{self, Route},
+        },
+        transport::boot_clock,
+    },
+    rouille::{Request, Response},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Longest wait for a witness.
+pub const WITNESS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Issues a ticket with this host as its home.
+pub fn ticket(gateway: &Gateway, request: &Request) -> Response {
+    issued(gateway, request).unwrap_or_else(|refused| *refused)
+}
+
+fn issued(gateway: &Gateway, request: &Request) -> Result<Response, Box<Response>> {
+    let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
+    let body: TicketBody = serde_json::from_slice(&posted::bytes(request)).map_err(|error| {
+        let expected = "JSON {team, class, pipeline, body_sha256, deadline_ms?}";
+        refuse(posted::invalid("body", &error.to_string(), expected))
+    })?;
+    auth::team(gateway, request, &body.team).map_err(Box::new)?;
+
+    if let Some(refusal) = gateway.unready() {
+        return Err(refuse(refusal));
+    }
+
+    let view = gateway.published.get();
+    let policy = &view.policy;
+    let Some(pipeline) = policy.pipelines.get(&body.pipeline) else {
+        return Err(refuse(intake::unknown_pipeline(&body.pipeline)));
+    };
+
+    if body.body_sha256.len() != 64 || !body.body_sha256.bytes().all(|b| b.is_ascii_hexdigit()) {
+        let expected = "64 hexadecimal digits";
+        return Err(refuse(posted::invalid(
+            "body_sha256",
+            &body.body_sha256,
+            expected,
+        )));
+    }
+
+    let class = policy.class(&body.team, &body.class);
+    let deadline = body
+        .deadline
+        .or(pipeline.deadline)
+        .or_else(|| class.map(|class| class.deadline))
+        .unwrap_or_default();
+    let ticket = gateway
+        .tickets
+        .issue(&view, boot_clock::now(), &body, deadline);
+
+    Ok(body::json(&TicketAnswer {
+        address: ticket.home.address,
+        request: ticket.request.clone(),
+        ticket: gateway.tickets.sign(&ticket),
+    }))
+}
+
+/// Finds or opens the record of an order whose home is this host, and runs it
+/// once its witness agrees.
+///
+/// # Errors
+///
+/// Returns the refusal if there is no record to answer from.
+pub fn once(
+    gateway: &Arc<Gateway>,
+    posted: &Posted,
+    ticket: Ticket,
+) -> Result<Arc<Record>, Refusal> {
+    let now = boot_clock::now();
+    let subject = Subject {
+        deadline: now
+            + posted
+                .deadline
+                .map_or(ticket.deadline, |d| d.min(ticket.deadline)),
+        digest: posted.digest(),
+        key: None,
+        request: ticket.request.clone(),
+        team: posted.team.clone(),
+        ticket: Some(ticket.issued),
+    };
+
+    if let Some(found) = gateway.records.find(now, &subject) {
+        return intake::known(gateway, found);
+    }
+
+    let incarnation = gateway.published.get().local.incarnation;
+
+    match home::admission(
+        false,
+        ticket.home.incarnation,
+        ticket.issued,
+        incarnation,
+        now,
+    ) {
+        Admission::Join | Admission::Run => {}
+        Admission::Refuse(refusal) => return close(gateway, subject, refusal),
+        Admission::Resolve => {
+            return Err(claim::resolve(&ticket, &gateway.links, WITNESS_TIMEOUT));
+        }
+    }
+
+    match gateway.records.open(now, subject.clone()) {
+        Opened::New(record) => {
+            if let Err(refusal) = permitted(gateway, posted, ticket, &record) {
+                gateway
+                    .records
+                    .end(boot_clock::now(), &record, Outcome::Refused(refusal));
+            }
+
+            Ok(record)
+        }
+        Opened::Full(limit) => close(gateway, subject, intake::full(gateway, limit)),
+        found => intake::known(gateway, found),
+    }
+}
+
+/// Starts a request once its witness has granted it. The record is open, so
+/// that a copy of the same ticket joins this run; a refusal closes it.
+fn permitted(
+    gateway: &Arc<Gateway>,
+    posted: &Posted,
+    ticket: Ticket,
+    record: &Arc<Record>,
+) -> Result<(), Refusal> {
+    if let Some(refusal) = gateway.unready() {
+        return Err(refusal);
+    }
+
+    let stages = intake::stages(gateway, posted)?;
+    let claim = Claim::new(ticket, rand::random()).permit(&gateway.links, WITNESS_TIMEOUT)?;
+    intake::start(gateway, posted, Some(claim), record, stages);
+    Ok(())
+}
+
+/// Records a refused ticket, so that a late copy of its request never runs.
+fn close(gateway: &Gateway, subject: Subject, refusal: Refusal) -> Result<Arc<Record>, Refusal> {
+    gateway
+        .records
+        .close(boot_clock::now(), subject, &Outcome::Refused(refusal))
+        .ok_or_else(|| Refusal::unknown(Reason::Limit, "no room to close the ticket"))
+}
+
+/// Checks that a ticket is signed and is for this request.
+///
+/// # Errors
+///
+/// Returns the refusal otherwise.
+pub fn check_ticket(gateway: &Gateway, posted: &Posted, text: &str) -> Result<Ticket, Refusal> {
+    let ticket = gateway
+        .tickets
+        .verify(text)
+        .map_err(|error| Refusal::not_run(Reason::Ticket, error.to_string()))?;
+
+    if !ticket.body_sha256.eq_ignore_ascii_case(&posted.sha256) {
+        gateway.observer.count("conflicts");
+        return Err(Refusal::unknown(
+            Reason::Conflict,
+            "the ticket is for another body",
+        ));
+    }
+
+    if ticket.team != posted.team
+        || ticket.pipeline != posted.pipeline
+        || ticket.class != posted.class
+    {
+        return Err(Refusal::unknown(
+            Reason::Conflict,
+            "the ticket is for another team, class or pipeline",
+        ));
+    }
+
+    Ok(ticket)
+}
+
+/// Answers for an order whose home is another host: asks the home, or the
+/// witness if the home is gone.
+pub fn foreign(gateway: &Gateway, request: &Request, posted: &Posted, ticket: &Ticket) -> Response {
+    let view = gateway.published.get();
+    let route = resolution::route(&view, &ticket.home.host, ticket.home.incarnation);
+
+    if matches!(route, Route::Home)
+        && !forward::forwarded(request)
+        && let Ok(response) = forward::post(gateway, request, posted, ticket)
+    {
+        return response;
+    }
+
+    let refusal = claim::resolve(ticket, &gateway.links, WITNESS_TIMEOUT);
+    problem::respond(gateway, Some(&ticket.request), &refusal)
+}
--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -96,6 +96,11 @@
         })
     }
 
+    /// Returns what two copies of one request have in common.
+    pub fn digest(&self) -> String {
+        format!("{}/{}", self.pipeline, self.sha256)
+    }
+
     /// Returns the deadline: the caller's, else the pipeline's, else the
     /// class's.
     pub fn deadline(&self, policy: &Policy) -> Duration {
--- /dev/null
+++ b/src/coordination/progress.rs
@@ -0,0 +1,138 @@
+//! How far a request has come.
+
+use {
+    crate::{
+        coordination::attempt::{Ending, Order},
+        protocol::caller::StageReport,
+        state::{
+            attempt::End,
+            clock::Time,
+            id,
+            once::Once,
+            refusal::{Outcome as Proof, Refusal},
+            tokens::Tokens,
+        },
+        transport::boot_clock,
+    },
+    serde_json::Value,
+    std::{collections::HashMap, mem, time::Duration},
+};
+
+/// The stages, attempts and tokens of one request.
+#[derive(Debug, Default)]
+pub struct Progress {
+    pub attempts: u32,
+    /// Whether a call may have reached an endpoint in any stage.
+    pub called: bool,
+    pub ended: bool,
+    pub live: HashMap<id::Attempt, Order>,
+    pub once: Once,
+    pub output: Option<Value>,
+    pub reports: Vec<StageReport>,
+    pub stage: usize,
+    pub started: Time,
+    pub tokens: Tokens,
+}
+
+/// What becomes of an attempt that the scheduler asks for.
+#[derive(Debug)]
+pub enum Begin {
+    /// The attempt is for a stage or a request that is over.
+    Late,
+    /// Another attempt of a request that is not repeatable may have run.
+    Refused,
+    Sent,
+}
+
+/// What an ended attempt means for the request.
+#[derive(Debug)]
+pub enum Finish {
+    Failed,
+    /// The request no longer needs the attempt.
+    Late,
+    /// The stage is done; the other attempts at it are to be cancelled.
+    Stage {
+        losers: Vec<Order>,
+        took: Duration,
+    },
+}
+
+impl Progress {
+    /// Takes up an attempt, unless it comes late or must not be sent.
+    pub fn begin(&mut self, order: &Order, repeatable: bool) -> Begin {
+        if self.ended || self.stage != order.stage {
+            return Begin::Late;
+        }
+
+        if !repeatable && !self.once.begin(order.attempt) {
+            return Begin::Refused;
+        }
+
+        self.attempts += 1;
+        self.live.insert(order.attempt, order.clone());
+        Begin::Sent
+    }
+
+    /// Takes up the end of an attempt.
+    pub fn finish(&mut self, order: &Order, stage: &id::Stage, ending: &Ending) -> Finish {
+        let not_run = matches!(ending.end, End::NotRun { .. });
+
+        if not_run {
+            self.once.not_run(order.attempt);
+        } else {
+            self.called = true;
+        }
+
+        if self.live.remove(&order.attempt).is_none() {
+            return Finish::Late;
+        }
+
+        let (End::Done { tokens }, Some(output)) = (&ending.end, &ending.output) else {
+            return Finish::Failed;
+        };
+
+        let took = boot_clock::now().since(self.started);
+        self.reports.push(StageReport {
+            attempts: mem::take(&mut self.attempts),
+            endpoint: order.endpoint.clone(),
+            elapsed: took,
+            stage: stage.clone(),
+            tokens: *tokens,
+        });
+        self.output = Some(output.clone());
+        self.once = Once::default();
+        self.stage += 1;
+
+        Finish::Stage {
+            losers: mem::take(&mut self.live).into_values().collect(),
+            took,
+        }
+    }
+
+    /// Gives up an attempt that is in progress.
+    pub fn forget(&mut self, attempt: id::Attempt) -> Option<Order> {
+        self.live.remove(&attempt)
+    }
+
+    /// Takes back an attempt that was never sent.
+    pub fn unsent(&mut self, attempt: id::Attempt) {
+        self.live.remove(&attempt);
+        self.once.not_run(attempt);
+    }
+
+    /// Returns the refusal with the outcome that this host can prove.
+    pub fn honest(&self, refusal: Refusal, repeatable: bool) -> Refusal {
+        let outcome = if !repeatable && self.once.may_have_run() {
+            Proof::Unknown
+        } else if self.called || !self.live.is_empty() {
+            match refusal.outcome {
+                Proof::Unknown => Proof::Unknown,
+                Proof::Failed | Proof::NotRun => Proof::Failed,
+            }
+        } else {
+            refusal.outcome
+        };
+
+        Refusal { outcome, ..refusal }
+    }
+}
--- a/src/coordination/routes.rs
+++ b/src/coordination/routes.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        coordination::{admin, auth, body, entrypoints, gateway::Gateway, problem, requests},
+        coordination::{
+            admin, auth, body, entrypoints, gateway::Gateway, orders, problem, requests,
+        },
         state::refusal::{Reason, Refusal},
         transport::server::{Fault, Handler},
     },
@@ -34,7 +36,7 @@
                 let view = gateway.published.get();
                 body::json(&entrypoints::rank(&view, domain.as_ref(), &caller))
             },
-            (POST) ["/v1/tickets"] => { requests::ticket(gateway, request) },
+            (POST) ["/v1/tickets"] => { orders::ticket(gateway, request) },
             (POST) ["/v1/pipelines/{name}/requests", name: String] => {
                 requests::post(gateway, request, &name)
             },
--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -3,34 +3,26 @@
 use {
     crate::{
         coordination::{
-            attempt::{self, Channel, Ending, Order},
+            attempt::{self, Ending, Order},
             claim::{Claim, Permitted},
             control,
             gateway::Gateway,
+            progress::{Begin, Finish, Progress},
             record::{Outcome, Record},
             scheduling,
         },
-        protocol::{
-            call::Call,
-            caller::{Answer, Body, StageReport},
-        },
+        protocol::caller::{Answer, Body},
         state::{
             action::Action,
             attempt::{End, Report},
-            clock::Time,
             event, id,
             journal::Entry,
-            once::Once,
-            pool::Kind,
-            refusal::{Outcome as Proof, Reason, Refusal},
+            refusal::{Reason, Refusal},
             request::Request,
-            tokens::Tokens,
         },
         transport::boot_clock,
     },
-    serde_json::Value,
     std::{
-        collections::HashMap,
         mem,
         sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc::Sender},
         thread,
@@ -55,26 +47,11 @@
 /// A request in progress, shared by its runner and its attempts.
 #[derive(Debug)]
 pub struct Run {
-    gateway: Arc<Gateway>,
-    job: Job,
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) job: Job,
     progress: Mutex<Progress>,
 }
 
-#[derive(Debug, Default)]
-struct Progress {
-    attempts: u32,
-    /// Whether a call may have reached an endpoint in any stage.
-    called: bool,
-    ended: bool,
-    live: HashMap<id::Attempt, Order>,
-    once: Once,
-    output: Option<Value>,
-    reports: Vec<StageReport>,
-    stage: usize,
-    started: Time,
-    tokens: Tokens,
-}
-
 impl Run {
     /// Builds a run that has not started.
     pub fn new(gateway: Arc<Gateway>, job: Job) -> Self {
@@ -227,107 +204,6 @@
         }
     }
 
-    fn perform(&self, order: &Order) -> Ending {
-        let channel = match (&self.job.claim, self.job.request.repeatable) {
-            (_, true) => Channel::Kept(&self.gateway.client),
-            (Some(claim), false) => Channel::Once(claim),
-            (None, false) => {
-                return Ending {
-                    end: End::NotRun { leaving: false },
-                    detail: "the witness has not granted the request".into(),
-                    output: None,
-                    discarded: None,
-                    tokens: 0,
-                };
-            }
-        };
-        let call = self.call(order);
-
-        if !call.stream {
-            return attempt::whole(channel, order, &call);
-        }
-
-        let start = usize::try_from(call.resume_from).unwrap_or(usize::MAX);
-        let mut read = Vec::new();
-        let ending = attempt::stream(channel, order, &call, &mut |token| {
-            read.push(token);
-            let mut progress = self.lock();
-
-            if progress.live.contains_key(&order.attempt) {
-                let fresh = progress.tokens.offer(order.attempt, start, &read);
-                self.job.record.push(fresh);
-            }
-        });
-
-        self.close_stream(order, start, &read, ending)
-    }
-
-    fn close_stream(&self, order: &Order, start: usize, read: &[String], ending: Ending) -> Ending {
-        let mut progress = self.lock();
-
-        if !matches!(ending.end, End::Done { .. }) {
-            progress.tokens.release(order.attempt);
-            return ending;
-        }
-
-        if !progress.live.contains_key(&order.attempt) {
-            return ending;
-        }
-
-        let Some(fresh) = progress.tokens.finish(order.attempt, start, read) else {
-            return Ending {
-                end: End::Failed,
-                detail: "another attempt has streamed more tokens".into(),
-                ..ending
-            };
-        };
-
-        self.job.record.push(fresh);
-        Ending {
-            output: Some(self.job.record.tokens().concat().into()),
-            ..ending
-        }
-    }
-
-    fn call(&self, order: &Order) -> Call {
-        let request = &self.job.request;
-        let stage = &request.stages[order.stage];
-        let policy = &self.gateway.published.get().policy;
-        let engine = policy
-            .pools
-            .get(&stage.pool)
-            .is_some_and(|pool| pool.kind == Kind::Engine);
-        let progress = self.lock();
-        let stream = self.job.stream && engine && order.stage + 1 == request.stages.len();
-        let resumed = if stream {
-            progress.tokens.delivered()
-        } else {
-            0
-        };
-
-        Call {
-            attempt: self.wire(order.attempt),
-            class: request.class.clone(),
-            deadline: self.left(),
-            input: progress
-                .output
-                .clone()
-                .or_else(|| self.job.body.input.clone()),
-            max_tokens: self.job.body.max_tokens,
-            prefix: self.job.body.prefix.clone(),
-            priority: policy
-                .class(&request.team, &request.class)
-                .map_or(0, |class| class.priority),
-            prompt: self.job.body.prompt.clone(),
-            repeatable: request.repeatable,
-            request: request.request.clone(),
-            resume_from: u32::try_from(resumed).unwrap_or(u32::MAX),
-            stage: stage.name.clone(),
-            stream,
-            team: request.team.clone(),
-        }
-    }
-
     fn finish(&self, order: &Order, ending: Ending) {
         let stage = self.job.request.stages[order.stage].name.clone();
         let elapsed = boot_clock::now().since(order.started);
@@ -463,106 +339,13 @@
         self.gateway.observer.event(&self.job.request, entry);
     }
 
-    fn wire(&self, attempt: id::Attempt) -> String {
+    /// Returns the id of an attempt on the wire.
+    pub(super) fn wire(&self, attempt: id::Attempt) -> String {
         format!("{}/{attempt}", self.job.request.request)
     }
 
-    fn lock(&self) -> MutexGuard<'_, Progress> {
+    /// Locks the progress.
+    pub(super) fn lock(&self) -> MutexGuard<'_, Progress> {
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-enum Begin {
-    /// The attempt is for a stage or a request that is over.
-    Late,
-    /// Another attempt of a request that is not repeatable may have run.
-    Refused,
-    Sent,
-}
-
-enum Finish {
-    Failed,
-    /// The request no longer needs the attempt.
-    Late,
-    /// The stage is done; the other attempts at it are to be cancelled.
-    Stage {
-        losers: Vec<Order>,
-        took: Duration,
-    },
-}
-
-impl Progress {
-    fn begin(&mut self, order: &Order, repeatable: bool) -> Begin {
-        if self.ended || self.stage != order.stage {
-            return Begin::Late;
-        }
-
-        if !repeatable && !self.once.begin(order.attempt) {
-            return Begin::Refused;
-        }
-
-        self.attempts += 1;
-        self.live.insert(order.attempt, order.clone());
-        Begin::Sent
-    }
-
-    fn finish(&mut self, order: &Order, stage: &id::Stage, ending: &Ending) -> Finish {
-        let not_run = matches!(ending.end, End::NotRun { .. });
-
-        if not_run {
-            self.once.not_run(order.attempt);
-        } else {
-            self.called = true;
-        }
-
-        if self.live.remove(&order.attempt).is_none() {
-            return Finish::Late;
-        }
-
-        let (End::Done { tokens }, Some(output)) = (&ending.end, &ending.output) else {
-            return Finish::Failed;
-        };
-
-        let took = boot_clock::now().since(self.started);
-        self.reports.push(StageReport {
-            attempts: mem::take(&mut self.attempts),
-            endpoint: order.endpoint.clone(),
-            elapsed: took,
-            stage: stage.clone(),
-            tokens: *tokens,
-        });
-        self.output = Some(output.clone());
-        self.once = Once::default();
-        self.stage += 1;
-
-        Finish::Stage {
-            losers: mem::take(&mut self.live).into_values().collect(),
-            took,
-        }
-    }
-
-    fn forget(&mut self, attempt: id::Attempt) -> Option<Order> {
-        self.live.remove(&attempt)
-    }
-
-    fn unsent(&mut self, attempt: id::Attempt) {
-        self.live.remove(&attempt);
-        self.once.not_run(attempt);
-    }
-
-    /// Returns the refusal with the outcome that this host can prove.
-    fn honest(&self, refusal: Refusal, repeatable: bool) -> Refusal {
-        let outcome = if !repeatable && self.once.may_have_run() {
-            Proof::Unknown
-        } else if self.called || !self.live.is_empty() {
-            match refusal.outcome {
-                Proof::Unknown => Proof::Unknown,
-                Proof::Failed | Proof::NotRun => Proof::Failed,
-            }
-        } else {
-            refusal.outcome
-        };
-
-        Refusal { outcome, ..refusal }
-    }
-}
