Read reports and order models to engines under the pool's lease

Cause: the daemon knew endpoints only from the host list, and nothing ordered a pool's model onto its engines. Change: coordination::discovery polls the host list, load reports and cache events; coordination::leases is a fifth part of the control state; coordination::engines reads and writes lease objects and sends orders, each on a thread of its own so that a slow engine never delays a renewal.

--- a/src/coordination/control.rs
+++ b/src/coordination/control.rs
@@ -4,6 +4,7 @@
     crate::{
         coordination::{
             claims::{self, Claims},
+            leases::{self, Leases},
             membership::{self, Membership},
             published::Published,
             scheduling::{self, Scheduling},
@@ -25,6 +26,7 @@
 #[derive(Debug)]
 pub enum Event {
     Claims(claims::Event),
+    Leases(leases::Event),
     Membership(membership::Event),
     Scheduling(scheduling::Event),
     Settings(settings::Event),
@@ -41,6 +43,7 @@
 #[derive(Debug)]
 pub struct Control {
     pub claims: Claims,
+    pub leases: Leases,
     pub membership: Membership,
     pub published: Published,
     pub scheduling: Scheduling,
@@ -78,6 +81,7 @@
 
         match event {
             Event::Claims(event) => self.claims.handle(now, event, view),
+            Event::Leases(event) => self.leases.handle(now, event, view),
             Event::Membership(event) => self.membership.handle(now, event, view),
             Event::Scheduling(event) => self.scheduling.handle(now, event, view),
             Event::Settings(event) => self.settings.handle(now, event, view),
@@ -91,6 +95,7 @@
         let view = &mut self.view;
 
         self.claims.tick(now, view);
+        self.leases.tick(now, view);
         self.membership.tick(now, view);
         self.settings.tick(now, view);
         self.scheduling.tick(now, view);
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         coordination::{
-            bootstrap, claims::Claims, control::Control, discovery, drain, error::Error,
-            gateway::Gateway, membership::Membership, observer::Observer, published::Published,
-            records::Records, routes::Routes, scheduling::Scheduling, settings::Settings,
-            tickets::Tickets,
+            bootstrap, claims::Claims, control::Control, discovery::Discovery, drain, engines,
+            error::Error, gateway::Gateway, leases::Leases, membership::Membership,
+            observer::Observer, published::Published, records::Records, routes::Routes,
+            scheduling::Scheduling, settings::Settings, tickets::Tickets,
         },
-        protocol::{self, daemon_file::File},
+        protocol::{self, daemon_file::File, object_api::ObjectApi},
         state::{
             clock::Time,
             id,
@@ -21,6 +21,7 @@
             client::Client,
             links::Links,
             metrics::Metrics,
+            object_api::Calls,
             server::{self, Server},
         },
     },
@@ -73,21 +74,31 @@
         records: Records::new(file.limits.requests, file.limits.answer_retention),
         tickets: Tickets::new(file.keys.fleet.as_bytes()),
     });
+    let (jobs, leases) = mpsc::channel();
     let seed = view.local.incarnation.0;
     let parts = Control {
         claims: Claims::new(&view, file.limits.witness_records),
+        leases: Leases::new(&view, jobs),
         membership: Membership::default(),
-        published,
+        published: published.clone(),
         scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
         settings: Settings::default(),
         view,
     };
-    let host_list = file.platform.host_list;
     let busy = server.busy();
 
     handle_signals(&gateway)?;
     thread::spawn(move || parts.run(&events));
-    thread::spawn(move || discovery::run(host_list, &control));
+    engines::start(leases, object_api(&file), control.clone())
+        .map_err(|source| Error::Thread { source })?;
+    Discovery::new(
+        file.host.id.clone(),
+        file.platform.host_list,
+        published,
+        control,
+    )
+    .start()
+    .map_err(|source| Error::Thread { source })?;
     log::info!(
         caller_address = caller_address.to_string().as_str(),
         peer_address = peer_address.to_string().as_str();
@@ -100,6 +111,11 @@
     Ok(())
 }
 
+fn object_api(file: &File) -> ObjectApi {
+    let address = format!("http://{}", file.platform.object_api);
+    ObjectApi::new(&address, Calls::default())
+}
+
 fn server_limits(file: &File) -> server::Limits {
     server::Limits {
         body_bytes: file.limits.body_bytes,
--- a/src/coordination/discovery.rs
+++ b/src/coordination/discovery.rs
@@ -1,67 +1,275 @@
-//! Tells the scheduler which endpoints there are.
+//! The threads that read the host list and the endpoints' own reports.
 
 use {
     crate::{
-        coordination::{control, scheduling},
-        protocol::hosts::{ENTRY_POOL, Hosts},
-        state::{endpoint::Endpoint, event},
-        transport::client::{self, Client},
+        coordination::{control, published::Published, scheduling},
+        protocol::{
+            call::{CacheEvents, Load},
+            hosts::{ENTRY_POOL, Host, Hosts},
+        },
+        state::{
+            clock::Time,
+            endpoint::{self, Endpoint, Phase},
+            event, id,
+            pool::Kind,
+            registry::Registry,
+            request,
+            subset::{self, subset},
+        },
+        transport::{
+            boot_clock,
+            client::{self, Client},
+        },
+    },
+    log::warn,
+    serde::de::DeserializeOwned,
+    std::{
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc::Sender},
+        thread,
+        time::Duration,
     },
-    std::{net::SocketAddr, sync::mpsc::Sender, thread, time::Duration},
 };
 
-/// Pause between two reads of the host list.
-const PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at the host list.
+const LIST_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest time for the host list to answer.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two reads of an endpoint's reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest time for an endpoint to answer, so that a stalled one does not hold
+/// up the others for long.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Threads that read reports side by side.
+const REPORT_THREADS: usize = 4;
+
+/// Reads the host list and the endpoints' reports for the control thread.
+#[derive(Debug)]
+pub struct Discovery {
+    client: Client,
+    control: Sender<control::Event>,
+    host: id::Host,
+    host_list: SocketAddr,
+    published: Published,
+    registry: Mutex<Registry>,
+    /// Last cache event read from each engine.
+    sequences: Mutex<HashMap<id::Endpoint, u64>>,
+}
+
+impl Discovery {
+    /// Builds the readers of the host list at `host_list`.
+    pub fn new(
+        host: id::Host,
+        host_list: SocketAddr,
+        published: Published,
+        control: Sender<control::Event>,
+    ) -> Self {
+        Self {
+            client: Client::new(),
+            control,
+            host,
+            host_list,
+            published,
+            registry: Mutex::default(),
+            sequences: Mutex::default(),
+        }
+    }
+
+    /// Starts the threads, which end with the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a thread cannot be started.
+    pub fn start(self) -> io::Result<()> {
+        let discovery = Arc::new(self);
+        let lists = Arc::clone(&discovery);
 
-/// Longest wait for the host list.
-const TIMEOUT: Duration = Duration::from_secs(2);
+        thread::Builder::new()
+            .name("host-list".into())
+            .spawn(move || {
+                while lists.list() == Next::Continue {
+                    thread::sleep(LIST_PERIOD);
+                }
+            })?;
 
-/// Reads the host list until the control thread stops. While the list cannot
-/// be read, the last one stays in force.
-pub fn run(host_list: SocketAddr, control: &Sender<control::Event>) {
-    let client = Client::new();
+        thread::Builder::new()
+            .name("reports".into())
+            .spawn(move || {
+                while discovery.report() == Next::Continue {
+                    thread::sleep(REPORT_PERIOD);
+                }
+            })?;
 
-    loop {
-        if let Some(hosts) = read(&client, host_list) {
-            let event = event::Event::Endpoints(endpoints(hosts));
-            let event = control::Event::Scheduling(scheduling::Event::Scheduler(event));
+        Ok(())
+    }
 
-            if control.send(event).is_err() {
-                return;
+    /// Reads the host list once. Without an answer the last list stays.
+    fn list(&self) -> Next {
+        match self.read::<Hosts>(self.host_list, "/v1/hosts", LIST_TIMEOUT) {
+            Ok(hosts) => {
+                let endpoints = hosts.hosts.iter().filter_map(endpoint).collect();
+                self.registry()
+                    .list(boot_clock::now(), hosts.revision, endpoints);
+                self.publish()
+            }
+            Err(error) => {
+                warn!("cannot read the host list: {error}");
+                Next::Continue
             }
         }
+    }
 
-        thread::sleep(PERIOD);
+    /// Reads the reports of all endpoints in use once.
+    fn report(&self) -> Next {
+        let view = self.published.get();
+        let reporting: Vec<(&Endpoint, Kind)> = view
+            .endpoints
+            .iter()
+            .filter_map(|endpoint| {
+                let pool = view.policy.pools.get(&endpoint.pool)?;
+                (pool.reports_load || pool.kind == Kind::Engine).then_some((endpoint, pool.kind))
+            })
+            .collect();
+        let share = reporting.len().div_ceil(REPORT_THREADS).max(1);
+
+        thread::scope(|scope| {
+            for endpoints in reporting.chunks(share) {
+                scope.spawn(move || {
+                    for (endpoint, kind) in endpoints {
+                        self.load(endpoint);
+
+                        if *kind == Kind::Engine {
+                            self.cache(endpoint);
+                        }
+                    }
+                });
+            }
+        });
+
+        self.publish()
+    }
+
+    fn load(&self, endpoint: &Endpoint) {
+        let Ok(load) = self.read::<Load>(endpoint.address, "/v1/load", REPORT_TIMEOUT) else {
+            // An endpoint that does not answer is judged by its calls.
+            return;
+        };
+
+        let said = before(boot_clock::now(), load.age);
+        let phase = if load.leaving {
+            Phase::Leaving
+        } else {
+            Phase::Live
+        };
+        self.registry().heard(said, &endpoint.endpoint, phase);
+        self.send(event::Event::Load {
+            endpoint: endpoint.endpoint.clone(),
+            load: endpoint::Load {
+                age: load.age,
+                capacity: load.capacity,
+                queued: load.queued,
+                running: load.running,
+            },
+        });
     }
-}
 
-fn read(client: &Client, address: SocketAddr) -> Option<Hosts> {
-    let hosts = client
-        .get(address, "/v1/hosts", &[], TIMEOUT)
-        .and_then(|response| client::body(address, TIMEOUT, response));
-
-    match hosts {
-        Ok(body) => serde_json::from_slice(&body)
-            .inspect_err(|error| log::warn!("the host list is not valid: {error}"))
-            .ok(),
-        Err(failure) => {
-            log::warn!("cannot read the host list: {}", failure.into_error());
-            None
+    fn cache(&self, endpoint: &Endpoint) {
+        let after = self
+            .sequences()
+            .get(&endpoint.endpoint)
+            .copied()
+            .unwrap_or_default();
+        let path = format!("/v1/cache-events?after={after}");
+
+        let Ok(answer) = self.read::<CacheEvents>(endpoint.address, &path, REPORT_TIMEOUT) else {
+            return;
+        };
+
+        for event in answer.events {
+            self.sequences()
+                .insert(endpoint.endpoint.clone(), event.sequence);
+            self.send(event::Event::Cache {
+                endpoint: endpoint.endpoint.clone(),
+                event: endpoint::Cache {
+                    change: event.kind,
+                    prefix: request::prefix_hash(&event.prefix),
+                    sequence: event.sequence,
+                },
+            });
         }
     }
+
+    /// Tells the control thread the endpoints that this host uses.
+    fn publish(&self) -> Next {
+        let endpoints = self.registry().endpoints();
+        let endpoints = subset(&self.host, endpoints, subset::SIZE);
+        self.send(event::Event::Endpoints(endpoints))
+    }
+
+    fn send(&self, event: event::Event) -> Next {
+        let event = control::Event::Scheduling(scheduling::Event::Scheduler(event));
+
+        match self.control.send(event) {
+            Ok(()) => Next::Continue,
+            Err(_) => Next::Stop,
+        }
+    }
+
+    fn read<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, String> {
+        let response = self
+            .client
+            .get(address, path, &[], timeout)
+            .map_err(|failure| failure.into_error().to_string())?;
+        let status = response.status();
+
+        if status != 200 {
+            return Err(format!("{address} answered {status}"));
+        }
+
+        let body = client::body(address, timeout, response)
+            .map_err(|failure| failure.into_error().to_string())?;
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
+    }
+
+    fn registry(&self) -> MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sequences(&self) -> MutexGuard<'_, HashMap<id::Endpoint, u64>> {
+        self.sequences
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    Continue,
+    Stop,
+}
+
+fn endpoint(host: &Host) -> Option<Endpoint> {
+    (host.pool.as_str() != ENTRY_POOL).then(|| Endpoint {
+        address: host.address,
+        domain: host.domain.clone(),
+        endpoint: host.id.as_str().into(),
+        phase: host.phase,
+        pool: host.pool.clone(),
+    })
 }
 
-fn endpoints(hosts: Hosts) -> Vec<Endpoint> {
-    hosts
-        .hosts
-        .into_iter()
-        .filter(|host| host.pool.as_str() != ENTRY_POOL)
-        .map(|host| Endpoint {
-            address: host.address,
-            domain: host.domain,
-            endpoint: host.id.into(),
-            phase: host.phase,
-            pool: host.pool,
-        })
-        .collect()
+fn before(now: Time, age: Duration) -> Time {
+    let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    Time::from_micros(now.as_micros().saturating_sub(age))
 }
--- /dev/null
+++ b/src/coordination/engines.rs
@@ -0,0 +1,261 @@
+//! The threads that read and write lease objects and send orders to engines.
+//!
+//! Lease objects have a thread of their own, so that a slow engine never
+//! delays a renewal.
+
+use {
+    crate::{
+        coordination::{control, leases::Event},
+        protocol::{
+            object_api::{ObjectApi, Write},
+            order::{Answer, Engine, Kind, Order},
+        },
+        state::{
+            clock::Time,
+            endpoint::Endpoint,
+            id,
+            lease::{self, Found, ORDER_TIMEOUT, Record, Written},
+            rollout::{Next, Rollout},
+        },
+        transport::{
+            boot_clock,
+            client::{self, Client},
+        },
+    },
+    log::{info, warn},
+    std::{
+        collections::BTreeMap,
+        io,
+        sync::mpsc::{Receiver, Sender, channel},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Longest time for reading an engine's state.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Work for these threads.
+#[derive(Debug)]
+pub enum Job {
+    Read {
+        pool: id::Pool,
+    },
+    /// Compares a pool's engines with its settings and sends an order if one
+    /// is due before `until`.
+    Reconcile {
+        engines: Vec<Endpoint>,
+        model: String,
+        pool: id::Pool,
+        token: u64,
+        until: Time,
+    },
+    Write {
+        expected: Option<u64>,
+        pool: id::Pool,
+        record: Record,
+    },
+}
+
+/// Starts the threads, which end when the sender of `jobs` is gone.
+///
+/// # Errors
+///
+/// Fails if a thread cannot be started.
+pub fn start(
+    jobs: Receiver<Job>,
+    store: ObjectApi,
+    control: Sender<control::Event>,
+) -> io::Result<()> {
+    let (reconciles, received) = channel();
+    let reply = control.clone();
+    let mut orders = Orders {
+        client: Client::new(),
+        rollouts: BTreeMap::new(),
+    };
+
+    thread::Builder::new()
+        .name("orders".into())
+        .spawn(move || {
+            for job in received {
+                orders.run(job);
+            }
+        })?;
+
+    thread::Builder::new()
+        .name("leases".into())
+        .spawn(move || {
+            for job in jobs {
+                match access(&store, job) {
+                    Access::Done(event) => drop(reply.send(control::Event::Leases(event))),
+                    Access::Order(job) => drop(reconciles.send((job, control.clone()))),
+                }
+            }
+        })?;
+
+    Ok(())
+}
+
+enum Access {
+    Done(Event),
+    Order(Job),
+}
+
+fn access(store: &ObjectApi, job: Job) -> Access {
+    match job {
+        Job::Read { pool } => Access::Done(Event::Lease {
+            event: read(store, &pool),
+            pool,
+        }),
+        Job::Reconcile { .. } => Access::Order(job),
+        Job::Write {
+            expected,
+            pool,
+            record,
+        } => Access::Done(Event::Lease {
+            event: lease::Event::Written(write(store, &pool, expected, &record)),
+            pool,
+        }),
+    }
+}
+
+fn key(pool: &id::Pool) -> String {
+    format!("leases/{pool}")
+}
+
+fn read(store: &ObjectApi, pool: &id::Pool) -> lease::Event {
+    let object = match store.get(&key(pool)) {
+        Ok(object) => object,
+        Err(error) => {
+            warn!(pool:% = pool; "cannot read the lease: {error}");
+            return lease::Event::Unread;
+        }
+    };
+
+    let Some(object) = object else {
+        return lease::Event::Read(None);
+    };
+
+    match serde_json::from_value(object.value) {
+        Ok(record) => lease::Event::Read(Some(Found {
+            record,
+            version: object.version,
+        })),
+        Err(error) => {
+            warn!(pool:% = pool; "the lease object is not valid: {error}");
+            lease::Event::Unread
+        }
+    }
+}
+
+fn write(store: &ObjectApi, pool: &id::Pool, expected: Option<u64>, record: &Record) -> Written {
+    let write = match expected {
+        None => store.create(&key(pool), record),
+        Some(version) => store.update(&key(pool), record, version),
+    };
+
+    match write {
+        Write::Conflict { .. } => Written::Lost,
+        Write::Done { version } => Written::Done { version },
+        // A refused write changed nothing, which reading back confirms.
+        Write::Refused(error) | Write::Unknown(error) => {
+            warn!(pool:% = pool; "the write of the lease is not known to have taken effect: {error}");
+            Written::Unknown
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Orders {
+    client: Client,
+    rollouts: BTreeMap<id::Pool, Rollout>,
+}
+
+impl Orders {
+    fn run(&mut self, (job, control): (Job, Sender<control::Event>)) {
+        let Job::Reconcile {
+            engines,
+            model,
+            pool,
+            token,
+            until,
+        } = job
+        else {
+            return;
+        };
+
+        let states = self.states(&engines);
+        let rollout = self.rollouts.entry(pool.clone()).or_default();
+
+        if let Next::Order { engine, model } = rollout.next(boot_clock::now(), &model, &states)
+            && let Some(engine) = engines.iter().find(|known| known.endpoint == engine)
+        {
+            self.order(engine, model, &pool, token, until);
+        }
+
+        let _ = control.send(control::Event::Leases(Event::Reconciled { pool }));
+    }
+
+    /// Reads what the engines have loaded; those that do not answer are left
+    /// out.
+    fn states(&self, engines: &[Endpoint]) -> BTreeMap<id::Endpoint, Vec<String>> {
+        engines
+            .iter()
+            .filter_map(|engine| Some((engine.endpoint.clone(), self.state(engine)?.models)))
+            .collect()
+    }
+
+    fn state(&self, engine: &Endpoint) -> Option<Engine> {
+        let address = engine.address;
+        let response = self
+            .client
+            .get(address, "/v1/engine", &[], READ_TIMEOUT)
+            .ok()?;
+        let body = client::body(address, READ_TIMEOUT, response).ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    fn order(&self, engine: &Endpoint, model: String, pool: &id::Pool, token: u64, until: Time) {
+        let order = Order {
+            kind: Kind::LoadModel,
+            operation: format!("{pool}/{}/load_model/{model}", engine.endpoint),
+            name: model,
+            token,
+        };
+        let body = client::json(&order);
+
+        // The last look at the clock: a process paused after it is the
+        // remaining risk with engines that ignore the token.
+        if boot_clock::now() >= until {
+            warn!(pool:% = pool; "the lease ran out before the order to {} was sent", engine.endpoint);
+            return;
+        }
+
+        let answer = self
+            .client
+            .post(engine.address, "/v1/orders", &[], &body, ORDER_TIMEOUT)
+            .and_then(|response| client::body(engine.address, ORDER_TIMEOUT, response));
+
+        match answer {
+            Ok(body) => report(engine, pool, &order, &body),
+            Err(failure) => {
+                let error = failure.into_error();
+                warn!(pool:% = pool; "no answer to the order to {}: {error}", engine.endpoint);
+            }
+        }
+    }
+}
+
+fn report(engine: &Endpoint, pool: &id::Pool, order: &Order, body: &[u8]) {
+    match serde_json::from_slice(body) {
+        Ok(Answer { applied: true, .. }) => {
+            info!(pool:% = pool, token = order.token; "{} loads {}", engine.endpoint, order.name);
+        }
+        Ok(Answer { token, .. }) => {
+            warn!(pool:% = pool, token = order.token; "{} refused the order: it has seen token {token}", engine.endpoint);
+        }
+        Err(error) => {
+            warn!(pool:% = pool; "{} gave an answer that is not valid: {error}", engine.endpoint)
+        }
+    }
+}
--- a/src/coordination/error.rs
+++ b/src/coordination/error.rs
@@ -15,4 +15,6 @@
     Signals { source: io::Error },
     #[snafu(display("the control thread has stopped"))]
     Stopped,
+    #[snafu(display("cannot start a thread: {source}"))]
+    Thread { source: io::Error },
 }
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -6,6 +6,7 @@
             claims::Claims,
             control::{self, Control},
             gateway::Gateway,
+            leases::Leases,
             membership::Membership,
             observer::Observer,
             published::Published,
@@ -228,6 +229,7 @@
         });
         let parts = Control {
             claims: Claims::new(&view, 100),
+            leases: Leases::new(&view, mpsc::channel().0),
             membership: Membership::default(),
             published,
             scheduling: Scheduling::new(Scheduler::new("d1".into(), 1)),
