Let the lag of the host list delay later changes only

Cause: a lag set during a test also hid records that were already shown, so the list turned empty, which no lagging list does. The fleet now drops its hosts before the folder with their logs, which a failed test prints.

--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -50,8 +50,9 @@
 pub struct Fleet {
     binary: PathBuf,
     pub endpoints: BTreeMap<String, endpoint::Handle>,
-    folder: TempDir,
+    // Dropped before the folder, which has the logs that a failed test prints.
     pub hosts: Vec<Daemon>,
+    folder: TempDir,
     pub list: host_list::Handle,
     pub objects: object_api::Handle,
     settings: u64,
--- a/stand-ins/src/host_list.rs
+++ b/stand-ins/src/host_list.rs
@@ -42,7 +42,7 @@
 #[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// Changes show only after this time.
+    /// Changes that do not show yet, and later ones, show only after this time.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub lag_ms: Option<u64>,
     /// Every read answers 503.
@@ -50,11 +50,23 @@
     pub outage: Option<bool>,
 }
 
+struct Record {
+    host: Host,
+    set: Instant,
+    shown: Instant,
+}
+
 #[derive(Default)]
 struct State {
     faults: Faults,
-    /// Every record ever set, with the time at which it was set.
-    records: Vec<(Instant, Host)>,
+    /// Every record ever set, in order.
+    records: Vec<Record>,
+}
+
+impl State {
+    fn lag(&self) -> Duration {
+        Duration::from_millis(self.faults.lag_ms.unwrap_or(0))
+    }
 }
 
 #[derive(Default)]
@@ -130,15 +142,15 @@
             return Reply::problem(503, "the host list is down");
         }
 
-        let lag = Duration::from_millis(state.faults.lag_ms.unwrap_or(0));
+        let now = Instant::now();
         let mut hosts = BTreeMap::new();
         let mut revision = 0;
 
-        for (at, host) in &state.records {
-            if at.elapsed() < lag {
-                break;
-            }
-
+        for Record { host, .. } in state
+            .records
+            .iter()
+            .take_while(|record| record.shown <= now)
+        {
             revision += 1;
 
             if host.phase == Phase::Gone {
@@ -153,12 +165,21 @@
     }
 
     fn put(&self, host: Host) {
-        lock(&self.0).records.push((Instant::now(), host));
+        let mut state = lock(&self.0);
+        let set = Instant::now();
+        let shown = set + state.lag();
+        state.records.push(Record { host, set, shown });
     }
 
     fn set(&self, faults: Faults) {
-        let now = &mut lock(&self.0).faults;
-        now.lag_ms = faults.lag_ms.or(now.lag_ms);
-        now.outage = faults.outage.or(now.outage);
+        let mut state = lock(&self.0);
+        let now = Instant::now();
+        state.faults.lag_ms = faults.lag_ms.or(state.faults.lag_ms);
+        state.faults.outage = faults.outage.or(state.faults.outage);
+        let lag = state.lag();
+
+        for record in state.records.iter_mut().filter(|record| record.shown > now) {
+            record.shown = record.set + lag;
+        }
     }
 }
