--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -9,7 +9,10 @@
 pub mod hex;
 pub mod hosts;
 pub mod object;
+pub mod object_api;
+pub mod order;
 pub mod secret;
 pub mod ticket;
+pub mod tree_file;
 
 pub use error::Error;
