--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -109,7 +109,8 @@
         fleet
     }
 
-    /// Starts an endpoint and lists it.
+    /// Starts an endpoint and lists it, in the failure domain that its id's
+    /// number names.
     ///
     /// # Panics
     ///
@@ -123,7 +124,9 @@
         let handle = endpoint::start(listen, options).expect("endpoint starts");
         let address = handle.address();
         self.endpoints.insert(id.into(), handle);
-        self.list_as(id, pool, "d1", address, host_list::Phase::Live);
+        let number = id.rsplit('-').next().unwrap_or_default();
+        let domain = format!("d{number}");
+        self.list_as(id, pool, &domain, address, host_list::Phase::Live);
     }
 
     /// Sets a record of the host list.
