Bound the bytes of recorded answers and test peers and the planned stop

Records were bounded by number only, so long answers could have taken any amount of memory. They are now bounded by 64 MB too; ended records without a ticket or idempotency key give way first. Tests cover the forwarding of orders and answers, the witness's word when the home is gone, the ranking of entrypoints, a planned stop with a stream in progress and the operators' routes.

--- a/src/coordination/record.rs
+++ b/src/coordination/record.rs
@@ -75,6 +75,21 @@
         self.lock().tokens.clone()
     }
 
+    /// Returns the bytes of the answer's text, which is held once as tokens and
+    /// once as output when it was streamed.
+    pub fn bytes(&self) -> usize {
+        let progress = self.lock();
+        let tokens: usize = progress.tokens.iter().map(String::len).sum();
+        let output = match &progress.outcome {
+            Some(Outcome::Answered(answer)) => match answer.output.as_str() {
+                Some(text) => text.len(),
+                None => answer.output.to_string().len(),
+            },
+            _ => 0,
+        };
+        tokens + output
+    }
+
     /// Returns whether the request has ended.
     pub fn ended(&self) -> bool {
         self.lock().outcome.is_some()
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -16,6 +16,9 @@
 /// host holds about 1,600.
 const RECORDS: usize = 100_000;
 
+/// Bytes of answers held at a time, a quarter of the memory of a host.
+const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
 /// How a request is found or opened.
 #[derive(Debug)]
 pub enum Opened {
@@ -31,6 +34,8 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    /// Bytes of the recorded answers.
+    bytes: usize,
     /// When ended records may go, earliest first.
     due: BTreeSet<(Time, id::Request)>,
     keys: HashMap<(id::Team, String), id::Request>,
@@ -101,7 +106,7 @@
             return Opened::Full("requests");
         }
 
-        if inner.records.len() >= self.capacity {
+        if !inner.make_room(self.capacity) {
             return Opened::Full("records");
         }
 
@@ -154,15 +159,49 @@
             && *due <= now
             && let Some((_, request)) = self.due.pop_first()
         {
-            if let Some(record) = self.records.remove(&request)
-                && let Some(key) = &record.subject.key
-            {
-                let team = record.subject.team.clone();
-                self.keys.remove(&(team, key.clone()));
-            }
+            self.remove(&request);
+        }
+    }
+
+    fn remove(&mut self, request: &id::Request) {
+        let Some(record) = self.records.remove(request) else {
+            return;
+        };
+        self.bytes = self.bytes.saturating_sub(record.bytes());
+
+        if let Some(key) = &record.subject.key {
+            let team = record.subject.team.clone();
+            self.keys.remove(&(team, key.clone()));
         }
     }
 
+    /// Drops ended records, the oldest first, until there is room for another
+    /// one. Those of tickets and idempotency keys stay: without them a second
+    /// copy of a request would run.
+    fn make_room(&mut self, capacity: usize) -> bool {
+        let full = |inner: &Self| inner.records.len() >= capacity || inner.bytes >= ANSWER_BYTES;
+
+        if full(self) {
+            let safe = |record: &Record| {
+                let subject = &record.subject;
+                subject.ticket.is_none() && subject.key.is_none()
+            };
+            let mut due = std::mem::take(&mut self.due);
+            due.retain(|(_, request)| {
+                let goes = full(self) && self.records.get(request).is_some_and(|r| safe(r));
+
+                if goes {
+                    self.remove(request);
+                }
+
+                !goes
+            });
+            self.due = due;
+        }
+
+        !full(self)
+    }
+
     fn find(&self, subject: &Subject) -> Option<Opened> {
         let request = match &subject.key {
             Some(key) => self.keys.get(&(subject.team.clone(), key.clone()))?,
@@ -193,6 +232,7 @@
     /// Keeps an ended record for its retention. That of a ticket stays at
     /// least until the home no longer answers for tickets of its age.
     fn keep(&mut self, now: Time, record: &Record, retention: Duration) {
+        self.bytes += record.bytes();
         let answer = now + retention;
         let due = match record.subject.ticket {
             Some(issued) => answer.max(issued + home::RETENTION),
--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -17,7 +17,7 @@
             attempt::{End, Report},
             event, id,
             journal::Entry,
-            refusal::{Reason, Refusal},
+            refusal::{Outcome as Proof, Reason, Refusal},
             request::Request,
         },
         transport::boot_clock,
@@ -305,10 +305,19 @@
         let now = boot_clock::now();
         let request = &self.job.request;
 
+        let observer = &self.gateway.observer;
+        observer.count(match &outcome {
+            Outcome::Answered(_) => "answered",
+            Outcome::Refused(refusal) => match refusal.outcome {
+                Proof::Failed => "failed",
+                Proof::NotRun => "not_run",
+                Proof::Unknown => "unknown",
+            },
+        });
+
         if matches!(outcome, Outcome::Answered(_)) {
             self.note(Entry::new("answered", ""));
-            let elapsed = now.since(request.arrived);
-            self.gateway.observer.time(request, None, elapsed);
+            observer.time(request, None, now.since(request.arrived));
         }
 
         live.into_values().for_each(|order| self.stop(order));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod limits;
+mod peers;
 mod records;
 mod runner;
+mod stop;
 mod support;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -192,11 +192,22 @@
 
     pub fn with_limits(pools: &[(&str, Kind, &[SocketAddr])], limits: Limits) -> Self {
         let (host, parts, events) = Self::scripted(pools, limits);
+        host.run(parts, events, pools);
+        host
+    }
+
+    /// Starts the control thread, whose parts a test may have changed.
+    pub fn run(
+        &self,
+        parts: Control,
+        events: Receiver<control::Event>,
+        pools: &[(&str, Kind, &[SocketAddr])],
+    ) {
+        parts.published.set(parts.view.clone());
         let event = event::Event::Endpoints(endpoints(pools));
         let event = control::Event::Scheduling(scheduling::Event::Scheduler(event));
-        host.gateway.control.send(event).unwrap();
+        self.gateway.control.send(event).unwrap();
         thread::spawn(move || parts.run(&events));
-        host
     }
 
     /// Starts a host whose control thread is left to the test.
@@ -206,11 +217,11 @@
     ) -> (Self, Control, Receiver<control::Event>) {
         let server = Server::bind(([127, 0, 0, 1], 0).into(), server_limits(&limits)).unwrap();
         let address = server.address().unwrap();
-        let view = view(address, pools);
+        let peers = TcpListener::bind("127.0.0.1:0").unwrap();
+        let view = view(address, peers.local_addr().unwrap(), pools);
         let published = Published::new(view.clone());
         let (control, events) = mpsc::channel();
         let incoming = control.clone();
-        let peers = TcpListener::bind("127.0.0.1:0").unwrap();
         let links = Links::start(peers, FLEET_KEY, move |call| {
             let _ = incoming.send(call.into());
         });
@@ -365,7 +376,11 @@
         .collect()
 }
 
-fn view(address: SocketAddr, pools: &[(&str, Kind, &[SocketAddr])]) -> View {
+fn view(
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    pools: &[(&str, Kind, &[SocketAddr])],
+) -> View {
     let stages = pools.iter().map(|(pool, ..)| Stage {
         name: id::Stage::from(*pool),
         pool: id::Pool::from(*pool),
@@ -410,7 +425,7 @@
             host: "h1".into(),
             incarnation: id::Incarnation(1),
             outstanding: 0,
-            peer_address: ([127, 0, 0, 1], 1).into(),
+            peer_address,
             phase: member::Phase::Alive,
             settings: 1,
         },
