Test the daemon as a process against the stand-ins

Until now only the parts inside the test process had run. The tests start the daemon with the platform's stand-ins, send a request through five stages, and stop it once and twice by signal with a stream in progress.

--- /dev/null
+++ b/tests/daemon.rs
@@ -0,0 +1,88 @@
+//! The daemon as a process against the platform's stand-ins.
+
+use {
+    serde_json::json,
+    stand_ins::{
+        caller,
+        daemon::{Signal, wait},
+        faults::Change,
+        fleet::{ALMANAC, Fleet},
+    },
+    std::{thread, time::Duration},
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_persimmoncleatd");
+const BODY: &str = r#"{"prompt": "tides of May", "max_tokens": 6}"#;
+const STREAM: &str = "/v1/pipelines/almanac/requests?stream=true";
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::platform(BINARY);
+    fleet.objects.create(
+        "settings/bootstrap",
+        json!({
+            "pipelines": {"almanac": ALMANAC, "publish": ["publish"]},
+            "pools": {"check": "engine", "draft": "engine"},
+            "teams": {"hvarfdal": caller::digest("team key of hvarfdal")},
+        }),
+    );
+    fleet.host("h1", "d1");
+    fleet.ready();
+    fleet
+}
+
+#[test]
+fn request_passes_all_stages_of_the_stand_ins() {
+    let fleet = fleet();
+    let answer = fleet.team(&fleet.hosts[0]).post("almanac", BODY).unwrap();
+
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    assert_eq!(answer.json()["stages"].as_array().unwrap().len(), 5);
+    assert_eq!(fleet.ran(|row| row.effects == 1).len(), 5);
+}
+
+fn in_progress(fleet: &Fleet) -> thread::JoinHandle<std::io::Result<stand_ins::client::Answer>> {
+    let slow = Change {
+        slow_ms: Some(1500),
+        ..Change::default()
+    };
+    fleet.faults("check", &slow);
+    let caller = fleet
+        .team(&fleet.hosts[0])
+        .with("Persimmon-Deadline-Ms", 4000);
+    let request = thread::spawn(move || caller.send("POST", STREAM, BODY));
+    wait("the last stage", LIMIT, || {
+        (fleet.ran(|row| row.stage == "check").len() == 1).then_some(())
+    });
+    request
+}
+
+#[test]
+fn first_signal_finishes_the_request_and_exits_0() {
+    let mut fleet = fleet();
+    let request = in_progress(&fleet);
+
+    fleet.hosts[0].signal(Signal::Terminate);
+    assert_eq!(fleet.hosts[0].ended(LIMIT).code(), Some(0));
+    let answer = request.join().unwrap().unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    assert!(answer.text.trim_end().ends_with('}'), "{}", answer.text);
+}
+
+#[test]
+fn second_signal_names_the_abandoned_request_and_exits_1() {
+    let mut fleet = fleet();
+    let request = in_progress(&fleet);
+
+    fleet.hosts[0].signal(Signal::Terminate);
+    wait("the planned stop", LIMIT, || {
+        fleet.hosts[0]
+            .log()
+            .contains("leaving with 1")
+            .then_some(())
+    });
+    fleet.hosts[0].signal(Signal::Terminate);
+    assert_eq!(fleet.hosts[0].ended(LIMIT).code(), Some(1));
+    assert!(fleet.hosts[0].log().contains("abandoned"));
+    assert!(request.join().unwrap().is_err());
+}
