--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -39,7 +39,7 @@
     let view = gateway.published.get();
     let local = &view.local;
     let unready = gateway.unready();
-    let ledger = gateway.observer.ledger();
+    let usage = gateway.observer.usage();
     let members: Vec<Value> = view
         .members
         .iter()
@@ -66,9 +66,9 @@
         "outstanding": gateway.records.running(),
         "members": members,
         "store_calls": {"get": 0, "put": 0, "delete": 0, "list": 0, "watch": 0},
-        "latency": ledger.latencies(),
-        "cost": ledger.costs(),
-        "counters": ledger.counters(),
+        "latency": usage.latencies(),
+        "cost": usage.costs(),
+        "counters": usage.counters(),
     })
 }
 
--- a/src/coordination/observer.rs
+++ b/src/coordination/observer.rs
@@ -1,12 +1,12 @@
-//! Where requests leave their traces: log, journal, ledger and metrics.
+//! Where requests leave their traces: log, journal, usage and metrics.
 
 use {
     crate::{
         state::{
             id,
             journal::{Entry, Journal},
-            ledger::Ledger,
             request::Request,
+            usage::Usage,
         },
         transport::{boot_clock, metrics::Metrics},
     },
@@ -16,11 +16,11 @@
     },
 };
 
-/// The journal, the ledger and the metrics of one host.
+/// The journal, the usage and the metrics of one host.
 #[derive(Debug)]
 pub struct Observer {
     journal: Mutex<Journal>,
-    ledger: Mutex<Ledger>,
+    usage: Mutex<Usage>,
     metrics: Metrics,
 }
 
@@ -29,7 +29,7 @@
     pub fn new(metrics: Metrics) -> Self {
         Self {
             journal: Mutex::default(),
-            ledger: Mutex::default(),
+            usage: Mutex::default(),
             metrics,
         }
     }
@@ -37,7 +37,7 @@
     /// Counts something by name.
     pub fn count(&self, name: &'static str) {
         self.metrics.count(name);
-        self.ledger().count(name);
+        self.usage().count(name);
     }
 
     /// Logs an event of a request and keeps it for operators.
@@ -63,13 +63,13 @@
             None => "request",
         };
         self.metrics.time(name, elapsed);
-        self.ledger()
+        self.usage()
             .time(&request.team, &request.class, stage, elapsed);
     }
 
     /// Records the cost of one attempt.
     pub fn spend(&self, request: &Request, stage: &id::Stage, tokens: u32, elapsed: Duration) {
-        self.ledger().spend(&request.team, stage, tokens, elapsed);
+        self.usage().spend(&request.team, stage, tokens, elapsed);
     }
 
     /// Returns the journal.
@@ -77,8 +77,8 @@
         self.journal.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the ledger.
-    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
-        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the usage.
+    pub fn usage(&self) -> MutexGuard<'_, Usage> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/state/ledger.rs
+++ b/src/state/usage.rs
@@ -46,13 +46,13 @@
 
 /// Times, costs and named counters since the process started.
 #[derive(Debug, Default)]
-pub struct Ledger {
+pub struct Usage {
     costs: BTreeMap<(id::Team, id::Stage), (u64, u64)>,
     counters: BTreeMap<&'static str, u64>,
     times: BTreeMap<Key, Histogram<u64>>,
 }
 
-impl Ledger {
+impl Usage {
     /// Adds one to a counter.
     pub fn count(&mut self, name: &'static str) {
         *self.counters.entry(name).or_default() += 1;
--- a/tests/gateway/runner.rs
+++ b/tests/gateway/runner.rs
@@ -316,8 +316,8 @@
 
     drop(held);
     wait_for(|| script.host.counter("late_answers") == 1);
-    let ledger = script.host.gateway.observer.ledger();
-    assert_eq!(ledger.costs()[0].tokens, 2, "the loser's cost is missing");
+    let usage = script.host.gateway.observer.usage();
+    assert_eq!(usage.costs()[0].tokens, 2, "the loser's cost is missing");
 }
 
 #[test]
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -302,8 +302,8 @@
 
     /// Returns a counter.
     pub fn counter(&self, name: &str) -> u64 {
-        let ledger = self.gateway.observer.ledger();
-        ledger.counters().get(name).copied().unwrap_or(0)
+        let usage = self.gateway.observer.usage();
+        usage.counters().get(name).copied().unwrap_or(0)
     }
 
     /// Fetches a ticket for a body.
