--- /dev/null
+++ b/src/state/admission.rs
@@ -0,0 +1,106 @@
+//! Decides at arrival whether a request can finish in time.
+
+use {
+    crate::state::{clock::Time, fair_queue::Flow, fleet::Fleet, request::Request, tuning::Tuning},
+    std::time::Duration,
+};
+
+/// Least time between two probes of one pool.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Bounds of the time after which a refused caller may try again.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(5));
+
+/// When a request is expected to finish.
+#[derive(Clone, Copy, Debug)]
+pub struct Finish {
+    /// Pool that the request waits for longest.
+    pub bottleneck: usize,
+    /// Time in all stages without queues, at about the 95th percentile.
+    pub service: Duration,
+    /// Time in queues.
+    pub wait: Duration,
+}
+
+/// The verdict on a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Verdict {
+    /// It is expected to finish in time.
+    Accepted,
+    /// It is late even without a queue, but is let through so that the
+    /// estimates of this pool can recover.
+    Probe { pool: usize },
+    /// It would finish late.
+    Late { by: Duration, retry_after: Duration },
+}
+
+/// Estimates the finish of a request that arrives now. `share` is this host's
+/// part of all demand.
+///
+/// The ledger of a later pool holds the work that is still in earlier stages,
+/// so waits overlap and only the longest counts. Deviations of the stages are
+/// taken as independent.
+pub fn finish(
+    fleet: &Fleet,
+    pools: &[usize],
+    request: &Request,
+    flow: &Flow,
+    share: f64,
+    tuning: &Tuning,
+) -> Finish {
+    let mut bottleneck = pools.first().copied().unwrap_or(0);
+    let mut longest = 0.0;
+    let mut service = 0.0;
+    let mut variance = 0.0;
+
+    for index in pools {
+        let pool = &fleet.pools[*index];
+        let size = pool.size_of(request);
+        let median = pool.estimates.median(size).as_secs_f64();
+        let high = pool.estimates.high(size).as_secs_f64();
+        let wait = pool.ledger.wait(flow, pool.slots(share)) * tuning.admission_margin;
+
+        if wait > longest {
+            bottleneck = *index;
+            longest = wait;
+        }
+
+        service += median;
+        variance += (high - median).max(0.0).powi(2);
+    }
+
+    Finish {
+        bottleneck,
+        service: Duration::from_secs_f64(service + variance.sqrt()),
+        wait: Duration::from_secs_f64(longest.min(1e6)),
+    }
+}
+
+/// Judges a request by its estimated finish.
+pub fn judge(fleet: &Fleet, pools: &[usize], finish: Finish, now: Time, deadline: Time) -> Verdict {
+    let left = deadline.since(now);
+    let needed = finish.service + finish.wait;
+
+    if needed <= left {
+        return Verdict::Accepted;
+    }
+
+    if finish.wait.is_zero() {
+        let probe = pools
+            .iter()
+            .max_by_key(|index| fleet.pools[**index].estimates.overall());
+
+        if let Some(pool) = probe
+            && fleet.pools[*pool]
+                .probed
+                .is_none_or(|last| now.since(last) >= PROBE_INTERVAL)
+        {
+            return Verdict::Probe { pool: *pool };
+        }
+    }
+
+    let by = needed - left;
+    Verdict::Late {
+        by,
+        retry_after: by.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+    }
+}
--- /dev/null
+++ b/src/state/arrival.rs
@@ -0,0 +1,264 @@
+//! What happens when a request arrives or is over.
+
+use {
+    crate::state::{
+        action::Action,
+        admission,
+        class::Class,
+        clock::Time,
+        fair_queue::Flow,
+        id, limit,
+        refusal::{Reason, Refusal},
+        request::Request,
+        scheduler::Scheduler,
+        work::{Timer, Work},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// When a caller may try again after a refusal that no estimate explains.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Scheduler {
+    /// Admits or refuses a request.
+    pub(super) fn arrive(&mut self, now: Time, request: Request, actions: &mut Vec<Action>) {
+        if self.works.contains_key(&request.request) {
+            return;
+        }
+
+        match self.accept(now, &request) {
+            Ok(work) => {
+                let id = request.request;
+                self.limits.begin(&request.team, &request.class);
+                self.works.insert(id.clone(), work);
+                actions.push(Action::Admitted { request: id });
+            }
+            Err(refusal) => {
+                self.tally.refuse(refusal.reason);
+                actions.push(Action::Refused {
+                    refusal,
+                    request: request.request,
+                });
+            }
+        }
+    }
+
+    /// Forgets a request that is over and cancels what still runs for it.
+    pub(super) fn forget(&mut self, request: &id::Request, actions: &mut Vec<Action>) {
+        let Some(mut work) = self.works.remove(request) else {
+            return;
+        };
+
+        for stage in 0..work.committed.len() {
+            self.release(&mut work, stage);
+        }
+
+        if let Some(current) = work.current.take() {
+            if let Some(queued) = current.queued {
+                let timer = Timer::Expiry(request.clone());
+                self.timers.remove(&(queued.expires, timer));
+
+                if let Some(pool) = self.pool_of(&work, current.stage) {
+                    let queue = &mut self.fleet.pools[pool].queue;
+                    queue.remove(&work.flow, queued.position);
+                }
+            }
+
+            for attempt in current.attempts {
+                self.cancel(attempt, actions);
+            }
+        }
+
+        self.limits.end(&work.request.team, &work.request.class);
+    }
+
+    /// Ends a request without an answer.
+    pub(super) fn give_up(
+        &mut self,
+        request: &id::Request,
+        stage: usize,
+        reason: Reason,
+        detail: String,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(work) = self.works.get(request) else {
+            return;
+        };
+
+        let refusal = match (work.may_have_run(), work.request.repeatable) {
+            (false, _) => Refusal::not_run(reason, detail),
+            (true, false) => Refusal::unknown(reason, detail),
+            (true, true) => Refusal::failed(reason, detail),
+        };
+
+        self.tally.refuse(reason);
+        actions.push(Action::Failed {
+            refusal: refusal.retry_after(RETRY_AFTER),
+            request: request.clone(),
+            stage,
+        });
+        self.forget(request, actions);
+    }
+
+    /// Returns the pool of a stage, if any endpoint of it was ever seen.
+    pub(super) fn pool_of(&self, work: &Work, stage: usize) -> Option<usize> {
+        let stage = work.request.stages.get(stage)?;
+        self.fleet.find_pool(&stage.pool)
+    }
+
+    /// Takes a stage's work out of the ledger.
+    pub(super) fn release(&mut self, work: &mut Work, stage: usize) {
+        let Some(committed) = work.committed.get_mut(stage) else {
+            return;
+        };
+
+        let committed = std::mem::take(committed);
+
+        if committed > 0.0
+            && let Some(pool) = self.pool_of(work, stage)
+        {
+            let ledger = &mut self.fleet.pools[pool].ledger;
+            ledger.remove(&work.flow, committed);
+        }
+    }
+
+    fn accept(&mut self, now: Time, request: &Request) -> Result<Work, Refusal> {
+        if request.deadline <= now {
+            return Err(Refusal::not_run(
+                Reason::Deadline,
+                "the deadline has passed",
+            ));
+        }
+
+        let policy = Arc::clone(&self.policy);
+        let fallback = Class::default();
+        let class = policy
+            .class(&request.team, &request.class)
+            .unwrap_or(&fallback);
+        let pools = self.pools(request)?;
+        let flow = self.flow(request, class);
+        self.check_finish(now, request, &flow, &pools)?;
+        self.check_limits(now, request)?;
+
+        let mut committed = Vec::with_capacity(pools.len());
+
+        for index in &pools {
+            let pool = &mut self.fleet.pools[*index];
+            let work = pool.estimates.mean(pool.size_of(request)).as_secs_f64();
+            pool.ledger.add(&flow, work);
+            committed.push(work);
+        }
+
+        Ok(Work {
+            committed,
+            current: None,
+            flow,
+            queue_time: class.queue_time,
+            ran: false,
+            request: request.clone(),
+        })
+    }
+
+    fn check_finish(
+        &mut self,
+        now: Time,
+        request: &Request,
+        flow: &Flow,
+        pools: &[usize],
+    ) -> Result<(), Refusal> {
+        if !self.tuning.admission {
+            return Ok(());
+        }
+
+        let share = self.limits.share();
+        let finish = admission::finish(&self.fleet, pools, request, flow, share, &self.tuning);
+
+        match admission::judge(&self.fleet, pools, finish, now, request.deadline) {
+            admission::Verdict::Accepted => Ok(()),
+            admission::Verdict::Probe { pool } => {
+                self.fleet.pools[pool].probed = Some(now);
+                Ok(())
+            }
+            admission::Verdict::Late { by, retry_after } => {
+                let name = &self.fleet.pools[finish.bottleneck].name;
+                let detail = format!(
+                    "estimated finish is {} ms past the deadline: {} ms in queues, longest before pool {name}, and {} ms of service",
+                    by.as_millis(),
+                    finish.wait.as_millis(),
+                    finish.service.as_millis(),
+                );
+                Err(Refusal::not_run(Reason::Overload, detail).retry_after(retry_after))
+            }
+        }
+    }
+
+    fn check_limits(&mut self, now: Time, request: &Request) -> Result<(), Refusal> {
+        let policy = Arc::clone(&self.policy);
+        let Some(team) = policy.teams.get(&request.team) else {
+            return Ok(());
+        };
+
+        let class = team.classes.get(&request.class);
+        let mut verdict = self
+            .limits
+            .admit(&request.team, &request.class, &team.default, class);
+
+        if verdict == limit::Verdict::Allowed
+            && let Some(class) = class
+        {
+            let name = Some(&request.class);
+            verdict = self.limits.spend(now, &request.team, name, class.rate);
+        }
+
+        if verdict == limit::Verdict::Allowed {
+            let rate = team.default.rate;
+            verdict = self.limits.spend(now, &request.team, None, rate);
+        }
+
+        match verdict {
+            limit::Verdict::Allowed => Ok(()),
+            limit::Verdict::Over(retry_after) => {
+                let detail = format!("team {} is over its limit on this host", request.team);
+                Err(Refusal::not_run(Reason::TeamLimit, detail).retry_after(retry_after))
+            }
+        }
+    }
+
+    /// Returns where the request belongs in queues. Without fairness all
+    /// requests share one queue.
+    fn flow(&self, request: &Request, class: &Class) -> Flow {
+        if !self.tuning.fairness {
+            return Flow {
+                class: "".into(),
+                priority: 0,
+                share: 0,
+                team: "".into(),
+                weight: 1,
+            };
+        }
+
+        Flow {
+            class: request.class.clone(),
+            priority: class.priority,
+            share: class.share,
+            team: request.team.clone(),
+            weight: class.weight,
+        }
+    }
+
+    fn pools(&self, request: &Request) -> Result<Vec<usize>, Refusal> {
+        request
+            .stages
+            .iter()
+            .map(|stage| {
+                self.fleet
+                    .find_pool(&stage.pool)
+                    .filter(|pool| !self.fleet.pools[*pool].members.is_empty())
+                    .ok_or_else(|| {
+                        let detail = format!("pool {} has no live endpoint", stage.pool);
+                        Refusal::not_run(Reason::NoEndpoint, detail).retry_after(RETRY_AFTER)
+                    })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/state/completion.rs
@@ -0,0 +1,154 @@
+//! What happens when an attempt ends.
+
+use {
+    crate::state::{
+        action::Action,
+        attempt::{End, Report},
+        clock::Time,
+        id,
+        refusal::Reason,
+        scheduler::Scheduler,
+        work::Running,
+    },
+    std::time::Duration,
+};
+
+/// What follows from the end of an attempt.
+enum Next {
+    /// The stage is done.
+    Done,
+    /// The request fails.
+    GiveUp(Reason, &'static str),
+    /// Nothing: another attempt still runs.
+    Nothing,
+    /// The stage is sent again.
+    Queue,
+}
+
+impl Scheduler {
+    /// Cancels an attempt whose end no longer matters.
+    pub(super) fn cancel(&mut self, attempt: id::Attempt, actions: &mut Vec<Action>) {
+        if let Some(running) = self.attempts.get_mut(&attempt) {
+            running.cancelled = true;
+            actions.push(Action::Cancelled {
+                attempt,
+                request: running.request.clone(),
+            });
+        }
+    }
+
+    /// Takes the end of an attempt.
+    pub(super) fn complete(
+        &mut self,
+        now: Time,
+        attempt: id::Attempt,
+        report: &Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(running) = self.attempts.remove(&attempt) else {
+            return;
+        };
+
+        self.fleet.end(running.endpoint, running.pool);
+        self.learn(now, &running, report);
+
+        if !running.cancelled {
+            self.follow(now, attempt, &running, report, actions);
+        }
+
+        self.pump(now, running.pool, Some(running.endpoint), actions);
+    }
+
+    /// Goes on with the request after one of its attempts ended.
+    fn follow(
+        &mut self,
+        now: Time,
+        attempt: id::Attempt,
+        running: &Running,
+        report: &Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = &running.request;
+        let Some(work) = self.works.get_mut(id) else {
+            return;
+        };
+        let Some(current) = &mut work.current else {
+            return;
+        };
+
+        current.attempts.retain(|other| *other != attempt);
+        work.ran |= !matches!(report.end, End::NotRun { .. });
+
+        match self.next(now, running, &report.end) {
+            Next::Done => {
+                let current = self.works.get_mut(id).and_then(|work| work.current.take());
+                let losers = current.map_or_else(Vec::new, |current| current.attempts);
+                losers
+                    .into_iter()
+                    .for_each(|loser| self.cancel(loser, actions));
+            }
+            Next::GiveUp(reason, detail) => {
+                self.give_up(id, running.stage, reason, detail.into(), actions);
+            }
+            Next::Nothing => {}
+            Next::Queue => self.queue(now, id, actions),
+        }
+    }
+
+    /// Records what an attempt's end says about its endpoint and pool.
+    fn learn(&mut self, now: Time, running: &Running, report: &Report) {
+        let (node, size) = (running.endpoint, running.size);
+        let elapsed = report.elapsed.max(Duration::from_micros(1));
+        let tuning = &self.tuning;
+
+        match report.end {
+            End::Cancelled => self.fleet.outlast(now, node, size, elapsed, tuning),
+            End::Done { .. } => self.fleet.succeed(now, node, size, elapsed, tuning),
+            End::Failed | End::TimedOut => self.fleet.fail(now, node, tuning),
+            End::NotRun { leaving: true } => self.fleet.leave(now, node),
+            End::NotRun { leaving: false } => {
+                self.fleet.nodes[node].ejection.refuse(now, tuning);
+            }
+        }
+    }
+
+    fn next(&mut self, now: Time, running: &Running, end: &End) -> Next {
+        let Some(work) = self.works.get(&running.request) else {
+            return Next::Nothing;
+        };
+
+        let alone = work
+            .current
+            .as_ref()
+            .is_none_or(|current| current.attempts.is_empty());
+
+        match end {
+            End::Done { .. } => return Next::Done,
+            End::Cancelled => return Next::Nothing,
+            _ if !alone => return Next::Nothing,
+            _ => {}
+        }
+
+        let repeatable = work.request.repeatable;
+        let not_run = matches!(end, End::NotRun { .. });
+
+        if !not_run && !repeatable {
+            return Next::GiveUp(Reason::Stage, "the endpoint did not answer in full");
+        }
+
+        if now >= work.request.deadline {
+            return Next::GiveUp(Reason::Deadline, "the deadline passed");
+        }
+
+        if not_run {
+            return Next::Queue;
+        }
+
+        if !self.fleet.pools[running.pool].budget.take(&self.tuning) {
+            return Next::GiveUp(Reason::Stage, "the pool's retry budget is spent");
+        }
+
+        self.tally.retries += 1;
+        Next::Queue
+    }
+}
--- /dev/null
+++ b/src/state/endpoint_state.rs
@@ -0,0 +1,96 @@
+//! One endpoint as the scheduler keeps it.
+
+use crate::state::{
+    affinity,
+    clock::Time,
+    ejection::Ejection,
+    endpoint::{Endpoint, Phase},
+    load::Load,
+    tuning::Tuning,
+};
+
+/// The endpoint's own word that it is leaving.
+#[derive(Clone, Debug)]
+struct Mark {
+    /// Whether the host list has confirmed it since.
+    confirmed: bool,
+    since: Time,
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointState {
+    pub ejection: Ejection,
+    pub endpoint: Endpoint,
+    /// Hash of the id for prefix affinity.
+    pub hash: u64,
+    pub load: Load,
+    /// Whether the host list names the endpoint.
+    pub listed: bool,
+    mark: Option<Mark>,
+    /// Index of the pool.
+    pub pool: usize,
+}
+
+impl EndpointState {
+    /// Builds the state of an endpoint that the host list shows.
+    pub fn new(endpoint: Endpoint, pool: usize) -> Self {
+        Self {
+            ejection: Ejection::default(),
+            hash: affinity::hash(endpoint.endpoint.as_str()),
+            endpoint,
+            load: Load::default(),
+            listed: true,
+            mark: None,
+            pool,
+        }
+    }
+
+    /// Notes that the endpoint said it is leaving.
+    pub fn leave(&mut self, now: Time) {
+        self.mark = Some(Mark {
+            confirmed: !self.listed || self.endpoint.phase == Phase::Leaving,
+            since: now,
+        });
+    }
+
+    /// Returns the phase: leaving if the host list or the endpoint says so.
+    pub fn phase(&self) -> Phase {
+        if self.mark.is_some() || !self.listed {
+            Phase::Leaving
+        } else {
+            self.endpoint.phase
+        }
+    }
+
+    /// Takes what the host list shows. `live` clears the endpoint's own mark
+    /// only when the list must be newer than the mark: it has shown the
+    /// endpoint as leaving or absent since, shows another address, or is older
+    /// than the list's lag.
+    pub fn show(&mut self, now: Time, endpoint: Endpoint, pool: usize, tuning: &Tuning) {
+        if let Some(mark) = &mut self.mark {
+            let newer = mark.confirmed
+                || endpoint.address != self.endpoint.address
+                || now.since(mark.since) >= tuning.leaving_hold;
+
+            match endpoint.phase {
+                Phase::Leaving => mark.confirmed = true,
+                Phase::Live if newer => self.mark = None,
+                Phase::Live => {}
+            }
+        }
+
+        self.endpoint = endpoint;
+        self.listed = true;
+        self.pool = pool;
+    }
+
+    /// Notes that the host list no longer names the endpoint.
+    pub fn vanish(&mut self) {
+        self.listed = false;
+
+        if let Some(mark) = &mut self.mark {
+            mark.confirmed = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/state/estimate.rs
@@ -0,0 +1,108 @@
+//! Streaming quantiles of service times.
+
+use std::time::Duration;
+
+/// Four buckets per doubling of microseconds cover 1 µs to over an hour.
+const BUCKETS: usize = 128;
+/// Samples after which all counts are halved, so that old ones fade.
+const WINDOW: f32 = 256.0;
+/// Samples below which the quantiles are computed anew each time.
+const YOUNG: f32 = 32.0;
+
+/// The service times of one pool and size class, in bounded memory.
+#[derive(Clone, Debug)]
+pub struct Estimate {
+    counts: [f32; BUCKETS],
+    high: Duration,
+    mean: Duration,
+    median: Duration,
+    pending: u32,
+    sum_us: f64,
+    total: f32,
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self {
+            counts: [0.0; BUCKETS],
+            high: Duration::ZERO,
+            mean: Duration::ZERO,
+            median: Duration::ZERO,
+            pending: 0,
+            sum_us: 0.0,
+            total: 0.0,
+        }
+    }
+}
+
+impl Estimate {
+    /// Returns the 95th percentile.
+    pub fn high(&self) -> Duration {
+        self.high
+    }
+
+    /// Returns the mean.
+    pub fn mean(&self) -> Duration {
+        self.mean
+    }
+
+    /// Returns the median.
+    pub fn median(&self) -> Duration {
+        self.median
+    }
+
+    /// Adds one service time.
+    pub fn record(&mut self, elapsed: Duration) {
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        self.counts[bucket(micros)] += 1.0;
+        self.sum_us += elapsed.as_secs_f64() * 1e6;
+        self.total += 1.0;
+        self.pending += 1;
+
+        if self.total >= WINDOW {
+            self.counts.iter_mut().for_each(|count| *count /= 2.0);
+            self.sum_us /= 2.0;
+            self.total /= 2.0;
+        }
+
+        if self.total < YOUNG || self.pending >= 8 {
+            self.pending = 0;
+            self.high = self.quantile(0.95);
+            self.mean = Duration::from_secs_f64(self.sum_us / 1e6 / f64::from(self.total));
+            self.median = self.quantile(0.5);
+        }
+    }
+
+    /// Returns how many samples count, old ones by a fraction.
+    pub fn samples(&self) -> f32 {
+        self.total
+    }
+
+    fn quantile(&self, quantile: f32) -> Duration {
+        let rank = self.total * quantile;
+        let mut seen = 0.0;
+
+        for (index, count) in self.counts.iter().enumerate() {
+            seen += count;
+            if seen >= rank && *count > 0.0 {
+                return middle(index);
+            }
+        }
+
+        Duration::ZERO
+    }
+}
+
+fn bucket(micros: u64) -> usize {
+    let micros = micros.max(4);
+    let octave = micros.ilog2();
+    let quarter = (micros >> (octave - 2)) & 3;
+    let index = (octave as usize - 2) * 4 + quarter as usize;
+    index.min(BUCKETS - 1)
+}
+
+fn middle(index: usize) -> Duration {
+    let base = 1u64 << (index / 4);
+    let step = index as u64 % 4;
+    Duration::from_micros(base * (4 + step) + base / 2)
+}
--- /dev/null
+++ b/src/state/fair_queue.rs
@@ -0,0 +1,294 @@
+//! The queue before a pool: classes by priority with guaranteed shares,
+//! weighted fair between teams, earliest deadline first within a team.
+
+use {
+    crate::state::{clock::Time, id},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+        time::Duration,
+    },
+};
+
+/// Virtual time of a team or class per microsecond of work and unit of weight.
+const SCALE: u64 = 1000;
+
+/// Classes without items whose tags are kept.
+const IDLE_CLASSES: usize = 64;
+
+/// Identifies an item: its deadline, then the order of arrival.
+pub type Position = (Time, u64);
+
+/// One stage of one request that waits.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// Estimated service time.
+    pub cost: Duration,
+    pub enqueued: Time,
+    pub request: id::Request,
+    pub stage: usize,
+}
+
+/// Where an item belongs.
+#[derive(Clone, Debug)]
+pub struct Flow {
+    pub class: id::Class,
+    pub priority: u8,
+    /// Percentage of the pool kept for the class while it waits.
+    pub share: u8,
+    pub team: id::Team,
+    pub weight: u32,
+}
+
+#[derive(Debug)]
+struct Team {
+    items: BTreeMap<Position, Item>,
+    tag: u64,
+    weight: u32,
+}
+
+/// Tags of teams that have nothing queued but were served ahead of others.
+#[derive(Debug, Default)]
+struct Debts {
+    order: BTreeSet<(u64, id::Team)>,
+    tags: HashMap<id::Team, u64>,
+}
+
+impl Debts {
+    /// Forgets the debts that are settled at virtual time `now`.
+    fn settle(&mut self, now: u64) {
+        while let Some((tag, _)) = self.order.first()
+            && *tag <= now
+            && let Some((_, team)) = self.order.pop_first()
+        {
+            self.tags.remove(&team);
+        }
+    }
+
+    fn put(&mut self, team: id::Team, tag: u64) {
+        self.order.insert((tag, team.clone()));
+        self.tags.insert(team, tag);
+    }
+
+    fn take(&mut self, team: &id::Team) -> u64 {
+        let tag = self.tags.remove(team).unwrap_or(0);
+        self.order.remove(&(tag, team.clone()));
+        tag
+    }
+}
+
+#[derive(Debug, Default)]
+struct Class {
+    debts: Debts,
+    /// Tag by which classes of the same priority take turns.
+    fair: u64,
+    /// Virtual time of the class: the tag of the team served last.
+    now: u64,
+    order: BTreeSet<(u64, id::Team)>,
+    share: u8,
+    /// The work of the pool up to which the class has had its share.
+    shared: u64,
+    teams: HashMap<id::Team, Team>,
+    weight: u64,
+}
+
+type Key = (u8, id::Class);
+
+/// The queue of one pool. Pushing, popping and removing take logarithmic time
+/// in the number of classes, teams and items.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    classes: BTreeMap<Key, Class>,
+    /// Virtual time between classes of the same priority.
+    fair: BTreeMap<u8, u64>,
+    /// Classes without items, the longest idle first.
+    idle: VecDeque<Key>,
+    len: usize,
+    /// Classes with a share, the one that waits longest for it first.
+    owed: BTreeSet<(u64, Key)>,
+    ready: BTreeSet<(Reverse<u8>, u64, id::Class)>,
+    /// Work served so far, in microseconds.
+    served: u64,
+}
+
+impl FairQueue {
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Iterates over everything that waits, by priority, class and team, and
+    /// by deadline within a team.
+    pub fn iter(&self) -> impl Iterator<Item = &Item> {
+        self.classes
+            .values()
+            .flat_map(|class| class.order.iter().map(|(_, team)| &class.teams[team]))
+            .flat_map(|team| team.items.values())
+    }
+
+    /// Returns what is to run next.
+    pub fn peek(&self) -> Option<&Item> {
+        let key = self.next()?;
+        let class = &self.classes[&key];
+        let team = &class.order.first()?.1;
+        class.teams[team].items.values().next()
+    }
+
+    /// Takes what is to run next and charges its cost to its team and class.
+    pub fn pop(&mut self) -> Option<Item> {
+        let key = self.next()?;
+        let class = self.classes.get_mut(&key)?;
+        let (tag, name) = class.order.first()?.clone();
+        let team = class.teams.get_mut(&name)?;
+        let position = *team.items.first_key_value()?.0;
+        let weight = u64::from(team.weight.max(1));
+        let cost = micros(team.items[&position].cost);
+
+        class.now = class.now.max(tag);
+        class.order.remove(&(tag, name.clone()));
+        team.tag = tag + cost * SCALE / weight;
+        class.order.insert((team.tag, name.clone()));
+        self.charge(&key, cost);
+        self.take(&key, &name, position)
+    }
+
+    /// Adds an item.
+    pub fn push(&mut self, flow: &Flow, position: Position, item: Item) {
+        let key = (flow.priority, flow.class.clone());
+        let turn = self.fair.get(&flow.priority).copied().unwrap_or(0);
+        self.unlist(&key);
+        let class = self.classes.entry(key.clone()).or_default();
+
+        if class.teams.is_empty() {
+            self.idle.retain(|idle| *idle != key);
+            class.fair = class.fair.max(turn);
+            class.shared = class.shared.max(self.served);
+            class.share = flow.share;
+        }
+
+        class.share = class.share.max(flow.share);
+
+        if let Some(team) = class.teams.get_mut(&flow.team) {
+            team.items.insert(position, item);
+        } else {
+            class.weight += u64::from(flow.weight.max(1));
+            class.debts.settle(class.now);
+            let tag = class.debts.take(&flow.team).max(class.now);
+            class.order.insert((tag, flow.team.clone()));
+            class.teams.insert(
+                flow.team.clone(),
+                Team {
+                    items: BTreeMap::from([(position, item)]),
+                    tag,
+                    weight: flow.weight.max(1),
+                },
+            );
+        }
+
+        self.len += 1;
+        self.list(&key);
+    }
+
+    /// Removes an item, without charging for it.
+    pub fn remove(&mut self, flow: &Flow, position: Position) -> Option<Item> {
+        self.take(&(flow.priority, flow.class.clone()), &flow.team, position)
+    }
+
+    /// Charges work to a class and to the pool.
+    fn charge(&mut self, key: &Key, cost: u64) {
+        self.unlist(key);
+
+        if let Some(class) = self.classes.get_mut(key) {
+            self.fair.insert(key.0, class.fair);
+            class.fair += cost * SCALE / class.weight.max(1);
+
+            // Work that runs because nothing more urgent waits does not use up
+            // the share.
+            if class.share > 0 && class.shared <= self.served {
+                class.shared += cost * 100 / u64::from(class.share);
+            }
+        }
+
+        self.served += cost;
+        self.list(key);
+    }
+
+    fn list(&mut self, key: &Key) {
+        if let Some(class) = self.classes.get(key) {
+            self.ready
+                .insert((Reverse(key.0), class.fair, key.1.clone()));
+
+            if class.share > 0 {
+                self.owed.insert((class.shared, key.clone()));
+            }
+        }
+    }
+
+    /// Returns the class to serve: one that is owed its share, or the most
+    /// urgent one.
+    fn next(&self) -> Option<Key> {
+        if let Some((shared, key)) = self.owed.first()
+            && *shared <= self.served
+        {
+            return Some(key.clone());
+        }
+
+        let (priority, _, class) = self.ready.first()?;
+        Some((priority.0, class.clone()))
+    }
+
+    /// Keeps the tags of a class that became empty, and drops those of the
+    /// class that has been empty for longest.
+    fn rest(&mut self, key: &Key) {
+        if !self.idle.contains(key) {
+            self.idle.push_back(key.clone());
+        }
+
+        if self.idle.len() > IDLE_CLASSES
+            && let Some(oldest) = self.idle.pop_front()
+        {
+            self.classes.remove(&oldest);
+        }
+    }
+
+    fn take(&mut self, key: &Key, name: &id::Team, position: Position) -> Option<Item> {
+        let class = self.classes.get_mut(key)?;
+        let team = class.teams.get_mut(name)?;
+        let item = team.items.remove(&position)?;
+        self.len -= 1;
+
+        if team.items.is_empty() {
+            let entry = (team.tag, name.clone());
+            class.weight -= u64::from(team.weight);
+            class.order.remove(&entry);
+            class.teams.remove(name);
+            class.debts.settle(class.now);
+
+            if entry.0 > class.now {
+                class.debts.put(entry.1, entry.0);
+            }
+        }
+
+        if class.teams.is_empty() {
+            self.unlist(key);
+            self.rest(key);
+        }
+
+        Some(item)
+    }
+
+    fn unlist(&mut self, key: &Key) {
+        if let Some(class) = self.classes.get(key) {
+            self.ready
+                .remove(&(Reverse(key.0), class.fair, key.1.clone()));
+            self.owed.remove(&(class.shared, key.clone()));
+        }
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    // At least one, so that work without an estimate is charged too.
+    u64::try_from(duration.as_micros())
+        .unwrap_or(u64::MAX)
+        .clamp(1, 1 << 40)
+}
--- /dev/null
+++ b/src/state/fleet.rs
@@ -0,0 +1,270 @@
+//! Every endpoint and pool that the scheduler knows.
+
+use {
+    crate::state::{
+        clock::Time,
+        ejection::Ejection,
+        endpoint::{self, Endpoint, Phase},
+        endpoint_state::EndpointState,
+        estimates::Size,
+        hints::Hints,
+        id,
+        policy::Policy,
+        pool_state::PoolState,
+        tuning::Tuning,
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// The endpoints and pools, addressed by index.
+#[derive(Debug)]
+pub struct Fleet {
+    by_endpoint: HashMap<id::Endpoint, usize>,
+    by_pool: HashMap<id::Pool, usize>,
+    domain: id::Domain,
+    free: Vec<usize>,
+    pub hints: Hints,
+    pub nodes: Vec<EndpointState>,
+    pub pools: Vec<PoolState>,
+}
+
+impl Fleet {
+    /// Builds an empty fleet as seen from `domain`.
+    pub fn new(domain: id::Domain) -> Self {
+        Self {
+            by_endpoint: HashMap::new(),
+            by_pool: HashMap::new(),
+            domain,
+            free: Vec::new(),
+            hints: Hints::default(),
+            nodes: Vec::new(),
+            pools: Vec::new(),
+        }
+    }
+
+    /// Counts a call that starts.
+    pub fn begin(&mut self, node: usize) {
+        let pool = self.nodes[node].pool;
+        self.nodes[node].load.begin();
+        self.pools[pool].own += 1;
+    }
+
+    /// Counts a call that ended; `pool` is where it began.
+    pub fn end(&mut self, node: usize, pool: usize) {
+        self.nodes[node].load.end();
+        self.pools[pool].own -= 1;
+    }
+
+    /// Counts a failure and ejects the endpoint if it is due.
+    pub fn fail(&mut self, now: Time, node: usize, tuning: &Tuning) {
+        if self.nodes[node].ejection.fail(tuning) {
+            self.eject(now, node, tuning);
+        }
+    }
+
+    /// Returns the index of an endpoint.
+    pub fn find(&self, endpoint: &id::Endpoint) -> Option<usize> {
+        self.by_endpoint.get(endpoint).copied()
+    }
+
+    /// Returns the index of a pool.
+    pub fn find_pool(&self, pool: &id::Pool) -> Option<usize> {
+        self.by_pool.get(pool).copied()
+    }
+
+    /// Notes that an endpoint said it is leaving.
+    pub fn leave(&mut self, now: Time, node: usize) {
+        self.nodes[node].leave(now);
+        self.rebuild(self.nodes[node].pool);
+    }
+
+    /// Takes the time that a cancelled call has lasted at least.
+    pub fn outlast(
+        &mut self,
+        now: Time,
+        node: usize,
+        size: Size,
+        elapsed: Duration,
+        tuning: &Tuning,
+    ) {
+        let pool = self.nodes[node].pool;
+        let ratio = self.pools[pool].ratio(size, elapsed);
+        self.nodes[node].ejection.outlast(ratio);
+        self.judge(now, node, tuning);
+    }
+
+    /// Takes an endpoint's report of its load.
+    pub fn report(&mut self, now: Time, node: usize, load: &endpoint::Load) {
+        let state = &mut self.nodes[node];
+        let change = state.load.report(now, load);
+
+        if state.phase() == Phase::Live {
+            let pool = &mut self.pools[state.pool];
+            pool.reported = (pool.reported + change).max(0.0);
+        }
+    }
+
+    /// Applies the settings of pools.
+    pub fn set_policy(&mut self, policy: &Policy) {
+        for pool in &mut self.pools {
+            pool.settings = policy.pools.get(&pool.name).cloned().unwrap_or_default();
+        }
+    }
+
+    /// Takes the host list.
+    pub fn show(&mut self, now: Time, endpoints: Vec<Endpoint>, policy: &Policy, tuning: &Tuning) {
+        let mut listed = vec![false; self.nodes.len() + endpoints.len()];
+
+        for endpoint in endpoints {
+            let pool = self.pool(&endpoint.pool, policy, tuning);
+            let node = self.node(now, endpoint, pool, tuning);
+            listed[node] = true;
+        }
+
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            if listed[index] || !node.listed && node.load.own() > 0 {
+                continue;
+            }
+
+            if node.listed {
+                node.vanish();
+                self.hints.forget(index);
+            }
+
+            let id = &node.endpoint.endpoint;
+
+            if node.load.own() == 0 && self.by_endpoint.get(id) == Some(&index) {
+                self.by_endpoint.remove(id);
+                self.free.push(index);
+            }
+        }
+
+        self.rebuild_all();
+    }
+
+    /// Takes a whole answer.
+    pub fn succeed(
+        &mut self,
+        now: Time,
+        node: usize,
+        size: Size,
+        elapsed: Duration,
+        tuning: &Tuning,
+    ) {
+        let pool = &mut self.pools[self.nodes[node].pool];
+        let ratio = pool.ratio(size, elapsed);
+        let judged = pool.estimates.trained(size);
+        pool.estimates.record(size, elapsed);
+        pool.budget.earn(tuning);
+
+        if judged {
+            pool.observe(ratio);
+            self.nodes[node].ejection.succeed(ratio, tuning);
+            self.judge(now, node, tuning);
+        } else {
+            self.nodes[node].ejection.succeed(1.0, tuning);
+        }
+    }
+
+    /// Ejects an endpoint unless less than half of its pool would remain.
+    fn eject(&mut self, now: Time, node: usize, tuning: &Tuning) {
+        let members = &self.pools[self.nodes[node].pool].members;
+        let ejected = members
+            .iter()
+            .filter(|member| self.nodes[**member].ejection.ejected(now))
+            .count();
+
+        if tuning.ejection
+            && !self.nodes[node].ejection.ejected(now)
+            && (ejected + 1) * 2 <= members.len()
+        {
+            self.nodes[node].ejection.eject(now, tuning);
+        }
+    }
+
+    fn judge(&mut self, now: Time, node: usize, tuning: &Tuning) {
+        let pool = self.pools[self.nodes[node].pool].slowness();
+
+        if self.nodes[node].ejection.straggles(pool.max(1.0), tuning) {
+            self.eject(now, node, tuning);
+        }
+    }
+
+    fn node(&mut self, now: Time, endpoint: Endpoint, pool: usize, tuning: &Tuning) -> usize {
+        if let Some(index) = self.by_endpoint.get(&endpoint.endpoint).copied() {
+            let state = &mut self.nodes[index];
+
+            if state.endpoint.address != endpoint.address {
+                state.ejection = Ejection::default();
+            }
+
+            state.show(now, endpoint, pool, tuning);
+            return index;
+        }
+
+        let id = endpoint.endpoint.clone();
+        let state = EndpointState::new(endpoint, pool);
+
+        let index = if let Some(index) = self.free.pop() {
+            self.nodes[index] = state;
+            index
+        } else {
+            self.nodes.push(state);
+            self.nodes.len() - 1
+        };
+
+        self.by_endpoint.insert(id, index);
+        index
+    }
+
+    fn pool(&mut self, name: &id::Pool, policy: &Policy, tuning: &Tuning) -> usize {
+        if let Some(index) = self.by_pool.get(name) {
+            return *index;
+        }
+
+        let settings = policy.pools.get(name).cloned().unwrap_or_default();
+        self.pools
+            .push(PoolState::new(name.clone(), settings, tuning));
+        self.by_pool.insert(name.clone(), self.pools.len() - 1);
+        self.pools.len() - 1
+    }
+
+    fn rebuild(&mut self, index: usize) {
+        let members = self.pools[index].members.clone();
+        self.clear(index);
+        members.into_iter().for_each(|node| self.enlist(node));
+    }
+
+    fn rebuild_all(&mut self) {
+        (0..self.pools.len()).for_each(|pool| self.clear(pool));
+        (0..self.nodes.len()).for_each(|node| self.enlist(node));
+    }
+
+    fn clear(&mut self, index: usize) {
+        let pool = &mut self.pools[index];
+        pool.foreign.clear();
+        pool.hashes.clear();
+        pool.local.clear();
+        pool.members.clear();
+        pool.reported = 0.0;
+    }
+
+    fn enlist(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let pool = &mut self.pools[node.pool];
+
+        if node.phase() != Phase::Live {
+            return;
+        }
+
+        pool.hashes.push(node.hash);
+        pool.members.push(index);
+        pool.reported += node.load.reported();
+
+        if node.endpoint.domain == self.domain {
+            pool.local.push(index);
+        } else {
+            pool.foreign.push(index);
+        }
+    }
+}
--- /dev/null
+++ b/src/state/limit.rs
@@ -0,0 +1,210 @@
+//! Limits of teams over all hosts.
+
+use {
+    crate::state::{class::Class, clock::Time, event::Demand, id},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
+};
+
+/// Length of the burst that a rate allows, in seconds.
+const BURST_SECONDS: f64 = 0.25;
+
+/// One rate limit: a token bucket.
+#[derive(Debug)]
+struct Bucket {
+    filled: Time,
+    tokens: f64,
+}
+
+/// A team, or one of its classes that the settings name.
+type Key = (id::Team, Option<id::Class>);
+
+/// What a limit allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The request is within the limits.
+    Allowed,
+    /// Over a limit; a try after this time may be allowed.
+    Over(Duration),
+}
+
+/// This host's share of the teams' limits.
+///
+/// With `o` requests of a team in progress here and `p` on the peers, this
+/// host may use `(o + 1) / (o + 1 + p)` of each limit, rounded up, and at
+/// least one request, so that an idle host can start.
+///
+/// Bound on the overshoot of a limit `L` over `H` hosts: with current reports
+/// the hosts' parts sum to at most `L + 2 H`. Between two reports a host can
+/// allow at most `L`, so that hosts which all start from idle within one
+/// report interval together allow at most `H L`, until the next report.
+#[derive(Debug, Default)]
+pub struct Limits {
+    buckets: HashMap<Key, Bucket>,
+    classes: HashMap<(id::Team, id::Class), u32>,
+    hosts: Vec<Demand>,
+    own: u32,
+    peers: BTreeMap<id::Team, u32>,
+    peers_total: u64,
+    teams: Demand,
+}
+
+impl Limits {
+    /// Takes one request in, if the team's and the class's limits allow it.
+    ///
+    /// `team` holds for the team as a whole, `class` for a class that the
+    /// settings name.
+    pub fn admit(
+        &self,
+        team: &id::Team,
+        class: &id::Class,
+        team_limit: &Class,
+        class_limit: Option<&Class>,
+    ) -> Verdict {
+        let own = self.teams.get(team).copied().unwrap_or(0);
+        let part = self.part(team);
+
+        if !within(own, team_limit.concurrency, part) {
+            return Verdict::Over(Duration::from_secs(1));
+        }
+
+        let key = (team.clone(), class.clone());
+        let own = self.classes.get(&key).copied().unwrap_or(0);
+
+        match class_limit {
+            Some(limit) if !within(own, limit.concurrency, part) => {
+                Verdict::Over(Duration::from_secs(1))
+            }
+            _ => Verdict::Allowed,
+        }
+    }
+
+    /// Counts a request that starts.
+    pub fn begin(&mut self, team: &id::Team, class: &id::Class) {
+        self.own += 1;
+        *self.teams.entry(team.clone()).or_insert(0) += 1;
+        let key = (team.clone(), class.clone());
+        *self.classes.entry(key).or_insert(0) += 1;
+    }
+
+    /// Returns the requests in progress by team.
+    pub fn demand(&self) -> &Demand {
+        &self.teams
+    }
+
+    /// Counts a request that is over.
+    pub fn end(&mut self, team: &id::Team, class: &id::Class) {
+        self.own = self.own.saturating_sub(1);
+
+        if let Some(count) = self.teams.get_mut(team) {
+            *count -= 1;
+
+            if *count == 0 {
+                self.teams.remove(team);
+            }
+        }
+
+        let key = (team.clone(), class.clone());
+
+        if let Some(count) = self.classes.get_mut(&key) {
+            *count -= 1;
+
+            if *count == 0 {
+                self.classes.remove(&key);
+            }
+        }
+    }
+
+    /// Forgets the rate limits of teams and classes that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&id::Team, Option<&id::Class>) -> bool) {
+        self.buckets
+            .retain(|(team, class), _| known(team, class.as_ref()));
+    }
+
+    /// Takes the peers' demand. Only peers whose demand changed cost time.
+    pub fn report(&mut self, hosts: Vec<Demand>) {
+        let most = self.hosts.len().max(hosts.len());
+        let none = Demand::new();
+
+        for index in 0..most {
+            let before = self.hosts.get(index).unwrap_or(&none);
+            let after = hosts.get(index).unwrap_or(&none);
+
+            if before == after {
+                continue;
+            }
+
+            for (team, count) in before {
+                self.peers_total -= u64::from(*count);
+
+                if let Some(total) = self.peers.get_mut(team) {
+                    *total -= count;
+
+                    if *total == 0 {
+                        self.peers.remove(team);
+                    }
+                }
+            }
+
+            for (team, count) in after {
+                self.peers_total += u64::from(*count);
+                *self.peers.entry(team.clone()).or_insert(0) += count;
+            }
+        }
+
+        self.hosts = hosts;
+    }
+
+    /// Returns the part of all demand that is on this host, between 0 and 1.
+    pub fn share(&self) -> f64 {
+        let own = f64::from(self.own) + 1.0;
+        own / (own + f64::from(u32::try_from(self.peers_total).unwrap_or(u32::MAX)))
+    }
+
+    /// Takes a token of a rate limit if there is one.
+    pub fn spend(
+        &mut self,
+        now: Time,
+        team: &id::Team,
+        class: Option<&id::Class>,
+        rate: u32,
+    ) -> Verdict {
+        if rate == 0 {
+            return Verdict::Allowed;
+        }
+
+        let rate = f64::from(rate) * self.part(team);
+        let most = (rate * BURST_SECONDS).max(1.0);
+        let bucket = self
+            .buckets
+            .entry((team.clone(), class.cloned()))
+            .or_insert(Bucket {
+                filled: now,
+                tokens: most,
+            });
+
+        let earned = now.since(bucket.filled).as_secs_f64() * rate;
+        bucket.tokens = (bucket.tokens + earned).min(most);
+        bucket.filled = now;
+
+        if bucket.tokens < 1.0 {
+            let wait = (1.0 - bucket.tokens) / rate;
+            return Verdict::Over(Duration::from_secs_f64(wait.min(60.0)));
+        }
+
+        bucket.tokens -= 1.0;
+        Verdict::Allowed
+    }
+
+    fn part(&self, team: &id::Team) -> f64 {
+        let own = f64::from(self.teams.get(team).copied().unwrap_or(0)) + 1.0;
+        let peers = f64::from(self.peers.get(team).copied().unwrap_or(0));
+        own / (own + peers)
+    }
+}
+
+fn within(own: u32, limit: u32, part: f64) -> bool {
+    limit == 0 || f64::from(own) < (f64::from(limit) * part).ceil().max(1.0)
+}
--- /dev/null
+++ b/src/state/placement.rs
@@ -0,0 +1,211 @@
+//! Chooses the endpoint for one call.
+
+use {
+    crate::state::{
+        affinity, clock::Time, endpoint_state::EndpointState, fleet::Fleet, pool::Kind,
+        pool_state::PoolState, tuning::Tuning,
+    },
+    rand::{Rng, rngs::StdRng},
+};
+
+/// Draws after which a large pool is taken to be full.
+const DRAWS: usize = 16;
+/// Part of a host's entitlement below which it may go over an endpoint's
+/// limit by one, to get in where the other hosts hold everything.
+const UNDER_ENTITLED: f64 = 0.8;
+
+/// What a call asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Endpoints that have had the stage already.
+    pub avoid: &'a [usize],
+    /// An endpoint on which a call has just ended.
+    pub freed: Option<usize>,
+    pub prefix: Option<u64>,
+}
+
+/// One choice.
+#[derive(Debug)]
+pub struct Placement<'a> {
+    fleet: &'a Fleet,
+    limit: f64,
+    now: Time,
+    pool: &'a PoolState,
+    rng: &'a mut StdRng,
+    share: f64,
+    tuning: &'a Tuning,
+}
+
+impl<'a> Placement<'a> {
+    /// Builds a choice in a pool; `share` is this host's part of all demand.
+    pub fn new(
+        fleet: &'a Fleet,
+        now: Time,
+        pool: usize,
+        rng: &'a mut StdRng,
+        share: f64,
+        tuning: &'a Tuning,
+    ) -> Self {
+        let pool = &fleet.pools[pool];
+
+        Self {
+            fleet,
+            limit: limit(pool, share),
+            now,
+            pool,
+            rng,
+            share,
+            tuning,
+        }
+    }
+
+    /// Returns the endpoint to use, or `None` if all are busy or out.
+    pub fn choose(&mut self, wish: Wish) -> Option<usize> {
+        if let Some(prefix) = wish.prefix
+            && self.tuning.affinity
+            && self.pool.settings.kind == Kind::Engine
+            && let Some(node) = self.affine(prefix, wish.avoid)
+        {
+            return Some(node);
+        }
+
+        let local = self.draw(&self.pool.local, wish.avoid);
+        let foreign = self.draw(&self.pool.foreign, wish.avoid);
+        let freed = wish
+            .freed
+            .filter(|node| self.pool.members.binary_search(node).is_ok())
+            .filter(|node| !wish.avoid.contains(node) && self.open(*node))
+            .map(|node| (self.cost(node), node));
+
+        match (local, foreign) {
+            (Some(local), Some(foreign)) => {
+                let link = self.tuning.link.as_secs_f64();
+                Some(if local.0 <= foreign.0 + link {
+                    local.1
+                } else {
+                    foreign.1
+                })
+            }
+            (local, foreign) => local.or(foreign).or(freed).map(|(_, node)| node),
+        }
+    }
+
+    /// Returns the best endpoint for a prefix that is not above the bound: one
+    /// that holds it according to hints, or the first in rendezvous order.
+    fn affine(&self, prefix: u64, avoid: &[usize]) -> Option<usize> {
+        let mean = self.pool.mean(self.share);
+        let bound = affinity::bound(mean, self.tuning.affinity_bound);
+        let fits =
+            |node: &usize| !avoid.contains(node) && self.open(*node) && self.load(*node) < bound;
+        let count = self.tuning.affinity_candidates;
+        let ranked: Vec<usize> = affinity::ranked(prefix, &self.pool.hashes, count)
+            .into_iter()
+            .map(|position| self.pool.members[position])
+            .filter(fits)
+            .collect();
+        let holders = self.fleet.hints.holders(prefix);
+
+        ranked
+            .iter()
+            .find(|node| holders.contains(node))
+            .or_else(|| {
+                holders
+                    .iter()
+                    .find(|node| self.pool.members.binary_search(node).is_ok() && fits(node))
+            })
+            .or(ranked.first())
+            .copied()
+    }
+
+    /// Returns the expected time in seconds until the endpoint has done what
+    /// it has and one more call.
+    fn cost(&self, node: usize) -> f64 {
+        let busy = (self.load(node) + 1.0) / f64::from(self.pool.limit());
+        busy * self.pool.mean_service() * self.state(node).ejection.slowness().max(0.1)
+    }
+
+    /// Draws endpoints until two are open and returns the cheaper one.
+    fn draw(&mut self, nodes: &[usize], avoid: &[usize]) -> Option<(f64, usize)> {
+        let wanted = if self.tuning.two_choices { 2 } else { 1 };
+        let small = nodes.len() <= DRAWS;
+        let mut best: Option<(f64, usize)> = None;
+        let mut found = 0;
+        let mut order = [0; DRAWS];
+        order
+            .iter_mut()
+            .enumerate()
+            .for_each(|(index, at)| *at = index);
+
+        for drawn in 0..nodes.len().min(DRAWS) {
+            let index = if small {
+                let other = self.rng.random_range(drawn..nodes.len());
+                order.swap(drawn, other);
+                order[drawn]
+            } else {
+                self.rng.random_range(0..nodes.len())
+            };
+            let node = nodes[index];
+
+            if avoid.contains(&node) || !self.open(node) {
+                continue;
+            }
+
+            let cost = self.cost(node);
+
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, node));
+            }
+
+            found += 1;
+
+            if found == wanted {
+                break;
+            }
+        }
+
+        best
+    }
+
+    fn load(&self, node: usize) -> f64 {
+        let load = &self.state(node).load;
+        let expected = self.pool.expected(self.share);
+        f64::from(load.own()) + load.others(self.now, expected, self.tuning)
+    }
+
+    /// Returns whether the endpoint can take one more call.
+    fn open(&self, node: usize) -> bool {
+        let state = self.state(node);
+        let ejection = &state.ejection;
+        let own = state.load.own();
+        let most = if ejection.probation() {
+            1
+        } else {
+            self.pool.limit()
+        };
+
+        !ejection.ejected(self.now)
+            && !ejection.paused(self.now)
+            && own < most
+            && (own == 0 && !state.load.reports() || self.load(node) < self.limit)
+    }
+
+    fn state(&self, node: usize) -> &'a EndpointState {
+        &self.fleet.nodes[node]
+    }
+}
+
+/// Returns the load up to which this host uses an endpoint. A host above its
+/// entitlement leaves one call free for hosts below theirs.
+fn limit(pool: &PoolState, share: f64) -> f64 {
+    let limit = f64::from(pool.limit());
+    let own = f64::from(pool.own);
+    let entitled = pool.entitlement(share);
+
+    if own < entitled * UNDER_ENTITLED {
+        limit + 1.0
+    } else if own > entitled && limit > 1.0 {
+        limit - 1.0
+    } else {
+        limit
+    }
+}
--- a/src/state/scheduler.rs
+++ b/src/state/scheduler.rs
@@ -1,169 +1,235 @@
 //! Decides which request runs where and when.
+//!
+//! This file holds the state and takes the events; `arrival`, `dispatch` and
+//! `completion` hold the decisions.
 
 use {
     crate::state::{
         action::Action,
-        attempt::{End, Report},
         backlog,
         clock::Time,
-        endpoint::{Endpoint, Phase},
         event::{Demand, Event},
+        fleet::Fleet,
         id,
+        limit::Limits,
         policy::Policy,
-        refusal::{Reason, Refusal},
-        request::Request,
+        roster,
+        tally::Tally,
+        tuning::Tuning,
+        work::{Running, Timer, Work},
     },
+    rand::{SeedableRng, rngs::StdRng},
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
+        time::Duration,
     },
 };
 
 /// The scheduler of one host.
+///
+/// The same settings, seed and events always give the same actions.
 #[derive(Debug)]
 pub struct Scheduler {
-    attempts: HashMap<id::Attempt, (id::Request, usize)>,
-    endpoints: Vec<Endpoint>,
-    next_attempt: u64,
-    policy: Arc<Policy>,
-    requests: HashMap<id::Request, Request>,
+    pub(super) attempts: HashMap<id::Attempt, Running>,
+    pub(super) fleet: Fleet,
+    pub(super) limits: Limits,
+    pub(super) next_attempt: u64,
+    pub(super) policy: Arc<Policy>,
+    pub(super) rng: StdRng,
+    /// Order of arrival in queues.
+    pub(super) sequence: u64,
+    pub(super) tally: Tally,
+    pub(super) timers: BTreeSet<(Time, Timer)>,
+    pub(super) tuning: Tuning,
+    warned: Time,
+    pub(super) works: HashMap<id::Request, Work>,
 }
 
 impl Scheduler {
     /// Builds a scheduler; `domain` is its host's own failure domain, and
     /// `seed` starts its random choices.
-    pub fn new(_domain: id::Domain, _seed: u64) -> Self {
+    pub fn new(domain: id::Domain, seed: u64) -> Self {
+        Self::with_tuning(domain, seed, Tuning::default())
+    }
+
+    /// Builds a scheduler with other constants than the default ones.
+    pub fn with_tuning(domain: id::Domain, seed: u64, tuning: Tuning) -> Self {
         Self {
             attempts: HashMap::new(),
-            endpoints: Vec::new(),
+            fleet: Fleet::new(domain),
+            limits: Limits::default(),
             next_attempt: 0,
             policy: Arc::default(),
-            requests: HashMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            sequence: 0,
+            tally: Tally::default(),
+            timers: BTreeSet::new(),
+            tuning,
+            warned: Time::ZERO,
+            works: HashMap::new(),
         }
     }
 
     /// Returns what waits, by stage, team and class.
-    pub fn backlog(&self, _now: Time) -> Vec<backlog::Row> {
-        Vec::new()
+    pub fn backlog(&self, now: Time) -> Vec<backlog::Row> {
+        let mut rows = Vec::new();
+
+        for pool in &self.fleet.pools {
+            let mut by_flow: BTreeMap<_, backlog::Row> = BTreeMap::new();
+            let slots = pool.slots(self.limits.share());
+
+            for item in pool.queue.iter() {
+                let Some(work) = self.works.get(&item.request) else {
+                    continue;
+                };
+
+                let request = &work.request;
+                let stage = &request.stages[item.stage].name;
+                let row = by_flow
+                    .entry((stage, &request.team, &request.class))
+                    .or_insert_with(|| backlog::Row {
+                        class: request.class.clone(),
+                        depth: 0,
+                        lateness: Duration::ZERO,
+                        oldest: Duration::ZERO,
+                        pool: pool.name.clone(),
+                        stage: stage.clone(),
+                        team: request.team.clone(),
+                    });
+
+                // Items come in the order of their deadlines, so the last one
+                // decides.
+                let wait = pool.ledger.wait(&work.flow, slots).min(1e6);
+                let finish = now + Duration::from_secs_f64(wait) + self.remaining(work, item.stage);
+                row.depth += 1;
+                row.lateness = finish.since(request.deadline);
+                row.oldest = row.oldest.max(now.since(item.enqueued));
+            }
+
+            rows.extend(by_flow.into_values());
+        }
+
+        rows
+    }
+
+    /// Returns every counter by name.
+    pub fn counters(&self) -> BTreeMap<&'static str, u64> {
+        self.tally.named()
     }
 
     /// Returns the requests in progress by team.
     pub fn demand(&self) -> Demand {
-        let mut demand = BTreeMap::new();
-
-        for request in self.requests.values() {
-            *demand.entry(request.team.clone()).or_insert(0) += 1;
-        }
-
-        demand
+        self.limits.demand().clone()
     }
 
-    /// Returns the number of requests in progress.
-    pub fn outstanding(&self) -> u32 {
-        u32::try_from(self.requests.len()).unwrap_or(u32::MAX)
+    /// Returns every endpoint of the host list.
+    pub fn endpoints(&self, now: Time) -> Vec<roster::Row> {
+        let nodes = self.fleet.nodes.iter().filter(|node| node.listed);
+
+        nodes
+            .map(|node| roster::Row {
+                address: node.endpoint.address,
+                domain: node.endpoint.domain.clone(),
+                ejected: node.ejection.ejected(now),
+                endpoint: node.endpoint.endpoint.clone(),
+                outstanding: node.load.own(),
+                phase: node.phase(),
+                pool: node.endpoint.pool.clone(),
+                queued: node.load.queued(),
+                running: node.load.running(),
+            })
+            .collect()
     }
 
     /// Takes one event and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.advance(now, actions);
+
         match event {
-            Event::Arrived(request) => {
-                let id = request.request.clone();
-                self.requests.insert(id.clone(), request);
-                actions.push(Action::Admitted { request: id });
+            Event::Arrived(request) => self.arrive(now, request, actions),
+            Event::Cache { endpoint, event } => {
+                if let Some(node) = self.fleet.find(&endpoint) {
+                    let limit = self.tuning.hints_per_endpoint;
+                    self.fleet.hints.apply(node, event, limit);
+                }
             }
-            Event::Ended { request } => {
-                self.requests.remove(&request);
+            Event::Ended { request } => self.forget(&request, actions),
+            Event::Endpoints(endpoints) => {
+                self.fleet.show(now, endpoints, &self.policy, &self.tuning);
+                self.pump_all(now, actions);
             }
-            Event::Endpoints(endpoints) => self.endpoints = endpoints,
             Event::Finished { attempt, report } => {
-                self.finish(now, attempt, &report, actions);
+                self.complete(now, attempt, &report, actions);
             }
-            Event::Policy(policy) => self.policy = policy,
-            Event::Ready { request, stage } => {
-                self.dispatch(now, &request, stage, &HashSet::new(), actions);
+            Event::Load { endpoint, load } => {
+                if let Some(node) = self.fleet.find(&endpoint) {
+                    self.fleet.report(now, node, &load);
+                    self.pump(now, self.fleet.nodes[node].pool, Some(node), actions);
+                }
+            }
+            Event::Peers(demands) => self.limits.report(demands),
+            Event::Policy(policy) => self.set_policy(now, policy, actions),
+            Event::Ready { request, stage } => self.enqueue(now, &request, stage, actions),
+            Event::Tick => {
+                self.pump_all(now, actions);
+                self.warn(now, actions);
             }
-            Event::Cache { .. } | Event::Load { .. } | Event::Peers(_) | Event::Tick => {}
         }
     }
 
-    fn finish(
-        &mut self,
-        now: Time,
-        attempt: id::Attempt,
-        report: &Report,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some((request, stage)) = self.attempts.remove(&attempt) else {
-            return;
-        };
-        let Some(known) = self.requests.get(&request) else {
-            return;
-        };
+    /// Returns the number of requests in progress.
+    pub fn outstanding(&self) -> u32 {
+        u32::try_from(self.works.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the expected time in a stage and those that follow.
+    pub(super) fn remaining(&self, work: &Work, stage: usize) -> Duration {
+        let stages = work.request.stages.get(stage..).unwrap_or(&[]);
+
+        stages
+            .iter()
+            .filter_map(|stage| self.fleet.find_pool(&stage.pool))
+            .map(|pool| {
+                let pool = &self.fleet.pools[pool];
+                pool.estimates.median(pool.size_of(&work.request))
+            })
+            .sum()
+    }
 
-        let refusal = match (&report.end, known.repeatable) {
-            (End::Cancelled | End::Done { .. }, _) => return,
-            (End::NotRun { .. }, _) | (_, true) => {
-                self.dispatch(now, &request, stage, &HashSet::new(), actions);
-                return;
+    /// Does what has become due.
+    fn advance(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some((due, _)) = self.timers.first()
+            && *due <= now
+            && let Some((_, timer)) = self.timers.pop_first()
+        {
+            match timer {
+                Timer::Expiry(request) => self.expire(now, &request, actions),
+                Timer::Hedge(attempt) => self.hedge(now, attempt, actions),
             }
-            (_, false) => Refusal::unknown(Reason::Stage, "the endpoint did not answer in full"),
-        };
+        }
+    }
 
-        actions.push(Action::Failed {
-            refusal,
-            request,
-            stage,
+    fn set_policy(&mut self, now: Time, policy: Arc<Policy>, actions: &mut Vec<Action>) {
+        self.fleet.set_policy(&policy);
+        self.limits.retain(|team, class| {
+            policy
+                .teams
+                .get(team)
+                .is_some_and(|known| class.is_none_or(|class| known.classes.contains_key(class)))
         });
+        self.policy = policy;
+        self.pump_all(now, actions);
     }
 
-    fn dispatch(
-        &mut self,
-        now: Time,
-        id: &id::Request,
-        stage: usize,
-        avoid: &HashSet<id::Endpoint>,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-
-        let pool = &request.stages[stage].pool;
-        let candidates: Vec<&Endpoint> = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| {
-                endpoint.pool == *pool
-                    && endpoint.phase == Phase::Live
-                    && !avoid.contains(&endpoint.endpoint)
-            })
-            .collect();
-
-        if candidates.is_empty() {
-            actions.push(Action::Failed {
-                refusal: Refusal::not_run(
-                    Reason::NoEndpoint,
-                    format!("pool {pool} has no live endpoint"),
-                ),
-                request: id.clone(),
-                stage,
-            });
+    fn warn(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now.since(self.warned) < self.tuning.warn_interval {
             return;
         }
 
-        self.next_attempt += 1;
-        let attempt = id::Attempt(self.next_attempt);
-        let index = usize::try_from(self.next_attempt).unwrap_or(0);
-        let endpoint = candidates[index % candidates.len()].endpoint.clone();
-        self.attempts.insert(attempt, (id.clone(), stage));
-
-        actions.push(Action::Dispatched {
-            attempt,
-            endpoint,
-            hedge: false,
-            request: id.clone(),
-            stage,
-            timeout: request.deadline.since(now),
-        });
+        self.warned = now;
+        let rows = self.backlog(now);
+        let late = rows.into_iter().filter(|row| !row.lateness.is_zero());
+        actions.extend(late.map(Action::Warned));
     }
 }
--- /dev/null
+++ b/src/state/tally.rs
@@ -0,0 +1,47 @@
+//! Counts of decisions, for operators.
+
+use {crate::state::refusal::Reason, std::collections::BTreeMap};
+
+/// The counters of a scheduler.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub dispatched: u64,
+    pub hedges: u64,
+    refused: BTreeMap<&'static str, u64>,
+    pub retries: u64,
+}
+
+impl Tally {
+    /// Returns every counter by name.
+    pub fn named(&self) -> BTreeMap<&'static str, u64> {
+        let mut counters = self.refused.clone();
+        counters.insert("dispatched", self.dispatched);
+        counters.insert("hedges", self.hedges);
+        counters.insert("retries", self.retries);
+        counters
+    }
+
+    /// Counts a refused or failed request.
+    pub fn refuse(&mut self, reason: Reason) {
+        *self.refused.entry(name(reason)).or_insert(0) += 1;
+    }
+}
+
+fn name(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Conflict => "refused_conflict",
+        Reason::Deadline => "refused_deadline",
+        Reason::Forbidden => "refused_forbidden",
+        Reason::Invalid => "refused_invalid",
+        Reason::Leaving => "refused_leaving",
+        Reason::Limit => "refused_limit",
+        Reason::Missing => "refused_missing",
+        Reason::NoEndpoint => "refused_no_endpoint",
+        Reason::NotReady => "refused_not_ready",
+        Reason::Overload => "refused_overload",
+        Reason::Stage => "refused_stage",
+        Reason::TeamLimit => "refused_team_limit",
+        Reason::Ticket => "refused_ticket",
+        Reason::Witness => "refused_witness",
+    }
+}
--- /dev/null
+++ b/src/state/work.rs
@@ -0,0 +1,80 @@
+//! A request and an attempt as the scheduler keeps them.
+
+use {
+    crate::state::{
+        clock::Time,
+        estimates::Size,
+        fair_queue::{Flow, Position},
+        id,
+        request::Request,
+    },
+    std::time::Duration,
+};
+
+/// A stage in a queue.
+#[derive(Clone, Debug)]
+pub struct Queued {
+    /// When it is given up.
+    pub expires: Time,
+    pub position: Position,
+    pub since: Time,
+}
+
+/// The stage that a request is in.
+#[derive(Clone, Debug)]
+pub struct Current {
+    /// Running attempts that are not cancelled.
+    pub attempts: Vec<id::Attempt>,
+    pub queued: Option<Queued>,
+    pub stage: usize,
+    /// Endpoints that have had the stage.
+    pub tried: Vec<usize>,
+    /// Time spent in the queue before earlier attempts of the stage.
+    pub waited: Duration,
+}
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Endpoint-seconds entered in the ledger of each stage's pool.
+    pub committed: Vec<f64>,
+    pub current: Option<Current>,
+    pub flow: Flow,
+    /// Longest time in a queue before a stage.
+    pub queue_time: Duration,
+    /// Whether an attempt ended in any other way than `not_run`.
+    pub ran: bool,
+    pub request: Request,
+}
+
+impl Work {
+    /// Returns whether any attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.ran
+            || self
+                .current
+                .as_ref()
+                .is_some_and(|current| !current.attempts.is_empty())
+    }
+}
+
+/// An attempt whose end has not been reported.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Whether its end no longer matters to the request.
+    pub cancelled: bool,
+    pub endpoint: usize,
+    pub pool: usize,
+    pub request: id::Request,
+    pub size: Size,
+    pub stage: usize,
+}
+
+/// Something that is due at a time.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Timer {
+    /// A queued stage has waited too long.
+    Expiry(id::Request),
+    /// An attempt is slow enough for a hedge.
+    Hedge(id::Attempt),
+}
