--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -1,127 +1,138 @@
-//! What requests took and cost.
+//! Work that is admitted and has not started yet, before one pool.
 
 use {
-    crate::state::id,
-    hdrhistogram::Histogram,
-    serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, time::Duration},
+    crate::state::{fair_queue::Flow, id},
+    std::collections::HashMap,
 };
 
-/// Teams, classes and stages with a histogram of their own. With 2 digits and
-/// values up to 10 minutes a histogram takes up to 14 KB, so all take 28 MB.
-const HISTOGRAMS: usize = 2048;
-
-/// Significant decimal digits of a recorded time.
-const DIGITS: u8 = 2;
-
-/// The team under which the rest is counted once all histograms are taken.
-const REST: &str = "(rest)";
-
-/// The times of one team, class and stage.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Latency {
-    pub class: id::Class,
-    pub count: u64,
-    pub max_ms: u64,
-    pub p50_ms: u64,
-    pub p95_ms: u64,
-    pub p99_ms: u64,
-    /// None for the whole request.
-    pub stage: Option<id::Stage>,
-    pub team: id::Team,
-}
+/// Number of priorities.
+const PRIORITIES: usize = 10;
+/// Work below this many seconds is a rounding error.
+const EPSILON_SECONDS: f64 = 1e-7;
+/// Largest part of a pool that other classes' shares are taken to hold.
+const MOST_RESERVED: f64 = 0.9;
 
-/// What one stage cost one team, lost hedges and failed attempts included.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Cost {
-    pub endpoint_ms: u64,
-    pub stage: id::Stage,
-    pub team: id::Team,
-    pub tokens: u64,
+#[derive(Debug, Default)]
+struct Account {
+    items: u32,
+    work: f64,
 }
 
-type Key = (id::Team, id::Class, Option<id::Stage>);
+#[derive(Debug, Default)]
+struct Reserve {
+    items: u32,
+    share: u8,
+    work: f64,
+}
 
-/// Times, costs and named counters since the process started.
+/// Work in endpoint-seconds by priority, team and class. Unlike the queue it
+/// includes requests that are still in an earlier stage.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    costs: BTreeMap<(id::Team, id::Stage), (u64, u64)>,
-    counters: BTreeMap<&'static str, u64>,
-    times: BTreeMap<Key, Histogram<u64>>,
+    flows: HashMap<(id::Team, id::Class), Account>,
+    /// Sum of the shares of classes with work, in percent.
+    reserved: u32,
+    reserves: HashMap<id::Class, Reserve>,
+    weights: [u64; PRIORITIES],
+    work: [f64; PRIORITIES],
 }
 
 impl Ledger {
-    /// Adds one to a counter.
-    pub fn count(&mut self, name: &'static str) {
-        *self.counters.entry(name).or_default() += 1;
-    }
+    /// Adds work.
+    pub fn add(&mut self, flow: &Flow, work: f64) {
+        let priority = level(flow);
+        let key = (flow.team.clone(), flow.class.clone());
+        let account = self.flows.entry(key).or_default();
+
+        if account.items == 0 {
+            self.weights[priority] += u64::from(flow.weight.max(1));
+        }
 
-    /// Returns the counters.
-    pub fn counters(&self) -> &BTreeMap<&'static str, u64> {
-        &self.counters
-    }
+        account.items += 1;
+        account.work += work;
+        self.work[priority] += work;
 
-    /// Adds the time and tokens of one attempt.
-    pub fn spend(&mut self, team: &id::Team, stage: &id::Stage, tokens: u32, elapsed: Duration) {
-        let key = (team.clone(), stage.clone());
-        let (sum, millis) = self.costs.entry(key).or_default();
-        *sum += u64::from(tokens);
-        *millis += to_millis(elapsed);
-    }
+        if flow.share > 0 {
+            let reserve = self.reserves.entry(flow.class.clone()).or_default();
 
-    /// Returns the costs by team and stage.
-    pub fn costs(&self) -> Vec<Cost> {
-        self.costs
-            .iter()
-            .map(|((team, stage), &(tokens, endpoint_ms))| Cost {
-                endpoint_ms,
-                stage: stage.clone(),
-                team: team.clone(),
-                tokens,
-            })
-            .collect()
+            if reserve.items == 0 {
+                reserve.share = flow.share;
+                self.reserved += u32::from(flow.share);
+            }
+
+            reserve.items += 1;
+            reserve.work += work;
+        }
     }
 
-    /// Adds the time of a stage, or of a whole request without a stage.
-    pub fn time(
-        &mut self,
-        team: &id::Team,
-        class: &id::Class,
-        stage: Option<&id::Stage>,
-        elapsed: Duration,
-    ) {
-        let mut key = (team.clone(), class.clone(), stage.cloned());
-
-        if self.times.len() >= HISTOGRAMS && !self.times.contains_key(&key) {
-            key = (REST.into(), REST.into(), stage.map(|_| REST.into()));
+    /// Removes work that was added for the same flow.
+    pub fn remove(&mut self, flow: &Flow, work: f64) {
+        let priority = level(flow);
+        let key = (flow.team.clone(), flow.class.clone());
+        self.work[priority] = less(self.work[priority], work);
+
+        if let Some(account) = self.flows.get_mut(&key) {
+            account.items -= 1;
+            account.work = less(account.work, work);
+
+            if account.items == 0 {
+                self.flows.remove(&key);
+                self.weights[priority] -= u64::from(flow.weight.max(1));
+            }
         }
 
-        let histogram = self.times.entry(key).or_insert_with(|| {
-            Histogram::new(DIGITS).expect("a histogram of up to 5 digits is valid")
-        });
-        histogram.saturating_record(to_millis(elapsed));
+        if flow.share > 0
+            && let Some(reserve) = self.reserves.get_mut(&flow.class)
+        {
+            reserve.items -= 1;
+            reserve.work = less(reserve.work, work);
+
+            if reserve.items == 0 {
+                self.reserved -= u32::from(reserve.share);
+                self.reserves.remove(&flow.class);
+            }
+        }
     }
 
-    /// Returns the quantiles by team, class and stage.
-    pub fn latencies(&self) -> Vec<Latency> {
-        self.times
-            .iter()
-            .map(|((team, class, stage), times)| Latency {
-                class: class.clone(),
-                count: times.len(),
-                max_ms: times.max(),
-                p50_ms: times.value_at_quantile(0.5),
-                p95_ms: times.value_at_quantile(0.95),
-                p99_ms: times.value_at_quantile(0.99),
-                stage: stage.clone(),
-                team: team.clone(),
-            })
-            .collect()
+    /// Estimates how many seconds a new item of the flow waits when `slots`
+    /// calls run at a time.
+    ///
+    /// Work of higher priority goes first. Within the priority the flow waits
+    /// for its own work at its weighted share of the slots, but never longer
+    /// than for all work of the priority.
+    pub fn wait(&self, flow: &Flow, slots: f64) -> f64 {
+        let priority = level(flow);
+        let key = (flow.team.clone(), flow.class.clone());
+        let account = self.flows.get(&key);
+        let own = account.map_or(0.0, |account| account.work);
+        let weight = u64::from(flow.weight.max(1));
+        let active = self.weights[priority] + account.map_or(weight, |_| 0);
+        let fair = (own * ratio(active, weight)).min(self.work[priority]);
+        let higher: f64 = self.work[priority + 1..].iter().sum();
+        let reserve = self.reserves.get(&flow.class);
+        let kept = self.reserved - reserve.map_or(0, |reserve| u32::from(reserve.share));
+        let free = 1.0 - (f64::from(kept) / 100.0).min(MOST_RESERVED);
+        let wait = (higher + fair) / (slots * free);
+
+        if flow.share == 0 {
+            return wait;
+        }
+
+        let share = f64::from(flow.share) / 100.0;
+        let reserved = reserve.map_or(0.0, |reserve| reserve.work);
+        wait.min(reserved / (slots * share))
     }
 }
 
-fn to_millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+fn less(work: f64, removed: f64) -> f64 {
+    let rest = work - removed;
+    if rest < EPSILON_SECONDS { 0.0 } else { rest }
+}
+
+fn level(flow: &Flow) -> usize {
+    usize::from(flow.priority).min(PRIORITIES - 1)
+}
+
+fn ratio(active: u64, weight: u64) -> f64 {
+    active as f64 / weight as f64
 }
