Show the scheduler's endpoints and counters to operators

The endpoint rows held constants because the first scheduler had none to show. The control thread now answers with the scheduler's own rows and counters, and logs its warnings of a backlog that turns late.

--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -4,13 +4,13 @@
     crate::{
         coordination::{body, control, drain, gateway::Gateway, problem, scheduling},
         state::{
-            backlog, id,
+            id,
             refusal::{Reason, Refusal},
         },
     },
     rouille::{Request, Response, router},
     serde_json::{Value, json},
-    std::{sync::mpsc, time::Duration},
+    std::{collections::BTreeMap, sync::mpsc, time::Duration},
 };
 
 /// Longest wait for the control thread.
@@ -20,8 +20,8 @@
 pub fn respond(gateway: &Gateway, request: &Request) -> Response {
     router!(request,
         (GET) ["/v1/admin/status"] => { body::json(&status(gateway)) },
-        (GET) ["/v1/admin/backlog"] => { backlog_rows(gateway) },
-        (GET) ["/v1/admin/endpoints"] => { body::json(&endpoints(gateway)) },
+        (GET) ["/v1/admin/backlog"] => { backlog(gateway) },
+        (GET) ["/v1/admin/endpoints"] => { endpoints(gateway) },
         (GET) ["/v1/admin/explain/{id}", id: String] => { explain(gateway, &id.into()) },
         (POST) ["/v1/admin/drain"] => {
             drain::leave(gateway);
@@ -39,6 +39,7 @@
     let view = gateway.published.get();
     let local = &view.local;
     let unready = gateway.unready();
+    let counters = counters(gateway);
     let usage = gateway.observer.usage();
     let members: Vec<Value> = view
         .members
@@ -68,51 +69,51 @@
         "store_calls": {"get": 0, "put": 0, "delete": 0, "list": 0, "watch": 0},
         "latency": usage.latencies(),
         "cost": usage.costs(),
-        "counters": usage.counters(),
+        "counters": counters,
     })
 }
 
-fn backlog_rows(gateway: &Gateway) -> Response {
-    match ask(gateway) {
-        Some(rows) => body::json(&json!({"rows": rows})),
-        None => {
-            let refusal = Refusal::not_run(Reason::NotReady, "the control thread did not answer");
-            problem::respond(gateway, None, &refusal)
-        }
+fn backlog(gateway: &Gateway) -> Response {
+    match ask(gateway, scheduling::Event::Backlog) {
+        Some(rows) => body::json(&json!({ "rows": rows })),
+        None => silent(gateway),
     }
 }
 
-fn ask(gateway: &Gateway) -> Option<Vec<backlog::Row>> {
+fn endpoints(gateway: &Gateway) -> Response {
+    match ask(gateway, scheduling::Event::Endpoints) {
+        Some(report) => body::json(&json!({ "endpoints": report.endpoints })),
+        None => silent(gateway),
+    }
+}
+
+/// Returns every counter by name. The scheduler's are left out when the
+/// control thread does not answer, so that operators still get the rest.
+fn counters(gateway: &Gateway) -> BTreeMap<&'static str, u64> {
+    let mut counters = ask(gateway, scheduling::Event::Endpoints)
+        .map(|report| report.counters)
+        .unwrap_or_default();
+
+    for (name, count) in gateway.observer.usage().counters() {
+        *counters.entry(name).or_default() += count;
+    }
+
+    counters
+}
+
+fn ask<T>(
+    gateway: &Gateway,
+    event: impl FnOnce(mpsc::Sender<T>) -> scheduling::Event,
+) -> Option<T> {
     let (sender, receiver) = mpsc::channel();
-    let event = scheduling::Event::Backlog(sender);
-    gateway
-        .control
-        .send(control::Event::Scheduling(event))
-        .ok()?;
+    let event = control::Event::Scheduling(event(sender));
+    gateway.control.send(event).ok()?;
     receiver.recv_timeout(CONTROL_TIMEOUT).ok()
 }
 
-fn endpoints(gateway: &Gateway) -> Value {
-    let view = gateway.published.get();
-    let rows: Vec<Value> = view
-        .endpoints
-        .iter()
-        .map(|endpoint| {
-            json!({
-                "endpoint": endpoint.endpoint,
-                "pool": endpoint.pool,
-                "address": endpoint.address,
-                "domain": endpoint.domain,
-                "phase": endpoint.phase,
-                "ejected": false,
-                "outstanding": 0,
-                "queued": 0,
-                "running": 0,
-            })
-        })
-        .collect();
-
-    json!({ "endpoints": rows })
+fn silent(gateway: &Gateway) -> Response {
+    let refusal = Refusal::not_run(Reason::NotReady, "the control thread did not answer");
+    problem::respond(gateway, None, &refusal)
 }
 
 fn explain(gateway: &Gateway, request: &id::Request) -> Response {
--- a/src/coordination/scheduling.rs
+++ b/src/coordination/scheduling.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::state::{
-        action::Action, backlog, clock::Time, event, id, scheduler::Scheduler, view::View,
+        action::Action, backlog, clock::Time, event, id, roster, scheduler::Scheduler, view::View,
     },
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         sync::{Arc, mpsc::Sender},
     },
 };
@@ -15,6 +15,8 @@
 pub enum Event {
     /// Asks for the rows of the backlog.
     Backlog(Sender<Vec<backlog::Row>>),
+    /// Asks for the endpoints and the counters.
+    Endpoints(Sender<Report>),
     /// A request thread registers where its actions go.
     Register {
         actions: Sender<Action>,
@@ -24,6 +26,13 @@
     Scheduler(event::Event),
 }
 
+/// What the scheduler tells operators.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub counters: BTreeMap<&'static str, u64>,
+    pub endpoints: Vec<roster::Row>,
+}
+
 /// The scheduler and the channels of the requests in progress.
 #[derive(Debug)]
 pub struct Scheduling {
@@ -50,6 +59,12 @@
             Event::Backlog(reply) => {
                 let _ = reply.send(self.scheduler.backlog(now));
             }
+            Event::Endpoints(reply) => {
+                let _ = reply.send(Report {
+                    counters: self.scheduler.counters(),
+                    endpoints: self.scheduler.endpoints(now),
+                });
+            }
             Event::Register { actions, request } => {
                 self.channels.insert(request, actions);
             }
@@ -89,6 +104,18 @@
         self.scheduler.handle(now, event, &mut self.actions);
 
         for action in self.actions.drain(..) {
+            if let Action::Warned(row) = &action {
+                log::warn!(
+                    team = row.team.as_str(),
+                    stage = row.stage.as_str(),
+                    class = row.class.as_str();
+                    "the backlog of pool {} turns late by {} ms with {} requests",
+                    row.pool,
+                    row.lateness.as_millis(),
+                    row.depth
+                );
+            }
+
             if let Some(channel) = action
                 .request()
                 .and_then(|request| self.channels.get(request))
