Publish endpoints before the scheduler uses them

Cause: the first request after a start waited 4 s before its first stage and was refused. The scheduler chose an endpoint that the published view did not have yet, since the view is published once a tick (20 ms); the request thread reported it as leaving, and the scheduler took both endpoints out of use. Ruled out: the start race between an empty and a full endpoint list, by feeding both orders to the scheduler alone, which dispatches at once. Change: the control thread publishes a new list before the scheduler sees it; an endpoint missing from the view is reported as not run, not as leaving.

--- a/src/coordination/control.rs
+++ b/src/coordination/control.rs
@@ -83,7 +83,13 @@
             Event::Claims(event) => self.claims.handle(now, event, view),
             Event::Leases(event) => self.leases.handle(now, event, view),
             Event::Membership(event) => self.membership.handle(now, event, view),
-            Event::Scheduling(event) => self.scheduling.handle(now, event, view),
+            Event::Scheduling(event) => {
+                if Scheduling::observe(&event, view) {
+                    self.published.set(view.clone());
+                }
+
+                self.scheduling.handle(now, event);
+            }
             Event::Settings(event) => self.settings.handle(now, event, view),
             Event::Stop => return Next::Stop,
         }
--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -164,7 +164,7 @@
 
     fn dispatch(self: &Arc<Self>, attempt: id::Attempt, order: Option<Order>) {
         let Some(order) = order else {
-            self.report(attempt, End::NotRun { leaving: true }, Duration::ZERO);
+            self.report(attempt, End::NotRun { leaving: false }, Duration::ZERO);
             return;
         };
         let stage = self.job.request.stages[order.stage].name.clone();
--- a/src/coordination/scheduling.rs
+++ b/src/coordination/scheduling.rs
@@ -53,8 +53,20 @@
         }
     }
 
+    /// Takes a new list of endpoints into the view and returns whether there
+    /// was one. The view is published before the scheduler sees the list,
+    /// since a request thread looks up the endpoint it is sent to there.
+    pub fn observe(event: &Event, view: &mut View) -> bool {
+        let Event::Scheduler(event::Event::Endpoints(endpoints)) = event else {
+            return false;
+        };
+
+        view.endpoints = Arc::new(endpoints.clone());
+        true
+    }
+
     /// Handles one event.
-    pub fn handle(&mut self, now: Time, event: Event, view: &mut View) {
+    pub fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Backlog(reply) => {
                 let _ = reply.send(self.scheduler.backlog(now));
@@ -68,7 +80,7 @@
             Event::Register { actions, request } => {
                 self.channels.insert(request, actions);
             }
-            Event::Scheduler(event) => self.schedule(now, event, view),
+            Event::Scheduler(event) => self.schedule(now, event),
         }
     }
 
@@ -77,7 +89,7 @@
         if view.policy.version != self.policy_version {
             self.policy_version = view.policy.version;
             let policy = Arc::clone(&view.policy);
-            self.schedule(now, event::Event::Policy(policy), view);
+            self.schedule(now, event::Event::Policy(policy));
         }
 
         let demands = view
@@ -85,17 +97,13 @@
             .iter()
             .map(|member| member.demand.clone())
             .collect();
-        self.schedule(now, event::Event::Peers(demands), view);
-        self.schedule(now, event::Event::Tick, view);
+        self.schedule(now, event::Event::Peers(demands));
+        self.schedule(now, event::Event::Tick);
         view.local.outstanding = self.scheduler.outstanding();
         view.local.demand = self.scheduler.demand();
     }
 
-    fn schedule(&mut self, now: Time, event: event::Event, view: &mut View) {
-        if let event::Event::Endpoints(endpoints) = &event {
-            view.endpoints = Arc::new(endpoints.clone());
-        }
-
+    fn schedule(&mut self, now: Time, event: event::Event) {
         let ended = match &event {
             event::Event::Ended { request } => Some(request.clone()),
             _ => None,
