Check the scheduler against an oracle with random steps and traces

Change: a world of eight endpoints and an oracle that keeps its own records, a state-machine test with a fixed seed and recorded traces. The test found that a hedge was sent for an attempt whose timeout was being reported, and that a failed attempt whose hedge had not run was sent again without the budget.

--- a/src/state/completion.rs
+++ b/src/state/completion.rs
@@ -77,6 +77,7 @@
         };
 
         current.attempts.retain(|other| *other != attempt);
+        current.failed |= matches!(report.end, End::Failed | End::TimedOut);
         work.ran |= !matches!(report.end, End::NotRun { .. });
 
         match self.next(now, running, &report.end) {
@@ -117,22 +118,18 @@
             return Next::Nothing;
         };
 
-        let alone = work
-            .current
-            .as_ref()
-            .is_none_or(|current| current.attempts.is_empty());
+        let Some(current) = &work.current else {
+            return Next::Nothing;
+        };
 
         match end {
             End::Done { .. } => return Next::Done,
             End::Cancelled => return Next::Nothing,
-            _ if !alone => return Next::Nothing,
+            _ if !current.attempts.is_empty() => return Next::Nothing,
             _ => {}
         }
 
-        let repeatable = work.request.repeatable;
-        let not_run = matches!(end, End::NotRun { .. });
-
-        if !not_run && !repeatable {
+        if current.failed && !work.request.repeatable {
             return Next::GiveUp(Reason::Stage, "the endpoint did not answer in full");
         }
 
@@ -140,7 +137,9 @@
             return Next::GiveUp(Reason::Deadline, "the deadline passed");
         }
 
-        if not_run {
+        // Of an attempt and its hedge, one may have failed and the other not
+        // have run; sending the stage again is a retry then as well.
+        if !current.failed {
             return Next::Queue;
         }
 
--- a/src/state/dispatch.rs
+++ b/src/state/dispatch.rs
@@ -38,6 +38,7 @@
 
         work.current = Some(Current {
             attempts: Vec::new(),
+            failed: false,
             queued: None,
             stage,
             tried: Vec::new(),
@@ -88,6 +89,7 @@
             pool.queue.push(&work.flow, position, item);
 
             if let Some(current) = &mut work.current {
+                current.failed = false;
                 current.queued = Some(Queued {
                     expires,
                     position,
@@ -124,7 +126,11 @@
 
     /// Sends a second attempt of a slow stage.
     pub(super) fn hedge(&mut self, now: Time, attempt: id::Attempt, actions: &mut Vec<Action>) {
-        let Some(running) = self.attempts.get(&attempt).filter(|known| !known.cancelled) else {
+        let Some(running) = self
+            .attempts
+            .get(&attempt)
+            .filter(|known| !known.cancelled && !known.ended)
+        else {
             return;
         };
         let Some(work) = self.works.get(&running.request) else {
@@ -298,6 +304,7 @@
             attempt,
             Running {
                 cancelled: false,
+                ended: false,
                 endpoint,
                 pool: index,
                 request: id.clone(),
--- a/src/state/scheduler.rs
+++ b/src/state/scheduler.rs
@@ -144,6 +144,7 @@
 
     /// Takes one event and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.prepare(&event, actions);
         self.advance(now, actions);
 
         match event {
@@ -154,7 +155,6 @@
                     self.fleet.hints.apply(node, event, limit);
                 }
             }
-            Event::Ended { request } => self.forget(&request, actions),
             Event::Endpoints(endpoints) => {
                 self.fleet.show(now, endpoints, &self.policy, &self.tuning);
                 self.pump_all(now, actions);
@@ -168,6 +168,8 @@
                     self.pump(now, self.fleet.nodes[node].pool, Some(node), actions);
                 }
             }
+            // Done in `prepare`.
+            Event::Ended { .. } => {}
             Event::Peers(demands) => self.limits.report(demands),
             Event::Policy(policy) => self.set_policy(now, policy, actions),
             Event::Ready { request, stage } => self.enqueue(now, &request, stage, actions),
@@ -210,6 +212,20 @@
         }
     }
 
+    /// Takes what an event ends before the timers run, so that no timer sends
+    /// anything for it.
+    fn prepare(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Ended { request } => self.forget(request, actions),
+            Event::Finished { attempt, .. } => {
+                if let Some(running) = self.attempts.get_mut(attempt) {
+                    running.ended = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn set_policy(&mut self, now: Time, policy: Arc<Policy>, actions: &mut Vec<Action>) {
         self.fleet.set_policy(&policy);
         self.limits.retain(|team, class| {
--- /dev/null
+++ b/src/state/scheduler_trace.rs
@@ -0,0 +1,461 @@
+//! Replays steps against a scheduler and an oracle, for tests and for
+//! `persimmoncleatctl replay`.
+
+use {
+    crate::state::{
+        action::Action,
+        attempt::{End, Report},
+        class::Class,
+        clock::Time,
+        endpoint::{Cache, Change, Endpoint, Load, Phase},
+        event::{Demand, Event},
+        id,
+        pipeline::Stage,
+        policy::{Policy, Team},
+        pool::{Kind, Pool},
+        request::Request,
+        scheduler::Scheduler,
+        scheduler_oracle::Oracle,
+        tuning::Tuning,
+        violation::{Rule, Violation, check},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Endpoints of the world: the first three encode, the others generate.
+pub const ENDPOINTS: u8 = 8;
+const ENCODERS: u8 = 3;
+const CONCURRENCY_LIMIT: u32 = 2;
+/// Longest time in a queue by class: `urgent`, `volume`.
+const QUEUE_TIMES: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(1500)];
+/// Rounds after which everything must have settled, of 100 ms each.
+const SETTLE_ROUNDS: u32 = 200;
+
+/// How an attempt of a step ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    Done,
+    Failed,
+    Leaving,
+    NotRun,
+    TimedOut,
+}
+
+/// One step of a trace. Numbers that name a request or an attempt count those
+/// in progress and wrap around.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", tag = "step")]
+pub enum Step {
+    /// Time passes.
+    Advance { ms: u16 },
+    /// A request arrives.
+    Arrive {
+        deadline_ms: u16,
+        prefix: Option<u64>,
+        repeatable: bool,
+        /// Whether there is a generate stage after the encode stage.
+        two_stages: bool,
+        team: u8,
+        urgent: bool,
+    },
+    /// An endpoint sends a cache event.
+    Cache {
+        endpoint: u8,
+        prefix: u64,
+        sequence: u64,
+        stored: bool,
+    },
+    /// The caller of a request goes away.
+    End { request: u8 },
+    /// An attempt ends.
+    Finish { attempt: u8, ending: Ending },
+    /// The host list shows an endpoint in a phase, or no more.
+    List { endpoint: u8, phase: Option<Phase> },
+    /// An endpoint reports its load.
+    Load {
+        age_ms: u16,
+        endpoint: u8,
+        queued: u8,
+        running: u8,
+    },
+    /// Peers report their demand.
+    Peers { demand: Vec<u8> },
+    /// Everything in progress runs to its end.
+    Settle,
+}
+
+/// A scheduler, its surroundings and the oracle.
+#[derive(Debug)]
+pub struct World {
+    actions: Vec<Action>,
+    list: BTreeMap<u8, Phase>,
+    next_request: u32,
+    now: Time,
+    oracle: Oracle,
+    scheduler: Scheduler,
+    tuning: Tuning,
+}
+
+impl World {
+    /// Builds a world in which all endpoints are live.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that is broken.
+    pub fn new(seed: u64, tuning: Tuning) -> Result<Self, Violation> {
+        let mut world = Self {
+            actions: Vec::new(),
+            list: (0..ENDPOINTS).map(|index| (index, Phase::Live)).collect(),
+            next_request: 0,
+            now: Time::from_millis(1),
+            oracle: Oracle::default(),
+            scheduler: Scheduler::with_tuning("d0".into(), seed, tuning.clone()),
+            tuning,
+        };
+        world.send(Event::Policy(Arc::new(policy())))?;
+        world.show()?;
+        Ok(world)
+    }
+
+    /// Takes one step.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first rule that is broken.
+    pub fn step(&mut self, step: &Step) -> Result<(), Violation> {
+        match step {
+            Step::Advance { ms } => self.advance(u64::from(*ms))?,
+            Step::Arrive { .. } => self.arrive(step)?,
+            Step::Cache {
+                endpoint,
+                prefix,
+                sequence,
+                stored,
+            } => {
+                let change = if *stored {
+                    Change::Stored
+                } else {
+                    Change::Evicted
+                };
+                self.send(Event::Cache {
+                    endpoint: endpoint_id(*endpoint),
+                    event: Cache {
+                        change,
+                        prefix: *prefix,
+                        sequence: *sequence,
+                    },
+                })?;
+            }
+            Step::End { request } => self.end(usize::from(*request))?,
+            Step::Finish { attempt, ending } => self.pick(usize::from(*attempt), *ending)?,
+            Step::List { endpoint, phase } => {
+                let endpoint = endpoint % ENDPOINTS;
+
+                match phase {
+                    Some(phase) => self.list.insert(endpoint, *phase),
+                    None => self.list.remove(&endpoint),
+                };
+
+                self.show()?;
+            }
+            Step::Load {
+                age_ms,
+                endpoint,
+                queued,
+                running,
+            } => self.send(Event::Load {
+                endpoint: endpoint_id(*endpoint),
+                load: Load {
+                    age: Duration::from_millis(u64::from(*age_ms)),
+                    capacity: CONCURRENCY_LIMIT,
+                    queued: u32::from(*queued),
+                    running: u32::from(*running),
+                },
+            })?,
+            Step::Peers { demand } => {
+                let demands = demand
+                    .iter()
+                    .map(|count| Demand::from([("t0".into(), u32::from(*count))]));
+                let demands = demands.collect();
+                self.send(Event::Peers(demands))?;
+            }
+            Step::Settle => self.settle()?,
+        }
+
+        self.compare()
+    }
+
+    fn advance(&mut self, millis: u64) -> Result<(), Violation> {
+        self.now = self.now + Duration::from_millis(millis);
+        let overdue: Vec<id::Attempt> = self
+            .oracle
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.started + attempt.timeout <= self.now)
+            .map(|(id, _)| *id)
+            .collect();
+
+        for attempt in overdue {
+            self.finish(attempt, Ending::TimedOut)?;
+        }
+
+        self.send(Event::Tick)
+    }
+
+    fn arrive(&mut self, step: &Step) -> Result<(), Violation> {
+        let Step::Arrive {
+            deadline_ms,
+            prefix,
+            repeatable,
+            two_stages,
+            team,
+            urgent,
+        } = step
+        else {
+            return Ok(());
+        };
+
+        self.next_request += 1;
+        let (class, queue_time) = if *urgent {
+            ("urgent", QUEUE_TIMES[0])
+        } else {
+            ("volume", QUEUE_TIMES[1])
+        };
+        let stages = if *two_stages { 2 } else { 1 };
+        let request = Request {
+            arrived: self.now,
+            class: class.into(),
+            deadline: self.now + Duration::from_millis(u64::from(*deadline_ms)),
+            max_tokens: 100,
+            pipeline: "p".into(),
+            prefix: *prefix,
+            repeatable: *repeatable,
+            request: format!("h.1.{:06}", self.next_request).into(),
+            stages: ["encode", "generate"][..stages]
+                .iter()
+                .map(|name| Stage {
+                    name: (*name).into(),
+                    pool: (*name).into(),
+                })
+                .collect(),
+            team: format!("t{}", team % 3).into(),
+        };
+
+        self.oracle.arrive(request.clone(), queue_time);
+        let id = request.request.clone();
+        self.send(Event::Arrived(request))?;
+
+        if self.oracle.requests[&id].admitted {
+            self.ready(id, 0)?;
+        }
+
+        Ok(())
+    }
+
+    /// Checks that the scheduler's own accounts agree with the oracle's.
+    fn compare(&self) -> Result<(), Violation> {
+        let depth: usize = self
+            .scheduler
+            .backlog(self.now)
+            .iter()
+            .map(|row| row.depth)
+            .sum();
+        let waiting = self.oracle.waiting();
+        check(depth == waiting, Rule::Accounting, || {
+            format!("backlog of {depth}, but {waiting} wait")
+        })?;
+
+        for row in self.scheduler.endpoints(self.now) {
+            let running = self
+                .oracle
+                .attempts
+                .values()
+                .filter(|attempt| attempt.endpoint == row.endpoint)
+                .count();
+            check(
+                row.outstanding as usize == running,
+                Rule::Accounting,
+                || format!("{row:?}, but {running} run"),
+            )?;
+            check(
+                running <= CONCURRENCY_LIMIT as usize,
+                Rule::Concurrency,
+                || format!("{running} calls on {}", row.endpoint),
+            )?;
+        }
+
+        let live = |entry: &&crate::state::scheduler_oracle::Entry| entry.admitted && !entry.over;
+        let live = self.oracle.requests.values().filter(live).count();
+        let outstanding = self.scheduler.outstanding();
+        check(outstanding as usize == live, Rule::Accounting, || {
+            format!("{outstanding} outstanding, but {live} in progress")
+        })
+    }
+
+    fn end(&mut self, nth: usize) -> Result<(), Violation> {
+        let live: Vec<id::Request> = self
+            .oracle
+            .requests
+            .iter()
+            .filter(|(_, entry)| !entry.over)
+            .map(|(id, _)| id.clone())
+            .collect();
+
+        match live.get(nth % live.len().max(1)) {
+            Some(request) => self.over(request.clone()),
+            None => Ok(()),
+        }
+    }
+
+    fn finish(&mut self, attempt: id::Attempt, ending: Ending) -> Result<(), Violation> {
+        let cancelled = self.oracle.cancelled.contains(&attempt);
+        let end = match ending {
+            _ if cancelled => End::Cancelled,
+            Ending::Done => End::Done { tokens: 1 },
+            Ending::Failed => End::Failed,
+            Ending::Leaving => End::NotRun { leaving: true },
+            Ending::NotRun => End::NotRun { leaving: false },
+            Ending::TimedOut => End::TimedOut,
+        };
+        let Some(known) = self.oracle.finish(self.now, attempt, &end) else {
+            return Ok(());
+        };
+
+        let done = matches!(end, End::Done { .. });
+        let elapsed = self.now.since(known.started);
+        self.send(Event::Finished {
+            attempt,
+            report: Report { elapsed, end },
+        })?;
+
+        if !done {
+            return Ok(());
+        }
+
+        let stages = self.oracle.requests[&known.request].request.stages.len();
+
+        if known.stage + 1 < stages {
+            self.ready(known.request, known.stage + 1)
+        } else {
+            self.over(known.request)
+        }
+    }
+
+    fn over(&mut self, request: id::Request) -> Result<(), Violation> {
+        if let Some(entry) = self.oracle.requests.get_mut(&request) {
+            entry.over = true;
+        }
+
+        self.send(Event::Ended { request })
+    }
+
+    fn pick(&mut self, nth: usize, ending: Ending) -> Result<(), Violation> {
+        let attempts: Vec<id::Attempt> = self.oracle.attempts.keys().copied().collect();
+
+        match attempts.get(nth % attempts.len().max(1)) {
+            Some(attempt) => self.finish(*attempt, ending),
+            None => Ok(()),
+        }
+    }
+
+    fn ready(&mut self, request: id::Request, stage: usize) -> Result<(), Violation> {
+        self.oracle.ready(self.now, &request, stage);
+        self.send(Event::Ready { request, stage })
+    }
+
+    fn send(&mut self, event: Event) -> Result<(), Violation> {
+        self.scheduler.handle(self.now, event, &mut self.actions);
+
+        for action in std::mem::take(&mut self.actions) {
+            self.oracle.observe(self.now, &action)?;
+        }
+
+        self.oracle.check(self.now)
+    }
+
+    fn settle(&mut self) -> Result<(), Violation> {
+        for _ in 0..SETTLE_ROUNDS {
+            let attempts: Vec<id::Attempt> = self.oracle.attempts.keys().copied().collect();
+
+            for attempt in attempts {
+                self.finish(attempt, Ending::Done)?;
+            }
+
+            self.advance(100)?;
+        }
+
+        let open = self.oracle.requests.values().filter(|entry| !entry.over);
+        let open = open.count();
+        check(open == 0, Rule::Ending, || {
+            format!("{open} requests never end")
+        })
+    }
+
+    fn show(&mut self) -> Result<(), Violation> {
+        let endpoints: Vec<Endpoint> = self
+            .list
+            .iter()
+            .map(|(index, phase)| endpoint(*index, *phase))
+            .collect();
+        self.oracle
+            .list(self.now, &endpoints, self.tuning.leaving_hold);
+        self.send(Event::Endpoints(endpoints))
+    }
+}
+
+fn endpoint(index: u8, phase: Phase) -> Endpoint {
+    let pool = if index < ENCODERS {
+        "encode"
+    } else {
+        "generate"
+    };
+
+    Endpoint {
+        address: SocketAddr::from(([127, 0, 0, 1], 9000 + u16::from(index))),
+        domain: format!("d{}", index % 2).into(),
+        endpoint: endpoint_id(index),
+        phase,
+        pool: pool.into(),
+    }
+}
+
+fn endpoint_id(index: u8) -> id::Endpoint {
+    format!("e{}", index % ENDPOINTS).into()
+}
+
+fn policy() -> Policy {
+    let class = |priority, share, queue_time| Class {
+        priority,
+        queue_time,
+        share,
+        ..Class::default()
+    };
+    let team = Team {
+        classes: BTreeMap::from([
+            ("urgent".into(), class(9, 0, QUEUE_TIMES[0])),
+            ("volume".into(), class(1, 20, QUEUE_TIMES[1])),
+        ]),
+        ..Team::default()
+    };
+    let pool = |kind| Pool {
+        concurrency_limit: CONCURRENCY_LIMIT,
+        kind,
+        reports_load: kind == Kind::Engine,
+        ..Pool::default()
+    };
+
+    Policy {
+        pools: BTreeMap::from([
+            ("encode".into(), pool(Kind::Pool)),
+            ("generate".into(), pool(Kind::Engine)),
+        ]),
+        teams: (0..3)
+            .map(|index| (format!("t{index}").into(), team.clone()))
+            .collect(),
+        ..Policy::default()
+    }
+}
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -25,6 +25,8 @@
 pub struct Current {
     /// Running attempts that are not cancelled.
     pub attempts: Vec<id::Attempt>,
+    /// Whether an attempt failed since the stage was last queued.
+    pub failed: bool,
     pub queued: Option<Queued>,
     pub stage: usize,
     /// Endpoints that have had the stage.
@@ -63,6 +65,8 @@
 pub struct Running {
     /// Whether its end no longer matters to the request.
     pub cancelled: bool,
+    /// Whether its end is being reported, so that a hedge comes too late.
+    pub ended: bool,
     pub endpoint: usize,
     pub pool: usize,
     pub request: id::Request,
