Find endpoints that the published view does not show yet

A request dispatched within a tick after a change of the host list found no address in the published view, reported its endpoint as leaving, and the scheduler then avoided a live endpoint. The address now comes from the scheduler if the view lacks it. Also: a new connection that sends nothing is closed after the read timeout, an attempt that is given up lets another one take its stream over, and a request whose scheduler is gone ends as not run.

--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::{body, control, drain, gateway::Gateway, problem, scheduling},
+        coordination::{body, drain, gateway::Gateway, problem, scheduling},
         state::{
             id,
             refusal::{Reason, Refusal},
@@ -10,12 +10,9 @@
     },
     rouille::{Request, Response, router},
     serde_json::{Value, json},
-    std::{collections::BTreeMap, sync::mpsc, time::Duration},
+    std::collections::BTreeMap,
 };
 
-/// Longest wait for the control thread.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Answers a request of an operator, whose key has been checked.
 pub fn respond(gateway: &Gateway, request: &Request) -> Response {
     router!(request,
@@ -74,14 +71,14 @@
 }
 
 fn backlog(gateway: &Gateway) -> Response {
-    match ask(gateway, scheduling::Event::Backlog) {
+    match gateway.ask(scheduling::Event::Backlog) {
         Some(rows) => body::json(&json!({ "rows": rows })),
         None => silent(gateway),
     }
 }
 
 fn endpoints(gateway: &Gateway) -> Response {
-    match ask(gateway, scheduling::Event::Endpoints) {
+    match gateway.ask(scheduling::Event::Endpoints) {
         Some(report) => body::json(&json!({ "endpoints": report.endpoints })),
         None => silent(gateway),
     }
@@ -90,7 +87,8 @@
 /// Returns every counter by name. The scheduler's are left out when the
 /// control thread does not answer, so that operators still get the rest.
 fn counters(gateway: &Gateway) -> BTreeMap<&'static str, u64> {
-    let mut counters = ask(gateway, scheduling::Event::Endpoints)
+    let mut counters = gateway
+        .ask(scheduling::Event::Endpoints)
         .map(|report| report.counters)
         .unwrap_or_default();
 
@@ -101,16 +99,6 @@
     counters
 }
 
-fn ask<T>(
-    gateway: &Gateway,
-    event: impl FnOnce(mpsc::Sender<T>) -> scheduling::Event,
-) -> Option<T> {
-    let (sender, receiver) = mpsc::channel();
-    let event = control::Event::Scheduling(event(sender));
-    gateway.control.send(event).ok()?;
-    receiver.recv_timeout(CONTROL_TIMEOUT).ok()
-}
-
 fn silent(gateway: &Gateway) -> Response {
     let refusal = Refusal::not_run(Reason::NotReady, "the control thread did not answer");
     problem::respond(gateway, None, &refusal)
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         coordination::{
-            control, observer::Observer, published::Published, records::Records, tickets::Tickets,
+            control, observer::Observer, published::Published, records::Records, scheduling,
+            tickets::Tickets,
         },
         protocol::{daemon_file::Limits, digest, secret::Secret},
         state::{
@@ -13,13 +14,20 @@
         },
         transport::{boot_clock, client::Client, links::Links},
     },
-    std::{net::SocketAddr, sync::mpsc::Sender, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::mpsc::{self, Sender},
+        time::Duration,
+    },
 };
 
 /// Longest silence of both the object API and all peers before this host
 /// stops accepting requests.
 pub const CONTACT: Duration = Duration::from_secs(5);
 
+/// Longest wait for the control thread.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What request threads need.
 #[derive(Debug)]
 pub struct Gateway {
@@ -35,6 +43,34 @@
 }
 
 impl Gateway {
+    /// Asks the scheduling part; `None` if the control thread does not answer.
+    pub fn ask<T>(&self, event: impl FnOnce(Sender<T>) -> scheduling::Event) -> Option<T> {
+        let (sender, receiver) = mpsc::channel();
+        let event = control::Event::Scheduling(event(sender));
+        self.control.send(event).ok()?;
+        receiver.recv_timeout(CONTROL_TIMEOUT).ok()
+    }
+
+    /// Returns the address of an endpoint. The published view may be one tick
+    /// behind the scheduler, which is asked for an endpoint not found there.
+    pub fn endpoint(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+        let view = self.published.get();
+        let known = view
+            .endpoints
+            .iter()
+            .find(|known| known.endpoint == *endpoint);
+
+        if let Some(known) = known {
+            return Some(known.address);
+        }
+
+        self.ask(scheduling::Event::Endpoints)?
+            .endpoints
+            .into_iter()
+            .find(|known| known.endpoint == *endpoint)
+            .map(|known| known.address)
+    }
+
     /// Returns why this host takes no new work, or `None` when it does.
     pub fn unready(&self) -> Option<Refusal> {
         let view = self.published.get();
--- a/src/coordination/progress.rs
+++ b/src/coordination/progress.rs
@@ -111,6 +111,7 @@
 
     /// Gives up an attempt that is in progress.
     pub fn forget(&mut self, attempt: id::Attempt) -> Option<Order> {
+        self.tokens.release(attempt);
         self.live.remove(&attempt)
     }
 
--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -145,14 +145,8 @@
         stage: usize,
         timeout: Duration,
     ) -> Option<Order> {
-        let view = self.gateway.published.get();
-        let known = view
-            .endpoints
-            .iter()
-            .find(|known| known.endpoint == *endpoint)?;
-
         Some(Order {
-            address: known.address,
+            address: self.gateway.endpoint(endpoint)?,
             attempt,
             endpoint: endpoint.clone(),
             hedge,
--- a/src/coordination/runner.rs
+++ b/src/coordination/runner.rs
@@ -54,9 +54,9 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.refuse_open(Refusal::failed(
-            Reason::Stage,
-            "the run of the request broke off",
+        self.0.refuse_open(Refusal::not_run(
+            Reason::NotReady,
+            "the scheduler gave the request up",
         ));
     }
 }
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -9,8 +9,9 @@
 /// Requests whose events are kept.
 pub const REQUESTS: usize = 10_000;
 
-/// Events kept of one request; a request with many retries loses later ones.
-const EVENTS: usize = 200;
+/// Events kept of one request. Six stages with two attempts each take 40; a
+/// request with more retries loses the later ones.
+const EVENTS: usize = 64;
 
 /// One event of a request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -17,7 +17,7 @@
     },
 };
 
-/// Longest time that a connection may wait for its next request.
+/// Longest time that a connection may wait for its second and later requests.
 const IDLE: Duration = Duration::from_secs(60);
 
 /// Longest time to read on after a refusal, so that the caller gets to read
@@ -34,10 +34,10 @@
     let Ok(caller) = stream.peer_addr() else {
         return;
     };
-    let due = boot_clock::now() + IDLE;
+    let due = boot_clock::now() + limits.read_timeout;
     let mut reader = BufReader::new(Source { due, stream });
 
-    while let Ok(true) = wait(&mut reader) {
+    while matches!(reader.fill_buf(), Ok([_, ..])) {
         reader.get_mut().due = boot_clock::now() + limits.read_timeout;
 
         match read(&mut reader, limits, caller) {
@@ -50,6 +50,8 @@
                 if written.is_err() || !head.keep {
                     return;
                 }
+
+                reader.get_mut().due = boot_clock::now() + IDLE;
             }
             Ok(None) => return,
             Err(fault) => {
@@ -108,11 +110,6 @@
     }
 }
 
-fn wait(reader: &mut BufReader<Source>) -> io::Result<bool> {
-    reader.get_mut().due = boot_clock::now() + IDLE;
-    Ok(!reader.fill_buf()?.is_empty())
-}
-
 fn slow(source: &Source, limits: &Limits, fault: Fault) -> Fault {
     match fault {
         Fault::Invalid { .. } if source.left().is_zero() => Fault::Slow {
