--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -201,7 +201,7 @@
 /// witness if the home is gone.
 pub fn foreign(gateway: &Gateway, request: &Request, posted: &Posted, ticket: &Ticket) -> Response {
     let view = gateway.published.get();
-    let route = resolution::route(&view, &ticket.home.host, ticket.home.incarnation);
+    let route = resolution::route(view.member(&ticket.home.host), ticket.home.incarnation);
 
     if matches!(route, Route::Home)
         && !forward::forwarded(request)
