Withdraw attempts that timed out

A trial with faults at every endpoint of three pools showed stalled calls holding their slots after the gateway had given them up: only cancelled attempts were withdrawn by DELETE. Timed out ones are now too.

--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -204,10 +204,6 @@
         let observer = &self.gateway.observer;
         observer.spend(&self.job.request, &stage, ending.tokens, elapsed);
 
-        if let Some(name) = ending.discarded {
-            observer.count(name);
-        }
-
         self.note(
             Entry::new(
                 "finished",
@@ -217,8 +213,19 @@
             .attempt(order.attempt, &order.endpoint),
         );
 
+        if ending.end == End::TimedOut {
+            self.withdraw(order);
+        }
+
         let finished = self.lock().finish(order, &stage, &ending);
 
+        // The answer of a cancelled attempt is cut short by its endpoint.
+        if let Some(name) = ending.discarded
+            && !matches!(finished, Finish::Late)
+        {
+            observer.count(name);
+        }
+
         match finished {
             Finish::Late => observer.count("late_answers"),
             Finish::Failed => self.report(order.attempt, ending.end, elapsed),
@@ -270,16 +277,22 @@
     fn stop(&self, order: Order) {
         let elapsed = boot_clock::now().since(order.started);
         self.report(order.attempt, End::Cancelled, elapsed);
-        let wire = self.wire(order.attempt);
         let stage = self.job.request.stages[order.stage].name.clone();
         self.note(
             Entry::new("cancelled", "")
                 .stage(&stage)
                 .attempt(order.attempt, &order.endpoint),
         );
+        self.withdraw(&order);
+    }
+
+    /// Tells an endpoint that the answer of an attempt is no longer awaited.
+    fn withdraw(&self, order: &Order) {
+        let address = order.address;
         let client = self.gateway.client.clone();
+        let wire = self.wire(order.attempt);
         let _ = thread::Builder::new().name("cancel".into()).spawn(move || {
-            if let Err(failure) = attempt::cancel(&client, order.address, &wire, CANCEL_TIMEOUT) {
+            if let Err(failure) = attempt::cancel(&client, address, &wire, CANCEL_TIMEOUT) {
                 log::debug!(attempt = wire.as_str(); "cannot cancel: {}", failure.into_error());
             }
         });
--- a/tests/gateway/runner.rs
+++ b/tests/gateway/runner.rs
@@ -126,6 +126,10 @@
     assert_eq!(status, 200, "{text}");
     assert_eq!(parse(&text)["output"], "drafted");
     assert_eq!(script.host.counter(counter), u64::from(!counter.is_empty()));
+
+    if *end == End::TimedOut {
+        wait_for(|| wrong.cancelled.lock().unwrap().len() == 1);
+    }
 }
 
 macro_rules! recovers {
