--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -50,8 +50,9 @@
 pub struct Fleet {
     binary: PathBuf,
     pub endpoints: BTreeMap<String, endpoint::Handle>,
-    folder: TempDir,
+    // Dropped before the folder, which has the logs that a failed test prints.
     pub hosts: Vec<Daemon>,
+    folder: TempDir,
     pub list: host_list::Handle,
     pub objects: object_api::Handle,
     settings: u64,
@@ -108,7 +109,8 @@
         fleet
     }
 
-    /// Starts an endpoint and lists it.
+    /// Starts an endpoint and lists it, in the failure domain that its id's
+    /// number names.
     ///
     /// # Panics
     ///
@@ -122,7 +124,9 @@
         let handle = endpoint::start(listen, options).expect("endpoint starts");
         let address = handle.address();
         self.endpoints.insert(id.into(), handle);
-        self.list_as(id, pool, "d1", address, host_list::Phase::Live);
+        let number = id.rsplit('-').next().unwrap_or_default();
+        let domain = format!("d{number}");
+        self.list_as(id, pool, &domain, address, host_list::Phase::Live);
     }
 
     /// Sets a record of the host list.
