Count object API calls in the status and end with the control thread

The status showed constant store calls. It now shows the counters that all users of the object API share. A daemon whose control thread broke off went on accepting connections that could only fail; it now logs that and exits 1. The lookup of an endpoint no longer asks the scheduler, since the control thread publishes a new list first.

--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -63,7 +63,7 @@
         "settings_version": view.policy.version,
         "outstanding": gateway.records.running(),
         "members": members,
-        "store_calls": {"get": 0, "put": 0, "delete": 0, "list": 0, "watch": 0},
+        "store_calls": gateway.calls.counts(),
         "latency": usage.latencies(),
         "cost": usage.costs(),
         "counters": counters,
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -63,7 +63,9 @@
     })
     .map_err(protocol::Error::from)?;
     let metrics = Metrics::new(file.statsd).map_err(protocol::Error::from)?;
+    let calls = Calls::default();
     let gateway = Arc::new(Gateway {
+        calls: calls.clone(),
         client: Client::new(),
         control: control.clone(),
         limits: file.limits.clone(),
@@ -88,8 +90,12 @@
     let busy = server.busy();
 
     handle_signals(&gateway)?;
-    thread::spawn(move || parts.run(&events));
-    engines::start(leases, object_api(&file), control.clone())
+    let control_thread = thread::Builder::new()
+        .name("control".into())
+        .spawn(move || parts.run(&events))
+        .map_err(|source| Error::Thread { source })?;
+    thread::spawn(move || end_with(control_thread));
+    engines::start(leases, object_api(&file, calls), control.clone())
         .map_err(|source| Error::Thread { source })?;
     Discovery::new(
         file.host.id.clone(),
@@ -111,9 +117,9 @@
     Ok(())
 }
 
-fn object_api(file: &File) -> ObjectApi {
+fn object_api(file: &File, calls: Calls) -> ObjectApi {
     let address = format!("http://{}", file.platform.object_api);
-    ObjectApi::new(&address, Calls::default())
+    ObjectApi::new(&address, calls)
 }
 
 fn server_limits(file: &File) -> server::Limits {
@@ -158,6 +164,14 @@
     id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// Ends the process when the control thread breaks off: without it no request
+/// can run, and a new process starts with a clean state.
+fn end_with(control: thread::JoinHandle<()>) {
+    let _ = control.join();
+    log::error!("the control thread has stopped");
+    process::exit(1);
+}
+
 /// Handles the stop signals: the first one starts the planned stop, the
 /// second one ends the process.
 fn handle_signals(gateway: &Arc<Gateway>) -> Result<(), Error> {
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -12,7 +12,7 @@
             member::Phase,
             refusal::{Reason, Refusal},
         },
-        transport::{boot_clock, client::Client, links::Links},
+        transport::{boot_clock, client::Client, links::Links, object_api::Calls},
     },
     std::{
         net::SocketAddr,
@@ -31,6 +31,8 @@
 /// What request threads need.
 #[derive(Debug)]
 pub struct Gateway {
+    /// Calls to the object API.
+    pub calls: Calls,
     pub client: Client,
     pub control: Sender<control::Event>,
     pub limits: Limits,
@@ -51,24 +53,14 @@
         receiver.recv_timeout(CONTROL_TIMEOUT).ok()
     }
 
-    /// Returns the address of an endpoint. The published view may be one tick
-    /// behind the scheduler, which is asked for an endpoint not found there.
+    /// Returns the address of an endpoint.
     pub fn endpoint(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
         let view = self.published.get();
         let known = view
             .endpoints
             .iter()
-            .find(|known| known.endpoint == *endpoint);
-
-        if let Some(known) = known {
-            return Some(known.address);
-        }
-
-        self.ask(scheduling::Event::Endpoints)?
-            .endpoints
-            .into_iter()
-            .find(|known| known.endpoint == *endpoint)
-            .map(|known| known.address)
+            .find(|known| known.endpoint == *endpoint)?;
+        Some(known.address)
     }
 
     /// Returns why this host takes no new work, or `None` when it does.
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -33,6 +33,7 @@
             client::Client,
             links::Links,
             metrics::Metrics,
+            object_api::Calls,
             server::{self, Fault, Handler, Server},
         },
     },
@@ -228,6 +229,7 @@
         });
         let links = links.unwrap();
         let gateway = Arc::new(Gateway {
+            calls: Calls::default(),
             client: Client::new(),
             control,
             limits: limits.clone(),
