--- /dev/null
+++ b/src/coordination/daemon.rs
@@ -0,0 +1,192 @@
+//! Puts the parts of one host together.
+
+use {
+    crate::{
+        coordination::{
+            bootstrap, claims::Claims, control::Control, discovery::Discovery, drain, engines,
+            error::Error, gateway::Gateway, leases::Leases, membership::Membership,
+            observer::Observer, published::Published, records::Records, routes::Routes,
+            scheduling::Scheduling, settings::Settings, tickets::Tickets,
+        },
+        protocol::{self, daemon_file::File, object_api::ObjectApi},
+        state::{
+            clock::Time,
+            id,
+            member::{Member, Phase},
+            scheduler::Scheduler,
+            view::View,
+        },
+        transport::{
+            boot_clock,
+            client::Client,
+            links::Links,
+            metrics::Metrics,
+            object_api::Calls,
+            server::{self, Server},
+        },
+    },
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{
+        collections::BTreeMap,
+        net::{SocketAddr, TcpListener},
+        process,
+        sync::{Arc, mpsc},
+        thread,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Runs the daemon until its planned stop is over.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound or a signal not be handled.
+pub fn run(file: File) -> Result<(), Error> {
+    let server = Server::bind(file.host.caller_address, server_limits(&file))
+        .map_err(protocol::Error::from)?;
+    let caller_address = server.address().map_err(protocol::Error::from)?;
+    let peers =
+        TcpListener::bind(file.host.peer_address).map_err(|source| Error::Listen { source })?;
+    let peer_address = peers
+        .local_addr()
+        .map_err(|source| Error::Listen { source })?;
+    let view = view(&file, caller_address, peer_address);
+    let published = Published::new(view.clone());
+    let (control, events) = mpsc::channel();
+    let incoming = control.clone();
+    let links = Links::start(peers, file.keys.fleet.as_bytes(), move |call| {
+        // A send fails only after the control thread has stopped.
+        let _ = incoming.send(call.into());
+    })
+    .map_err(protocol::Error::from)?;
+    let metrics = Metrics::new(file.statsd).map_err(protocol::Error::from)?;
+    let calls = Calls::default();
+    let gateway = Arc::new(Gateway {
+        calls: calls.clone(),
+        client: Client::new(),
+        control: control.clone(),
+        limits: file.limits.clone(),
+        links,
+        observer: Observer::new(metrics),
+        operator: file.keys.operator.clone(),
+        published: published.clone(),
+        records: Records::new(file.limits.requests, file.limits.answer_retention),
+        tickets: Tickets::new(file.keys.fleet.as_bytes()),
+    });
+    let (jobs, leases) = mpsc::channel();
+    let seed = view.local.incarnation.0;
+    let parts = Control {
+        claims: Claims::new(&view, file.limits.witness_records),
+        leases: Leases::new(&view, jobs),
+        membership: Membership::default(),
+        published: published.clone(),
+        scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
+        settings: Settings::default(),
+        view,
+    };
+    let busy = server.busy();
+
+    handle_signals(&gateway)?;
+    let control_thread = thread::Builder::new()
+        .name("control".into())
+        .spawn(move || parts.run(&events))
+        .map_err(|source| Error::Thread { source })?;
+    thread::spawn(move || end_with(control_thread));
+    engines::start(leases, object_api(&file, calls), control.clone())
+        .map_err(|source| Error::Thread { source })?;
+    Discovery::new(
+        file.host.id.clone(),
+        file.platform.host_list,
+        published,
+        control,
+    )
+    .start()
+    .map_err(|source| Error::Thread { source })?;
+    log::info!(
+        caller_address = caller_address.to_string().as_str(),
+        peer_address = peer_address.to_string().as_str();
+        "listening"
+    );
+    let routes = Arc::new(Routes(Arc::clone(&gateway)));
+    thread::spawn(move || server.run(routes));
+    drain::wait(&gateway, || busy.count());
+    log::info!("stopped");
+    Ok(())
+}
+
+fn object_api(file: &File, calls: Calls) -> ObjectApi {
+    let address = format!("http://{}", file.platform.object_api);
+    ObjectApi::new(&address, calls)
+}
+
+fn server_limits(file: &File) -> server::Limits {
+    server::Limits {
+        body_bytes: file.limits.body_bytes,
+        connections: file.limits.connections,
+        header_bytes: file.limits.header_bytes,
+        read_timeout: file.limits.read_timeout,
+    }
+}
+
+fn view(file: &File, caller_address: SocketAddr, peer_address: SocketAddr) -> View {
+    let local = Member {
+        caller_address,
+        clock: boot_clock::now(),
+        demand: BTreeMap::new(),
+        domain: file.host.domain.clone(),
+        host: file.host.id.clone(),
+        incarnation: incarnation(),
+        outstanding: 0,
+        peer_address,
+        phase: Phase::Alive,
+        settings: 0,
+    };
+
+    View {
+        endpoints: Arc::default(),
+        had_peers: false,
+        heard_peer: None,
+        heard_store: Some(Time::from_micros(u64::MAX)),
+        local,
+        members: Arc::default(),
+        policy: Arc::new(bootstrap::policy(file.platform.object_api)),
+    }
+}
+
+/// Returns the wall-clock time in microseconds.
+fn incarnation() -> id::Incarnation {
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Ends the process when the control thread breaks off: without it no request
+/// can run, and a new process starts with a clean state.
+fn end_with(control: thread::JoinHandle<()>) {
+    let _ = control.join();
+    log::error!("the control thread has stopped");
+    process::exit(1);
+}
+
+/// Handles the stop signals: the first one starts the planned stop, the
+/// second one ends the process.
+fn handle_signals(gateway: &Arc<Gateway>) -> Result<(), Error> {
+    let mut signals =
+        Signals::new([SIGINT, SIGTERM]).map_err(|source| Error::Signals { source })?;
+    let gateway = Arc::clone(gateway);
+
+    thread::spawn(move || {
+        let mut signals = signals.forever();
+        signals.next();
+        drain::leave(&gateway);
+        signals.next();
+        drain::abandon(&gateway);
+        process::exit(1);
+    });
+
+    Ok(())
+}
--- a/src/coordination/scheduling.rs
+++ b/src/coordination/scheduling.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::state::{
-        action::Action, backlog, clock::Time, event, id, scheduler::Scheduler, view::View,
+        action::Action, backlog, clock::Time, event, id, member::Member, roster,
+        scheduler::Scheduler, view::View,
     },
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         sync::{Arc, mpsc::Sender},
     },
 };
@@ -15,6 +16,8 @@
 pub enum Event {
     /// Asks for the rows of the backlog.
     Backlog(Sender<Vec<backlog::Row>>),
+    /// Asks for the endpoints and the counters.
+    Endpoints(Sender<Report>),
     /// A request thread registers where its actions go.
     Register {
         actions: Sender<Action>,
@@ -24,11 +27,19 @@
     Scheduler(event::Event),
 }
 
+/// What the scheduler tells operators.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub counters: BTreeMap<&'static str, u64>,
+    pub endpoints: Vec<roster::Row>,
+}
+
 /// The scheduler and the channels of the requests in progress.
 #[derive(Debug)]
 pub struct Scheduling {
     actions: Vec<Action>,
     channels: HashMap<id::Request, Sender<Action>>,
+    members: Arc<Vec<Member>>,
     policy_version: u64,
     scheduler: Scheduler,
 }
@@ -39,21 +50,40 @@
         Self {
             actions: Vec::new(),
             channels: HashMap::new(),
+            members: Arc::default(),
             policy_version: 0,
             scheduler,
         }
     }
 
+    /// Takes a new list of endpoints into the view and returns whether there
+    /// was one. The view is published before the scheduler sees the list,
+    /// since a request thread looks up the endpoint it is sent to there.
+    pub fn observe(event: &Event, view: &mut View) -> bool {
+        let Event::Scheduler(event::Event::Endpoints(endpoints)) = event else {
+            return false;
+        };
+
+        view.endpoints = Arc::new(endpoints.clone());
+        true
+    }
+
     /// Handles one event.
-    pub fn handle(&mut self, now: Time, event: Event, view: &mut View) {
+    pub fn handle(&mut self, now: Time, event: Event) {
         match event {
             Event::Backlog(reply) => {
                 let _ = reply.send(self.scheduler.backlog(now));
             }
+            Event::Endpoints(reply) => {
+                let _ = reply.send(Report {
+                    counters: self.scheduler.counters(),
+                    endpoints: self.scheduler.endpoints(now),
+                });
+            }
             Event::Register { actions, request } => {
                 self.channels.insert(request, actions);
             }
-            Event::Scheduler(event) => self.schedule(now, event, view),
+            Event::Scheduler(event) => self.schedule(now, event),
         }
     }
 
@@ -62,25 +92,21 @@
         if view.policy.version != self.policy_version {
             self.policy_version = view.policy.version;
             let policy = Arc::clone(&view.policy);
-            self.schedule(now, event::Event::Policy(policy), view);
+            self.schedule(now, event::Event::Policy(policy));
         }
 
-        let demands = view
-            .members
-            .iter()
-            .map(|member| member.demand.clone())
-            .collect();
-        self.schedule(now, event::Event::Peers(demands), view);
-        self.schedule(now, event::Event::Tick, view);
+        if !Arc::ptr_eq(&view.members, &self.members) {
+            self.members = Arc::clone(&view.members);
+            let demands = self.members.iter().map(|member| member.demand.clone());
+            self.schedule(now, event::Event::Peers(demands.collect()));
+        }
+
+        self.schedule(now, event::Event::Tick);
         view.local.outstanding = self.scheduler.outstanding();
         view.local.demand = self.scheduler.demand();
     }
 
-    fn schedule(&mut self, now: Time, event: event::Event, view: &mut View) {
-        if let event::Event::Endpoints(endpoints) = &event {
-            view.endpoints = Arc::new(endpoints.clone());
-        }
-
+    fn schedule(&mut self, now: Time, event: event::Event) {
         let ended = match &event {
             event::Event::Ended { request } => Some(request.clone()),
             _ => None,
@@ -89,6 +115,18 @@
         self.scheduler.handle(now, event, &mut self.actions);
 
         for action in self.actions.drain(..) {
+            if let Action::Warned(row) = &action {
+                log::warn!(
+                    team = row.team.as_str(),
+                    stage = row.stage.as_str(),
+                    class = row.class.as_str();
+                    "the backlog of pool {} turns late by {} ms with {} requests",
+                    row.pool,
+                    row.lateness.as_millis(),
+                    row.depth
+                );
+            }
+
             if let Some(channel) = action
                 .request()
                 .and_then(|request| self.channels.get(request))
