Bound peer messages to 8 MB and report a timeout at once

The default of 64 MB let a connection without the key claim that much memory. A timed-out call also waited for the lock of a connection attempt by another call, up to 2 s, before it was reported; the lock is now only tried.

--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -6,6 +6,7 @@
         fleet_key::{FleetKey, Side},
         peer_capnp::{gate, peer},
     },
+    capnp::message::ReaderOptions,
     capnp_rpc::{Disconnector, RpcSystem, rpc_twoparty_capnp, twoparty::VatNetwork},
     std::{net::SocketAddr, time::Duration},
     tokio::{
@@ -19,6 +20,10 @@
 /// Longest time for connecting and authenticating.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest message, in words of 8 bytes. The largest one carries a snapshot of
+/// the settings, which the object API limits to 1 MB.
+const MESSAGE_WORDS: usize = 1024 * 1024;
+
 /// Longest time for an orderly end of a connection.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -101,7 +106,7 @@
         reader.compat(),
         writer.compat_write(),
         side,
-        capnp::message::ReaderOptions::new(),
+        *ReaderOptions::new().traversal_limit_in_words(Some(MESSAGE_WORDS)),
     );
     let mut system = RpcSystem::new(Box::new(network), bootstrap);
     system.set_background_error_handler(|error| log::debug!("peer connection: {error}"));
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -88,7 +88,7 @@
         match result {
             Ok(result) => result,
             Err(_) => {
-                self.missed().await;
+                self.missed();
                 TimeoutSnafu {
                     address: self.address.to_string(),
                     millis: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
@@ -167,11 +167,14 @@
         backoff.until = Some(Instant::now() + pause.mul_f64(jitter));
     }
 
-    async fn missed(&self) {
+    /// Counts a call without an answer. A locked connection is being made, so
+    /// there is none to replace.
+    fn missed(&self) {
         self.misses.set(self.misses.get() + 1);
 
         if self.misses.get() >= MISSES
-            && let Some(connection) = self.connection.lock().await.take()
+            && let Ok(mut connection) = self.connection.try_lock()
+            && let Some(connection) = connection.take()
         {
             self.misses.set(0);
             connection.close();
