Apply and pass on settings in the daemon

The settings part of the control thread was a stub and the daemon read a fixed policy once. The fixed policy is gone; the process tests start from the settings log that their fleet writes. The operators' routes submit changes, wait until all members report the version, and read the tree and its history.

Propagation between several processes was not run, because the membership part is still a stub here.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -5,7 +5,6 @@
 pub mod attempt;
 pub mod auth;
 pub mod body;
-pub mod bootstrap;
 pub mod claim;
 pub mod claims;
 pub mod control;
@@ -36,6 +35,9 @@
 pub mod runner;
 pub mod scheduling;
 pub mod settings;
+pub mod settings_api;
+pub mod settings_log;
+pub mod settings_worker;
 pub mod tickets;
 
 pub use error::Error;
--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::{body, drain, gateway::Gateway, problem, scheduling},
+        coordination::{body, drain, gateway::Gateway, problem, scheduling, settings_api},
         state::{
             id,
             refusal::{Reason, Refusal},
@@ -15,6 +15,10 @@
 
 /// Answers a request of an operator, whose key has been checked.
 pub fn respond(gateway: &Gateway, request: &Request) -> Response {
+    if let Some(response) = settings_api::respond(gateway, request) {
+        return response;
+    }
+
     router!(request,
         (GET) ["/v1/admin/status"] => { body::json(&status(gateway)) },
         (GET) ["/v1/admin/backlog"] => { backlog(gateway) },
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -3,14 +3,13 @@
 use {
     crate::{
         coordination::{
-            bootstrap, claims::Claims, control::Control, discovery::Discovery, drain, engines,
-            error::Error, gateway::Gateway, leases::Leases, membership::Membership,
-            observer::Observer, published::Published, records::Records, routes::Routes,
-            scheduling::Scheduling, settings::Settings, tickets::Tickets,
+            claims::Claims, control::Control, discovery::Discovery, drain, engines, error::Error,
+            gateway::Gateway, leases::Leases, membership::Membership, observer::Observer,
+            published::Published, records::Records, routes::Routes, scheduling::Scheduling,
+            settings::Settings, settings_worker, tickets::Tickets,
         },
         protocol::{self, daemon_file::File, object_api::ObjectApi},
         state::{
-            clock::Time,
             id,
             member::{Member, Phase},
             scheduler::Scheduler,
@@ -77,6 +76,7 @@
         tickets: Tickets::new(file.keys.fleet.as_bytes()),
     });
     let (jobs, leases) = mpsc::channel();
+    let (settings_jobs, settings) = mpsc::channel();
     let seed = view.local.incarnation.0;
     let parts = Control {
         claims: Claims::new(&view, file.limits.witness_records),
@@ -84,7 +84,7 @@
         membership: Membership::default(),
         published: published.clone(),
         scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
-        settings: Settings::default(),
+        settings: Settings::new(&view, settings_jobs),
         view,
     };
     let busy = server.busy();
@@ -95,8 +95,15 @@
         .spawn(move || parts.run(&events))
         .map_err(|source| Error::Thread { source })?;
     thread::spawn(move || end_with(control_thread));
-    engines::start(leases, object_api(&file, calls), control.clone())
-        .map_err(|source| Error::Thread { source })?;
+    let store = object_api(&file, calls);
+    settings_worker::start(
+        settings,
+        store.clone(),
+        gateway.links.clone(),
+        control.clone(),
+    )
+    .map_err(|source| Error::Thread { source })?;
+    engines::start(leases, store, control.clone()).map_err(|source| Error::Thread { source })?;
     Discovery::new(
         file.host.id.clone(),
         file.platform.host_list,
@@ -149,10 +156,10 @@
         endpoints: Arc::default(),
         had_peers: false,
         heard_peer: None,
-        heard_store: Some(Time::from_micros(u64::MAX)),
+        heard_store: None,
         local,
         members: Arc::default(),
-        policy: Arc::new(bootstrap::policy(file.platform.object_api)),
+        policy: Arc::default(),
     }
 }
 
--- a/src/coordination/settings.rs
+++ b/src/coordination/settings.rs
@@ -1,29 +1,218 @@
 //! The part of the control thread that applies and passes on settings.
 
 use {
-    crate::state::{clock::Time, view::View},
-    std::sync::mpsc::Sender,
+    crate::{
+        coordination::settings_worker::Job,
+        state::{
+            change::{Change, Draft, Outcome},
+            clock::Time,
+            id,
+            member::{Member, Phase},
+            policy::Policy,
+            rendezvous,
+            replica::{Limits, Replica},
+            replica_action::Action,
+            replica_event,
+            tree::Tree,
+            view::View,
+            watchers::watchers,
+        },
+    },
+    std::{
+        collections::HashMap,
+        iter,
+        sync::{
+            Arc,
+            mpsc::{self, Sender},
+        },
+        time::Duration,
+    },
 };
 
+/// Time between two looks at the other hosts' versions.
+const PERIOD: Duration = Duration::from_millis(100);
+
 /// An event for this part.
 #[derive(Debug)]
 pub enum Event {
     /// A peer asks for the changes after a version, as JSON text.
-    ChangesAfter { reply: Sender<String>, version: u64 },
+    ChangesAfter {
+        reply: mpsc::Sender<String>,
+        version: u64,
+    },
+    /// An operator asks for the latest changes, the newest first.
+    History {
+        limit: usize,
+        reply: Sender<Vec<Change>>,
+    },
+    /// An operator asks for the tree and its version.
+    Read(Sender<(u64, Arc<Tree>)>),
+    /// A call of the replica ended.
+    Replica(replica_event::Event),
+    /// An operator submits a change.
+    Submit {
+        draft: Draft,
+        reply: Sender<Outcome>,
+    },
 }
 
-/// The state of this part.
-#[derive(Debug, Default)]
-pub struct Settings {}
+/// The replica of this host and those who wait for it.
+#[derive(Debug)]
+pub struct Settings {
+    actions: Vec<Action>,
+    /// Version of the policy in the view.
+    applied: u64,
+    jobs: Sender<Job>,
+    looked: Option<Time>,
+    replica: Replica,
+    replies: HashMap<u64, Sender<Outcome>>,
+    ticket: u64,
+}
 
 impl Settings {
+    /// Builds the part; `jobs` leads to the threads that carry out its calls.
+    pub fn new(view: &View, jobs: Sender<Job>) -> Self {
+        let choice = rendezvous::weight(&"ask", &view.local.host);
+
+        Self {
+            actions: Vec::new(),
+            applied: 0,
+            jobs,
+            looked: None,
+            replica: Replica::new(Limits::default(), choice),
+            replies: HashMap::new(),
+            ticket: 0,
+        }
+    }
+
     /// Handles one event.
-    pub fn handle(&mut self, _now: Time, event: Event, _view: &mut View) {
+    pub fn handle(&mut self, now: Time, event: Event, view: &mut View) {
+        let log = self.replica.log();
+
         match event {
-            Event::ChangesAfter { reply, version } => drop((reply, version)),
+            Event::ChangesAfter { reply, version } => {
+                if let Ok(text) = serde_json::to_string(&log.after(version)) {
+                    let _ = reply.send(text);
+                }
+            }
+            Event::History { limit, reply } => {
+                let known = log.recent().take(limit).cloned().collect();
+                let version = log.version();
+                self.send(Job::History {
+                    known,
+                    limit,
+                    reply,
+                    version,
+                });
+            }
+            Event::Read(reply) => {
+                let _ = reply.send((log.version(), Arc::clone(log.tree())));
+            }
+            Event::Replica(event) => {
+                if event.is_answer_of_store() {
+                    view.heard_store = Some(now);
+                }
+
+                self.advance(now, event, view);
+            }
+            Event::Submit { draft, reply } => {
+                self.ticket += 1;
+                let ticket = self.ticket;
+                self.replies.insert(ticket, reply);
+                self.advance(now, replica_event::Event::Submitted { draft, ticket }, view);
+            }
         }
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, _now: Time, _view: &mut View) {}
+    pub fn tick(&mut self, now: Time, view: &mut View) {
+        if self.looked.is_some_and(|looked| now.since(looked) < PERIOD) {
+            return;
+        }
+
+        self.looked = Some(now);
+        let version = self.replica.log().version();
+        let newer = view
+            .members
+            .iter()
+            .filter(|member| member.settings > version)
+            .map(|member| member.host.clone())
+            .collect();
+        self.advance(now, replica_event::Event::Watcher(place(view)), view);
+        self.advance(now, replica_event::Event::Peers(newer), view);
+        self.advance(now, replica_event::Event::Tick, view);
+    }
+
+    fn advance(&mut self, now: Time, event: replica_event::Event, view: &mut View) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.replica.handle(now, event, &mut actions);
+        self.apply(view);
+
+        for action in actions.drain(..) {
+            self.carry_out(action, view);
+        }
+
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: Action, view: &View) {
+        match action {
+            Action::AskPeer { after, peer } => {
+                let address = view.member(&peer).map(|member| member.peer_address);
+                self.send(Job::Ask {
+                    address,
+                    after,
+                    peer,
+                });
+            }
+            Action::Reply { outcome, ticket } => {
+                if let Some(reply) = self.replies.remove(&ticket) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            action => self.send(Job::Store(action)),
+        }
+    }
+
+    fn send(&self, job: Job) {
+        // The threads end only after this one.
+        let _ = self.jobs.send(job);
+    }
+
+    fn apply(&mut self, view: &mut View) {
+        let log = self.replica.log();
+
+        if log.version() == self.applied {
+            return;
+        }
+
+        let policy = match log.changes_from(self.applied + 1) {
+            Some(changes) if self.applied > 0 => {
+                let edits = changes.flat_map(|change| &change.edits);
+                let paths = edits.map(|edit| edit.path.as_str());
+                view.policy.updated(log.version(), log.tree(), paths)
+            }
+            _ => Policy::new(log.version(), log.tree()),
+        };
+        self.applied = log.version();
+        view.local.settings = log.version();
+        view.policy = Arc::new(policy);
+        log::info!(version = log.version(); "settings applied");
+    }
+}
+
+/// Returns this host's place among the watchers.
+fn place(view: &View) -> Option<usize> {
+    let live = iter::once(&view.local)
+        .chain(view.members.iter())
+        .filter(|member| member.phase == Phase::Alive)
+        .map(identity);
+
+    watchers(live)
+        .into_iter()
+        .position(|host| *host == view.local.host)
+}
+
+fn identity(member: &Member) -> (&id::Host, &id::Domain) {
+    (&member.host, &member.domain)
 }
--- /dev/null
+++ b/src/coordination/settings_log.rs
@@ -0,0 +1,202 @@
+//! The objects in which the object API holds the settings.
+
+use {
+    crate::{
+        protocol::{
+            Error,
+            error::JsonSnafu,
+            object::Object,
+            object_api::{ObjectApi, Write},
+        },
+        state::{
+            change::Change,
+            snapshot::{Floor, Snapshot},
+        },
+    },
+    serde::de::DeserializeOwned,
+    serde_json::Value,
+    snafu::ResultExt,
+    std::time::Duration,
+};
+
+const CHANGES: &str = "settings/changes/";
+const FLOOR: &str = "settings/floor";
+const SNAPSHOT: &str = "settings/snapshot";
+
+/// Objects in one page of a list.
+const PAGE: usize = 256;
+
+/// The log of changes, its snapshot and its floor.
+#[derive(Clone, Debug)]
+pub struct SettingsLog(ObjectApi);
+
+impl SettingsLog {
+    /// Builds the log on an object API.
+    pub fn new(store: ObjectApi) -> Self {
+        Self(store)
+    }
+
+    /// Creates a change unless there is one with its version.
+    pub fn create(&self, change: &Change) -> Write {
+        self.0.create(&key(change.version), change)
+    }
+
+    /// Reads the changes after a version and then, if there are any, the floor;
+    /// also returns the revision before the first read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object API does not answer.
+    pub fn list(&self, after: u64) -> Result<(Vec<Change>, Floor, u64), Error> {
+        let mut changes = Vec::<Change>::new();
+        let mut last = key(after);
+        let mut first_revision = None;
+
+        loop {
+            let list = self.0.list(CHANGES, &last, PAGE)?;
+            let count = list.objects.len();
+            let revision = *first_revision.get_or_insert(list.revision);
+
+            if let Some(object) = list.objects.last() {
+                last.clone_from(&object.key);
+            }
+
+            for object in list.objects {
+                changes.push(decode(&object.key, object.value)?);
+            }
+
+            if count < PAGE {
+                let floor = if changes.is_empty() {
+                    Floor::default()
+                } else {
+                    self.read_floor()?.0
+                };
+                return Ok((changes, floor, revision));
+            }
+        }
+    }
+
+    /// Waits for changes after a revision; returns them in the order in which
+    /// they were written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object API does not answer.
+    pub fn watch(&self, after: u64, wait: Duration) -> Result<(Vec<Change>, u64), Error> {
+        let mut watch = self.0.watch(CHANGES, after, wait)?;
+        watch.events.sort_unstable_by_key(|event| event.version);
+        let changes = watch
+            .events
+            .into_iter()
+            .filter_map(|event| Some(decode(&event.key, event.value?)))
+            .collect::<Result<_, _>>()?;
+        Ok((changes, watch.revision))
+    }
+
+    /// Reads the latest changes up to a version, the newest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object API does not answer.
+    pub fn history(&self, version: u64, limit: usize) -> Result<Vec<Change>, Error> {
+        let after = version.saturating_sub(limit as u64);
+        let (mut changes, floor, _) = self.list(after)?;
+        changes.retain(|change| change.version > floor.through);
+        changes.reverse();
+        changes.truncate(limit);
+        Ok(changes)
+    }
+
+    /// Reads the snapshot and the version of its object.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object API does not answer.
+    pub fn read_snapshot(&self) -> Result<Option<(Snapshot, u64)>, Error> {
+        self.read(SNAPSHOT)
+    }
+
+    /// Writes a snapshot, then the floor, then deletes the changes below; each
+    /// only if no other host did so. Returns the floor as it is now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object API does not answer, or refuses a write.
+    pub fn compact(&self, snapshot: &Snapshot, floor: Floor) -> Result<Floor, Error> {
+        let (known, known_version) = self.read_floor()?;
+
+        if known.snapshot >= floor.snapshot {
+            return Ok(known);
+        }
+
+        let written = match self.read_snapshot()? {
+            Some((old, _)) if old.version >= snapshot.version => true,
+            Some((_, version)) => done(self.0.update(SNAPSHOT, snapshot, version))?,
+            None => done(self.0.create(SNAPSHOT, snapshot))?,
+        };
+
+        if !written {
+            return Ok(known);
+        }
+
+        let written = if known_version == 0 {
+            done(self.0.create(FLOOR, &floor))?
+        } else {
+            done(self.0.update(FLOOR, &floor, known_version))?
+        };
+
+        if written {
+            self.prune(floor.through)?;
+        }
+
+        Ok(self.read_floor()?.0)
+    }
+
+    fn prune(&self, through: u64) -> Result<(), Error> {
+        loop {
+            let list = self.0.list(CHANGES, "", PAGE)?;
+            let last = key(through);
+            let old = list
+                .objects
+                .iter()
+                .filter(|object| object.key <= last)
+                .collect::<Vec<_>>();
+
+            for object in &old {
+                done(self.0.delete(&object.key, object.version))?;
+            }
+
+            if old.len() < PAGE {
+                return Ok(());
+            }
+        }
+    }
+
+    fn read_floor(&self) -> Result<(Floor, u64), Error> {
+        Ok(self.read(FLOOR)?.unwrap_or_default())
+    }
+
+    fn read<T: DeserializeOwned>(&self, key: &str) -> Result<Option<(T, u64)>, Error> {
+        self.0
+            .get(key)?
+            .map(|Object { value, version, .. }| Ok((decode(key, value)?, version)))
+            .transpose()
+    }
+}
+
+fn key(version: u64) -> String {
+    format!("{CHANGES}{version:012}")
+}
+
+fn decode<T: DeserializeOwned>(key: &str, value: Value) -> Result<T, Error> {
+    serde_json::from_value(value).context(JsonSnafu { what: key })
+}
+
+/// Returns whether a write was carried out, or another host was first.
+fn done(write: Write) -> Result<bool, Error> {
+    match write {
+        Write::Conflict { .. } => Ok(false),
+        Write::Done { .. } => Ok(true),
+        Write::Refused(error) | Write::Unknown(error) => Err(error),
+    }
+}
--- a/src/state/replica_event.rs
+++ b/src/state/replica_event.rs
@@ -50,3 +50,19 @@
         revision: u64,
     },
 }
+
+impl Event {
+    /// Whether the event shows that the store has answered.
+    pub fn is_answer_of_store(&self) -> bool {
+        matches!(
+            self,
+            Self::Created {
+                creation: Creation::Answered,
+                ..
+            } | Self::Listed { .. }
+                | Self::SnapshotRead(_)
+                | Self::SnapshotWritten(Some(_))
+                | Self::Watched { .. }
+        )
+    }
+}
--- a/src/state/watchers.rs
+++ b/src/state/watchers.rs
@@ -1,8 +1,7 @@
 //! Which hosts watch the store for all others.
 
 use {
-    crate::state::id,
-    sha2::{Digest, Sha256},
+    crate::state::{id, rendezvous},
     std::collections::BTreeMap,
 };
 
@@ -24,7 +23,7 @@
 
     for (host, domain) in hosts {
         let entry = regions.entry(region(domain)).or_default();
-        entry.push((hash(host), host));
+        entry.push((rendezvous::weight(&"watch", host), host));
         entry.sort_unstable_by(|a, b| b.cmp(a));
         entry.truncate(PER_REGION);
     }
@@ -33,11 +32,3 @@
     watchers.sort_unstable_by(|a, b| b.cmp(a));
     watchers.into_iter().map(|(_, host)| host).collect()
 }
-
-/// Returns the rendezvous hash of a host, which is the same everywhere.
-pub fn hash(host: &id::Host) -> u64 {
-    let digest = Sha256::digest(host.as_str());
-    digest[..8]
-        .iter()
-        .fold(0, |hash, byte| hash << 8 | u64::from(*byte))
-}
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -1,12 +1,10 @@
 //! The daemon as a process against the platform's stand-ins.
 
 use {
-    serde_json::json,
     stand_ins::{
-        caller,
         daemon::{Signal, wait},
         faults::Change,
-        fleet::{ALMANAC, Fleet},
+        fleet::Fleet,
     },
     std::{thread, time::Duration},
 };
@@ -17,18 +15,7 @@
 const LIMIT: Duration = Duration::from_secs(30);
 
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::platform(BINARY);
-    fleet.objects.create(
-        "settings/bootstrap",
-        json!({
-            "pipelines": {"almanac": ALMANAC, "publish": ["publish"]},
-            "pools": {"check": "engine", "draft": "engine"},
-            "teams": {"hvarfdal": caller::digest("team key of hvarfdal")},
-        }),
-    );
-    fleet.host("h1", "d1");
-    fleet.ready();
-    fleet
+    Fleet::start(BINARY, 1)
 }
 
 #[test]
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -246,7 +246,7 @@
             membership: Membership::default(),
             published,
             scheduling: Scheduling::new(Scheduler::new("d1".into(), 1)),
-            settings: Settings::default(),
+            settings: Settings::new(&view, mpsc::channel().0),
             view,
         };
         let routes = Arc::new(Routes(Arc::clone(&gateway)));
