--- /dev/null
+++ b/src/bin/persimmoncleatctl/help.rs
@@ -0,0 +1,91 @@
+//! The longer texts of `--help`.
+
+pub const MAIN: &str = "\
+Exit codes: 0 success, 2 wrong usage or file, 3 a refused change, 4 an \
+unreachable service, 1 anything else.
+
+Examples:
+  persimmoncleatctl config check almanac.ini
+  persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key status
+  persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config set teams/hvarfdal/volume deadline 9000";
+
+pub const CHECK: &str = "\
+Works without any host and prints every error.
+
+A section of the file is a path and its entries are keys:
+  [teams/hvarfdal/volume]
+  deadline = 9000
+
+Paths: teams/TEAM/CLASS, pipelines/PIPELINE/STAGE and pools/POOL. A key set on \
+a path holds for all paths below it.
+
+Example: persimmoncleatctl config check almanac.ini";
+
+pub const APPLY: &str = "\
+The file is the whole tree. The difference to the tree in force is shown \
+first, then sent as one change. Values that the file lacks are unset only with \
+--remove.
+
+Examples:
+  persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config apply almanac.ini --dry-run
+  persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config apply almanac.ini";
+
+pub const GET: &str = "\
+Prints the values in force on PATH, inherited ones and defaults included, and \
+the values set below it.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config get teams/hvarfdal/volume --explain";
+
+pub const SET: &str = "\
+The value that is in force when the command starts must still be there when \
+the change is applied; otherwise both values are printed and nothing changes.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config set teams/hvarfdal rate 40";
+
+pub const EXPORT: &str = "\
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config export > almanac.ini";
+
+pub const HISTORY: &str = "\
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+config history --limit 5";
+
+pub const STATUS: &str = "\
+Times are in milliseconds and count from the start of the daemon. A latency \
+without a stage is that of the whole request.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key status";
+
+pub const BACKLOG: &str = "\
+Ages and estimated lateness are in milliseconds.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key backlog";
+
+pub const ENDPOINTS: &str = "\
+OUTSTANDING counts calls of this host, QUEUED and RUNNING are the endpoint's \
+own report.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key endpoints";
+
+pub const EXPLAIN: &str = "\
+Times are in milliseconds since the request arrived. Ask the host that the id \
+starts with.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
+explain h1.1786000000000000.5f0c";
+
+pub const DRAIN: &str = "\
+The host takes no new work, finishes what is in progress and exits with 0.
+
+Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key drain";
+
+pub const REPLAY: &str = "\
+Works without any host. The start of the file name tells which state machine \
+is replayed: claims-, lease-, scheduler- or settings-.
+
+Example: persimmoncleatctl replay tests/traces/settings-every-peer-fails.json";
--- /dev/null
+++ b/src/bin/persimmoncleatctl/main.rs
@@ -0,0 +1,31 @@
+//! The operators' tool.
+
+mod change;
+mod config;
+mod diff;
+mod failure;
+mod fleet;
+mod help;
+mod operator;
+mod options;
+mod replay;
+mod table;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = match options::parse() {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
+
+    match options.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            if !failure.text.is_empty() {
+                eprintln!("{}", failure.text.trim_end());
+            }
+            ExitCode::from(failure.code)
+        }
+    }
+}
--- /dev/null
+++ b/tests/ctl.rs
@@ -0,0 +1,196 @@
+//! The operators' tool as a process.
+
+use {
+    serde_json::{Value, json},
+    stand_ins::{
+        fleet::Fleet,
+        http::{Reply, Request},
+        server::{ANY_PORT, Handler, Server},
+    },
+    std::{
+        fs,
+        net::SocketAddr,
+        path::Path,
+        process::{Command, Output},
+        sync::Arc,
+    },
+    tempfile::TempDir,
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_persimmoncleatctl");
+const DAEMON: &str = env!("CARGO_BIN_EXE_persimmoncleatd");
+const GOOD: &str = "[pipelines/note]\nstages = draft\n[pools/draft]\nkind = engine\n";
+const WRONG: &str = "[pools/draft]\nhedge = maybe\n[teams/a]\nprioritty = 5\nweight = 0\n";
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(BINARY).args(arguments).output().unwrap()
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+fn folder(text: &str) -> (TempDir, String) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("tree.ini");
+    fs::write(&file, text).unwrap();
+    fs::write(folder.path().join("operator.key"), "a key of the operators").unwrap();
+    (folder, file.to_str().unwrap().into())
+}
+
+fn at(address: SocketAddr, key_folder: &Path, arguments: &[&str]) -> Output {
+    let (address, key) = (address.to_string(), key_folder.join("operator.key"));
+    let mut all = vec!["--host", &address, "--key-file", key.to_str().unwrap()];
+    all.extend_from_slice(arguments);
+    run(&all)
+}
+
+macro_rules! offline {
+    ($($name:ident: $arguments:expr => $code:expr, $text:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let output = run(&$arguments);
+                let text = stdout(&output) + &stderr(&output);
+                assert_eq!(output.status.code(), Some($code), "{text}");
+                assert!(text.contains($text), "{text}");
+            }
+        )*
+    };
+}
+
+offline! {
+    broken_trace_name_is_wrong_usage: ["replay", "Cargo.toml"] => 2, "does not start with";
+    command_without_host_is_wrong_usage: ["status"] => 2, "--host ADDRESS";
+    help_has_examples: ["--help"] => 0, "Examples:";
+    help_of_check_has_units: ["config", "check", "--help"] => 0, "from 1 to 600000 (ms)";
+    missing_file_is_wrong_usage: ["config", "check", "nothing.ini"] => 2, "cannot read";
+    replay_of_claims: ["replay", "tests/traces/claims-witness-killed.json"] => 0, "no rule";
+    replay_of_lease: ["replay", "tests/traces/lease-outage.json"] => 0, "no rule";
+    replay_of_scheduler: ["replay", "tests/traces/scheduler-late-hedge.json"] => 0, "no rule";
+    replay_of_settings: ["replay", "tests/traces/settings-every-peer-fails.json"] => 0, "no rule";
+    unknown_command_is_wrong_usage: ["bogus"] => 2, "bogus";
+}
+
+#[test]
+fn check_takes_a_good_file() {
+    let (_folder, file) = folder(GOOD);
+    let output = run(&["config", "check", &file]);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(stdout(&output).contains("2 values, no errors"));
+}
+
+#[test]
+fn check_prints_every_error() {
+    let (_folder, file) = folder(WRONG);
+    let output = run(&["config", "check", &file]);
+    assert_eq!(output.status.code(), Some(2));
+    insta::assert_snapshot!(stderr(&output), @r#"
+    error: [pools/draft] hedge: "maybe", expected one of on, off
+    error: [teams/a] prioritty: "5", expected a known key; the nearest is "priority"
+    error: [teams/a] weight: "0", expected a whole number from 1 to 1000
+    error: [pools/draft] kind: "", expected one of engine, pool, service
+    "#);
+
+    let output = run(&["config", "check", "--json", &file]);
+    let answer = serde_json::from_slice::<Value>(&output.stdout).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(answer["errors"].as_array().unwrap().len(), 4);
+}
+
+#[test]
+fn closed_port_is_an_unreachable_service() {
+    let (folder, _) = folder(GOOD);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let output = at(address, folder.path(), &["status"]);
+    assert_eq!(output.status.code(), Some(4));
+}
+
+/// A host on which another operator is always faster.
+struct Racing;
+
+impl Handler for Racing {
+    fn handle(&self, request: Request) -> Reply {
+        if request.method == "GET" {
+            return Reply::ok(json!({"version": 1, "nodes": []}));
+        }
+
+        Reply::status(
+            409,
+            json!({
+                "path": "teams/a", "key": "rate", "yours": "4", "theirs": "5", "version": 2,
+            }),
+        )
+    }
+}
+
+#[test]
+fn conflict_prints_both_values() {
+    let (folder, _) = folder(GOOD);
+    let server = Server::start(ANY_PORT, Arc::new(Racing)).unwrap();
+    let set = ["config", "set", "teams/a", "rate", "4"];
+    let output = at(server.address(), folder.path(), &set);
+
+    assert_eq!(output.status.code(), Some(3));
+    insta::assert_snapshot!(stderr(&output), @r#"
+    conflict: another change set [teams/a] rate
+      yours:  4
+      theirs: 5 (version 2)
+    "#);
+}
+
+#[test]
+fn daemon_takes_changes_from_the_tool() {
+    let fleet = Fleet::start(DAEMON, 1);
+    let address = fleet.hosts[0].caller_address();
+    let ctl = |arguments: &[&str]| at(address, fleet.folder(), arguments);
+
+    let set = ctl(&["config", "set", "teams/hvarfdal", "rate", "40"]);
+    assert_eq!(set.status.code(), Some(0), "{}", stderr(&set));
+    assert!(stdout(&set).starts_with("accepted as version 2"));
+
+    let get = ctl(&["config", "get", "teams/hvarfdal/volume", "--explain"]);
+    let line = "teams/hvarfdal/volume  rate         40     requests/s     teams/hvarfdal";
+    assert!(stdout(&get).contains(line), "{}", stdout(&get));
+
+    let wrong = ctl(&["config", "set", "teams/hvarfdal", "rate", "many"]);
+    assert_eq!(wrong.status.code(), Some(3));
+    assert!(stderr(&wrong).contains("a whole number from 0 to 1000000 (requests/s)"));
+
+    let history = stdout(&ctl(&["config", "history", "--limit", "1"]));
+    assert!(
+        history.contains("[teams/hvarfdal]\n+ rate = 40\n"),
+        "{history}"
+    );
+
+    let file = fleet.folder().join("tree.ini");
+    let tree = stdout(&ctl(&["config", "export"])).replace("rate = 40", "weight = 7");
+    fs::write(&file, tree).unwrap();
+    let file = file.to_str().unwrap();
+    let diff = "[teams/hvarfdal]\n- rate = 40\n+ weight = 7\n";
+    let dry = ctl(&["config", "apply", file, "--dry-run"]);
+    assert_eq!((dry.status.code(), stdout(&dry)), (Some(0), diff.into()));
+    assert_eq!(ctl(&["config", "apply", file]).status.code(), Some(2));
+
+    let applied = ctl(&["config", "apply", file, "--remove"]);
+    assert_eq!(applied.status.code(), Some(0), "{}", stderr(&applied));
+    assert!(stdout(&applied).contains("accepted as version 3"));
+    assert_eq!(stdout(&ctl(&["config", "apply", file])), "no changes\n");
+
+    for command in ["status", "backlog", "endpoints"] {
+        let output = ctl(&[command]);
+        assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+        assert!(!stdout(&output).is_empty());
+        let output = ctl(&[command, "--json"]);
+        serde_json::from_slice::<Value>(&output.stdout).unwrap();
+    }
+
+    assert_eq!(ctl(&["explain", "h1.1.0"]).status.code(), Some(1));
+    assert!(stdout(&ctl(&["drain"])).starts_with("leaving"));
+}
