Say unknown, not not_run, before a ticket is resolved

Cause: a caller that lost its answer posts its ticket again. A refusal on the way to the ticket's record (wrong key, wrong header, damaged ticket, too large a body, too many connections, a host that is not ready) said not_run although the request had run. The same held for GET with a ticket at a later incarnation of its home. Change: such refusals say unknown when the request carries a ticket, or when its head was not read; above the connection limit the head is read first. The head is parsed by httparse in place of own code. Ruled out: counting the connection limit as not_run for all, since a repeated posting of a ticket arrives there like any other.

--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        protocol::{caller::Body, digest},
+        protocol::{
+            caller::{Body, TICKET_HEADER},
+            digest,
+        },
         state::{
             id,
             policy::Policy,
@@ -54,20 +57,20 @@
             None => false,
             Some(value) => flag("stream", Some(&value))?,
         };
-        let ticket = request.header("Persimmon-Ticket").map(String::from);
+        let ticket = request.header(TICKET_HEADER).map(String::from);
         let key = request.header("Idempotency-Key").map(String::from);
 
         match (&ticket, &key) {
             (None, _) if !repeatable => {
                 return Err(invalid(
-                    "Persimmon-Ticket",
+                    TICKET_HEADER,
                     "",
                     "a ticket, because the request is not repeatable",
                 ));
             }
             (Some(_), _) if repeatable => {
                 return Err(invalid(
-                    "Persimmon-Ticket",
+                    TICKET_HEADER,
                     "a ticket",
                     "none, because the request is repeatable",
                 ));
--- a/src/coordination/problem.rs
+++ b/src/coordination/problem.rs
@@ -3,14 +3,14 @@
 use {
     crate::{
         coordination::gateway::Gateway,
-        protocol::caller::Problem,
+        protocol::caller::{Problem, TICKET_HEADER},
         state::{
             id,
             refusal::{Outcome, Reason, Refusal},
         },
         transport::{client, server::Fault},
     },
-    rouille::{Response, ResponseBody},
+    rouille::{Request, Response, ResponseBody},
     std::time::Duration,
 };
 
@@ -22,15 +22,34 @@
     response(gateway, request, refusal, status(refusal))
 }
 
+/// Returns the refusal of a request before its ticket was resolved.
+///
+/// The request of a ticket may have run when it was posted earlier, here or
+/// elsewhere, so such a refusal proves nothing about it.
+pub fn unresolved(ticketed: bool, mut refusal: Refusal) -> Refusal {
+    if ticketed {
+        refusal.outcome = Outcome::Unknown;
+    }
+
+    refusal
+}
+
 /// Returns the response for a missing or wrong key.
-pub fn forbidden(gateway: &Gateway, status: u16, detail: &str) -> Response {
+pub fn forbidden(gateway: &Gateway, request: &Request, status: u16, detail: &str) -> Response {
     gateway.observer.count("wrong_keys");
     let refusal = Refusal::not_run(Reason::Forbidden, detail);
+    let refusal = unresolved(is_ticketed(request), refusal);
     response(gateway, None, &refusal, status).with_additional_header("WWW-Authenticate", "Bearer")
 }
 
-/// Returns the response for a request that broke a limit of the server.
-pub fn fault(gateway: &Gateway, fault: &Fault) -> Response {
+/// Returns whether a request carries a ticket.
+pub fn is_ticketed(request: &Request) -> bool {
+    request.header(TICKET_HEADER).is_some()
+}
+
+/// Returns the response for a request that broke a limit of the server;
+/// `ticketed` says whether it carries, or may carry, a ticket.
+pub fn fault(gateway: &Gateway, fault: &Fault, ticketed: bool) -> Response {
     let (name, status, reason, detail) = match fault {
         Fault::Body { bytes, limit } => (
             "refused_body_bytes",
@@ -62,7 +81,8 @@
         ),
     };
     gateway.observer.count(name);
-    response(gateway, None, &Refusal::not_run(reason, detail), status)
+    let refusal = unresolved(ticketed, Refusal::not_run(reason, detail));
+    response(gateway, None, &refusal, status)
 }
 
 /// Returns the problem document of a refusal.
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -11,6 +11,7 @@
             record::{Record, Subject},
             records::Opened,
         },
+        protocol::caller::TICKET_HEADER,
         state::{
             id,
             refusal::{Reason, Refusal},
@@ -52,12 +53,17 @@
         return response;
     }
 
-    let refusal = match request.header("Persimmon-Ticket") {
+    let refusal = match request.header(TICKET_HEADER) {
         Some(text) => match gateway.tickets.verify(text) {
-            Ok(ticket) if ticket.request == *id && ticket.home.host != view.local.host => {
+            // This host may be a later incarnation of the ticket's home, so it
+            // asks the witness as well.
+            Ok(ticket) if ticket.request == *id => {
                 claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT)
             }
-            _ => posted::invalid("Persimmon-Ticket", "a ticket", "the ticket of the request"),
+            _ => {
+                let refusal = posted::invalid(TICKET_HEADER, "a ticket", "the request's ticket");
+                problem::unresolved(true, refusal)
+            }
         },
         None => Refusal::unknown(Reason::Missing, "no host holds a record of the request"),
     };
@@ -70,19 +76,23 @@
     pipeline: &str,
 ) -> Result<Response, Box<Response>> {
     let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
-    let posted = Posted::read(request, pipeline).map_err(refuse)?;
+    let unresolved = |refusal| {
+        let ticketed = problem::is_ticketed(request);
+        refuse(problem::unresolved(ticketed, refusal))
+    };
+    let posted = Posted::read(request, pipeline).map_err(unresolved)?;
 
     if gateway.published.get().policy.version == 0
         && let Some(refusal) = gateway.unready()
     {
-        return Err(refuse(refusal));
+        return Err(unresolved(refusal));
     }
 
     auth::team(gateway, request, &posted.team).map_err(Box::new)?;
     let record = match &posted.ticket {
         None => repeatable(gateway, &posted).map_err(refuse)?,
         Some(text) => {
-            let ticket = orders::check_ticket(gateway, &posted, text).map_err(refuse)?;
+            let ticket = orders::check_ticket(gateway, &posted, text).map_err(unresolved)?;
 
             if ticket.home.host != gateway.published.get().local.host {
                 return Ok(orders::foreign(gateway, request, &posted, &ticket));
--- a/src/coordination/routes.rs
+++ b/src/coordination/routes.rs
@@ -5,8 +5,12 @@
         coordination::{
             admin, auth, body, entrypoints, gateway::Gateway, orders, problem, requests,
         },
+        protocol::caller::TICKET_HEADER,
         state::refusal::{Reason, Refusal},
-        transport::server::{Fault, Handler},
+        transport::{
+            head::Head,
+            server::{Fault, Handler},
+        },
     },
     rouille::{Request, Response, router},
     std::sync::Arc,
@@ -51,7 +55,10 @@
         )
     }
 
-    fn refuse(&self, fault: &Fault) -> Response {
-        problem::fault(&self.0, fault)
+    fn refuse(&self, fault: &Fault, head: Option<&Head>) -> Response {
+        // Without its head a request may carry a ticket.
+        let ticketed =
+            head.is_none_or(|head| head.header(&TICKET_HEADER.to_ascii_lowercase()).is_some());
+        problem::fault(&self.0, fault, ticketed)
     }
 }
--- a/src/protocol/caller.rs
+++ b/src/protocol/caller.rs
@@ -8,6 +8,9 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// The header that carries a ticket.
+pub const TICKET_HEADER: &str = "Persimmon-Ticket";
+
 /// One address that callers may use.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/src/transport/head.rs
+++ b/src/transport/head.rs
@@ -3,9 +3,11 @@
 use {
     crate::transport::server::Fault,
     std::io::{self, BufRead, Read},
-    ureq::http::{HeaderName, HeaderValue, Method, Uri},
 };
 
+/// Most headers of one request.
+const HEADERS: usize = 64;
+
 /// The head of one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Head {
@@ -26,25 +28,56 @@
     ///
     /// Returns the fault that the head has.
     pub fn read(reader: &mut impl BufRead, limit: usize) -> Result<Option<Self>, Fault> {
-        let mut left = limit;
-        let Some(line) = line(reader, &mut left, limit)? else {
-            return Ok(None);
-        };
-        let mut head = request_line(&line).ok_or_else(|| invalid("the request line"))?;
-
-        loop {
-            match line_of(reader, &mut left, limit)?.as_str() {
-                "" => break,
-                line => {
-                    let header = header(line).ok_or_else(|| invalid("a header"))?;
-                    head.headers.push(header);
-                }
+        let mut bytes = Vec::new();
+
+        while !bytes.ends_with(b"\r\n\r\n") && !bytes.ends_with(b"\n\n") {
+            let left = u64::try_from(limit - bytes.len()).unwrap_or(u64::MAX);
+            let read = reader.take(left).read_until(b'\n', &mut bytes);
+
+            match read.map_err(|error| broken(&error))? {
+                0 if bytes.len() == limit => return Err(Fault::Header { limit }),
+                0 if bytes.is_empty() => return Ok(None),
+                0 => return Err(invalid("the end of the header")),
+                _ => {}
             }
         }
 
+        Self::parse(&bytes).map(Some)
+    }
+
+    fn parse(bytes: &[u8]) -> Result<Self, Fault> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        request
+            .parse(bytes)
+            .map_err(|error| invalid(&format!("the head ({error})")))?;
+
+        let (Some(method), Some(target)) = (request.method, request.path) else {
+            return Err(invalid("the request line"));
+        };
+
+        if !target.starts_with('/') {
+            return Err(invalid("the request's target"));
+        }
+
+        let modern = request.version == Some(1);
+        let mut head = Self {
+            headers: Vec::new(),
+            keep: false,
+            method: method.into(),
+            modern,
+            target: target.into(),
+        };
+
+        for header in request.headers.iter() {
+            let value = std::str::from_utf8(header.value).map_err(|_| invalid("a header"))?;
+            let name = header.name.to_ascii_lowercase();
+            head.headers.push((name, value.into()));
+        }
+
         let connection = head.header("connection").unwrap_or("").to_ascii_lowercase();
-        head.keep = head.modern && !connection.contains("close");
-        Ok(Some(head))
+        head.keep = modern && !connection.contains("close");
+        Ok(head)
     }
 
     /// Returns the length of the body.
@@ -87,69 +120,6 @@
     }
 }
 
-fn request_line(line: &str) -> Option<Head> {
-    let mut parts = line.split(' ');
-    let (method, target, version) = (parts.next()?, parts.next()?, parts.next()?);
-    let modern = match version {
-        "HTTP/1.0" => false,
-        "HTTP/1.1" => true,
-        _ => return None,
-    };
-
-    if parts.next().is_some() || !target.starts_with('/') {
-        return None;
-    }
-
-    target.parse::<Uri>().ok()?;
-
-    Some(Head {
-        headers: Vec::new(),
-        keep: modern,
-        method: Method::from_bytes(method.as_bytes()).ok()?.to_string(),
-        modern,
-        target: target.into(),
-    })
-}
-
-fn header(line: &str) -> Option<(String, String)> {
-    let (name, value) = line.split_once(':')?;
-    let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-    let value = HeaderValue::from_str(value.trim()).ok()?;
-    Some((name.to_string(), value.to_str().ok()?.into()))
-}
-
-fn line_of(reader: &mut impl BufRead, left: &mut usize, limit: usize) -> Result<String, Fault> {
-    line(reader, left, limit)?.ok_or_else(|| invalid("the end of the header"))
-}
-
-fn line(
-    reader: &mut impl BufRead,
-    left: &mut usize,
-    limit: usize,
-) -> Result<Option<String>, Fault> {
-    let mut bytes = Vec::new();
-    let max = u64::try_from(*left).unwrap_or(u64::MAX);
-    let read = reader
-        .take(max)
-        .read_until(b'\n', &mut bytes)
-        .map_err(|error| broken(&error))?;
-    *left -= read;
-
-    if read == 0 && *left > 0 {
-        return Ok(None);
-    }
-
-    match bytes.strip_suffix(b"\n") {
-        Some(line) => {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            let line = std::str::from_utf8(line).map_err(|_| invalid("the header's text"))?;
-            Ok(Some(line.into()))
-        }
-        None if *left == 0 => Err(Fault::Header { limit }),
-        None => Err(invalid("the end of the header")),
-    }
-}
-
 fn broken(error: &io::Error) -> Fault {
     Fault::Invalid {
         detail: format!("the request broke off: {error}"),
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -41,7 +41,7 @@
         reader.get_mut().due = boot_clock::now() + limits.read_timeout;
 
         match read(&mut reader, limits, caller) {
-            Ok(Some((head, request))) => {
+            Received::Request(head, request) => {
                 let written = busy.during(|| {
                     let response = handler.handle(&request);
                     write(&reader.get_ref().stream, response, &head)
@@ -53,19 +53,36 @@
 
                 reader.get_mut().due = boot_clock::now() + IDLE;
             }
-            Ok(None) => return,
-            Err(fault) => {
+            Received::End => return,
+            Received::Fault(fault, head) => {
                 let fault = slow(reader.get_ref(), limits, fault);
-                refuse(reader.into_inner().stream, handler, &fault);
+                refuse(reader.into_inner().stream, handler, &fault, head.as_ref());
                 return;
             }
         }
     }
 }
 
+/// Refuses the request of a connection above the limit. Its head is read
+/// first, since what a refusal proves depends on it.
+pub fn turn_away(stream: TcpStream, limits: &Limits, handler: &impl Handler) {
+    let due = boot_clock::now() + LINGER;
+    let mut reader = BufReader::new(Source { due, stream });
+    let head = Head::read(&mut reader, limits.header_bytes).ok().flatten();
+    let limit = limits.connections;
+    let stream = reader.into_inner().stream;
+    refuse(
+        stream,
+        handler,
+        &Fault::Connections { limit },
+        head.as_ref(),
+    );
+}
+
 /// Answers a connection with a refusal and closes it.
-pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault) {
+fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault, head: Option<&Head>) {
     let _ = stream.set_write_timeout(Some(LINGER));
+    let response = handler.refuse(fault, head);
     let head = Head {
         headers: Vec::new(),
         keep: false,
@@ -74,7 +91,7 @@
         target: String::new(),
     };
 
-    if write(&stream, handler.refuse(fault), &head).is_err() {
+    if write(&stream, response, &head).is_err() {
         return;
     }
 
@@ -85,6 +102,14 @@
     while matches!(source.read(&mut buffer), Ok(1..)) {}
 }
 
+/// What a caller sent.
+enum Received {
+    End,
+    /// A request with a fault, and its head unless the fault is there.
+    Fault(Fault, Option<Head>),
+    Request(Head, Request),
+}
+
 /// Reads from a socket until a moment.
 struct Source {
     due: Time,
@@ -119,14 +144,23 @@
     }
 }
 
-fn read(
+fn read(reader: &mut BufReader<Source>, limits: &Limits, caller: SocketAddr) -> Received {
+    match Head::read(reader, limits.header_bytes) {
+        Ok(Some(head)) => match request(reader, limits, caller, head.clone()) {
+            Ok(request) => Received::Request(head, request),
+            Err(fault) => Received::Fault(fault, Some(head)),
+        },
+        Ok(None) => Received::End,
+        Err(fault) => Received::Fault(fault, None),
+    }
+}
+
+fn request(
     reader: &mut BufReader<Source>,
     limits: &Limits,
     caller: SocketAddr,
-) -> Result<Option<(Head, Request)>, Fault> {
-    let Some(head) = Head::read(reader, limits.header_bytes)? else {
-        return Ok(None);
-    };
+    head: Head,
+) -> Result<Request, Fault> {
     let bytes = head.body_bytes()?;
     let limit = limits.body_bytes;
 
@@ -152,9 +186,10 @@
         method,
         target,
         ..
-    } = head.clone();
-    let request = Request::fake_http_from(caller, method, target, headers, body);
-    Ok(Some((head, request)))
+    } = head;
+    Ok(Request::fake_http_from(
+        caller, method, target, headers, body,
+    ))
 }
 
 fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
--- a/tests/gateway/records.rs
+++ b/tests/gateway/records.rs
@@ -68,6 +68,46 @@
     assert_eq!(fake.count(), 1);
 }
 
+/// A caller that lost its answer posts the ticket again; a refusal that comes
+/// before the ticket is looked up must not claim that the request did not run.
+macro_rules! refusal_after_the_run_is_unknown {
+    ($($name:ident: $header:expr, $status:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let fake = Fake::start(|_, call| done(call, "published"));
+                let host = service(&fake);
+                let ticket = host.ticket(BODY);
+                assert_eq!(host.post_once(&ticket, BODY).0, 200);
+
+                let wrong: (&str, &str) = $header;
+                let mut headers = vec![
+                    wrong,
+                    ("Authorization", "Bearer the key of team hvarfdal"),
+                    ("Persimmon-Class", "volume"),
+                    ("Persimmon-Repeatable", "false"),
+                    ("Persimmon-Team", "hvarfdal"),
+                    ("Persimmon-Ticket", ticket["ticket"].as_str().unwrap()),
+                ];
+                // The wrong header replaces the right one of the same name.
+                headers.sort_by_key(|(name, _)| *name);
+                headers.dedup_by_key(|(name, _)| *name);
+                let path = "/v1/pipelines/draft/requests";
+                let (status, text) = host.send(path, &headers, BODY);
+                assert_eq!(status, $status, "{text}");
+                assert_eq!(parse(&text)["outcome"], "unknown", "{text}");
+                assert_eq!(fake.count(), 1);
+            }
+        )*
+    };
+}
+
+refusal_after_the_run_is_unknown! {
+    wrong_key_after_the_run: ("Authorization", "Bearer wrong"), 403;
+    wrong_deadline_after_the_run: ("Persimmon-Deadline-Ms", "0"), 400;
+    damaged_ticket_after_the_run: ("Persimmon-Ticket", "damaged"), 409;
+}
+
 #[test]
 fn ticket_with_another_body_is_a_conflict() {
     let fake = Fake::start(|_, call| done(call, "published"));
