Bound the bodies of all requests together

The limits on one body and on connections alone would have let callers take 2 GB. Bodies in progress now share 64 MB, and a request beyond that is refused as not run. Making room in a full table of records no longer walks the whole table, and its size follows the limit on requests.

--- a/src/coordination/problem.rs
+++ b/src/coordination/problem.rs
@@ -32,6 +32,12 @@
 /// Returns the response for a request that broke a limit of the server.
 pub fn fault(gateway: &Gateway, fault: &Fault) -> Response {
     let (name, status, reason, detail) = match fault {
+        Fault::Bodies { limit } => (
+            "refused_bodies",
+            503,
+            Reason::Limit,
+            format!("bodies of all requests take more than {limit} bytes"),
+        ),
         Fault::Body { bytes, limit } => (
             "refused_body_bytes",
             413,
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -12,9 +12,10 @@
     },
 };
 
-/// Records held at a time. At 26 requests a second and 60 s of retention a
-/// host holds about 1,600.
-const RECORDS: usize = 100_000;
+/// Records held for each request that may be in progress. With the default of
+/// 5,000 requests that is 100,000; at 26 requests a second and 60 s of retention
+/// a host holds about 1,600.
+const RECORDS_PER_REQUEST: usize = 20;
 
 /// Bytes of answers held at a time, a quarter of the memory of a host.
 const ANSWER_BYTES: usize = 64 * 1024 * 1024;
@@ -41,6 +42,8 @@
     keys: HashMap<(id::Team, String), id::Request>,
     records: HashMap<id::Request, Arc<Record>>,
     running: usize,
+    /// The part of `due` that may go earlier when there is no room.
+    spare: BTreeSet<(Time, id::Request)>,
 }
 
 /// The bounded table of records.
@@ -57,7 +60,7 @@
     /// `retention`.
     pub fn new(requests: usize, retention: Duration) -> Self {
         Self {
-            capacity: RECORDS.max(requests),
+            capacity: requests.saturating_mul(RECORDS_PER_REQUEST),
             inner: Mutex::default(),
             requests,
             retention,
@@ -157,9 +160,10 @@
     fn expire(&mut self, now: Time) {
         while let Some((due, _)) = self.due.first()
             && *due <= now
-            && let Some((_, request)) = self.due.pop_first()
+            && let Some(oldest) = self.due.pop_first()
         {
-            self.remove(&request);
+            self.spare.remove(&oldest);
+            self.remove(&oldest.1);
         }
     }
 
@@ -179,27 +183,17 @@
     /// one. Those of tickets and idempotency keys stay: without them a second
     /// copy of a request would run.
     fn make_room(&mut self, capacity: usize) -> bool {
-        let full = |inner: &Self| inner.records.len() >= capacity || inner.bytes >= ANSWER_BYTES;
+        loop {
+            if self.records.len() < capacity && self.bytes < ANSWER_BYTES {
+                return true;
+            }
 
-        if full(self) {
-            let safe = |record: &Record| {
-                let subject = &record.subject;
-                subject.ticket.is_none() && subject.key.is_none()
+            let Some(oldest) = self.spare.pop_first() else {
+                return false;
             };
-            let mut due = std::mem::take(&mut self.due);
-            due.retain(|(_, request)| {
-                let goes = full(self) && self.records.get(request).is_some_and(|r| safe(r));
-
-                if goes {
-                    self.remove(request);
-                }
-
-                !goes
-            });
-            self.due = due;
+            self.due.remove(&oldest);
+            self.remove(&oldest.1);
         }
-
-        !full(self)
     }
 
     fn find(&self, subject: &Subject) -> Option<Opened> {
@@ -238,6 +232,12 @@
             Some(issued) => answer.max(issued + home::RETENTION),
             None => answer,
         };
-        self.due.insert((due, record.subject.request.clone()));
+        let entry = (due, record.subject.request.clone());
+
+        if record.subject.ticket.is_none() && record.subject.key.is_none() {
+            self.spare.insert(entry.clone());
+        }
+
+        self.due.insert(entry);
     }
 }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -4,7 +4,10 @@
     crate::transport::error::Error,
     serde::Serialize,
     std::{io, net::SocketAddr, time::Duration},
-    ureq::{Agent, Body, http::Response},
+    ureq::{
+        Agent, AsSendBody, Body,
+        http::{Method, Request, Response, request},
+    },
 };
 
 /// Longest body read in one piece.
@@ -63,16 +66,7 @@
         headers: &[(&str, &str)],
         timeout: Duration,
     ) -> Result<Response<Body>, Failure> {
-        let request = headers.iter().fold(
-            self.0.get(format!("http://{address}{path}")),
-            |request, (name, value)| request.header(*name, *value),
-        );
-
-        request
-            .config()
-            .timeout_global(Some(timeout))
-            .build()
-            .call()
+        self.send(request(Method::GET, address, path, headers), (), timeout)
             .map_err(|error| failure(address, timeout, &error))
     }
 
@@ -89,16 +83,7 @@
         body: &[u8],
         timeout: Duration,
     ) -> Result<Response<Body>, Failure> {
-        let request = headers.iter().fold(
-            self.0.post(format!("http://{address}{path}")),
-            |request, (name, value)| request.header(*name, *value),
-        );
-
-        request
-            .config()
-            .timeout_global(Some(timeout))
-            .build()
-            .send(body)
+        self.send(request(Method::POST, address, path, headers), body, timeout)
             .map_err(|error| failure(address, timeout, &error))
     }
 
@@ -113,14 +98,38 @@
         path: &str,
         timeout: Duration,
     ) -> Result<Response<Body>, Failure> {
-        self.0
-            .delete(format!("http://{address}{path}"))
-            .config()
-            .timeout_global(Some(timeout))
-            .build()
-            .call()
+        self.send(request(Method::DELETE, address, path, &[]), (), timeout)
             .map_err(|error| failure(address, timeout, &error))
     }
+
+    fn send(
+        &self,
+        request: request::Builder,
+        body: impl AsSendBody,
+        timeout: Duration,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let request = self
+            .0
+            .configure_request(request.body(body)?)
+            .timeout_global(Some(timeout))
+            .build();
+        self.0.run(request)
+    }
+}
+
+fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> request::Builder {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+
+    headers.iter().fold(request, |request, (name, value)| {
+        request.header(*name, *value)
+    })
 }
 
 /// Reads a whole body.
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -6,7 +6,7 @@
         transport::{
             boot_clock,
             head::Head,
-            server::{Busy, Fault, Handler, Limits},
+            server::{Busy, Fault, Handler, Limits, Slot},
         },
     },
     rouille::{Request, Response},
@@ -40,8 +40,8 @@
     while matches!(reader.fill_buf(), Ok([_, ..])) {
         reader.get_mut().due = boot_clock::now() + limits.read_timeout;
 
-        match read(&mut reader, limits, caller) {
-            Ok(Some((head, request))) => {
+        match read(&mut reader, limits, caller, busy) {
+            Ok(Some((head, request, _room))) => {
                 let written = busy.during(|| {
                     let response = handler.handle(&request);
                     write(&reader.get_ref().stream, response, &head)
@@ -123,16 +123,17 @@
     reader: &mut BufReader<Source>,
     limits: &Limits,
     caller: SocketAddr,
-) -> Result<Option<(Head, Request)>, Fault> {
+    busy: &Busy,
+) -> Result<Option<(Head, Request, Slot)>, Fault> {
     let Some(head) = Head::read(reader, limits.header_bytes)? else {
         return Ok(None);
     };
     let bytes = head.body_bytes()?;
     let limit = limits.body_bytes;
-
-    if bytes > u64::try_from(limit).unwrap_or(u64::MAX) {
-        return Err(Fault::Body { bytes, limit });
-    }
+    let room = match usize::try_from(bytes) {
+        Ok(bytes) if bytes <= limit => busy.body(bytes)?,
+        _ => return Err(Fault::Body { bytes, limit }),
+    };
 
     if head.header("expect").is_some() {
         let _ = (&reader.get_ref().stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -154,7 +155,7 @@
         ..
     } = head.clone();
     let request = Request::fake_http_from(caller, method, target, headers, body);
-    Ok(Some((head, request)))
+    Ok(Some((head, request, room)))
 }
 
 fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -27,6 +27,10 @@
 /// further ones are closed without an answer.
 const REFUSED_CONNECTIONS: usize = 64;
 
+/// Bytes of bodies held at a time, for all connections together. The limits on
+/// one body and on connections alone would allow 2 GB.
+const BODIES_BYTES: usize = 64 * 1024 * 1024;
+
 /// Enough for a request thread; the default of 2 MB would reserve 4 GB of
 /// address space at the connection limit.
 const STACK_BYTES: usize = 512 * 1024;
@@ -44,6 +48,7 @@
 /// Why a request was refused before the handler saw it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Fault {
+    Bodies { limit: usize },
     Body { bytes: u64, limit: usize },
     Connections { limit: usize },
     Header { limit: usize },
@@ -115,7 +120,7 @@
     }
 
     fn start(&self, stream: TcpStream, handler: &Arc<impl Handler>, count: &Arc<AtomicUsize>) {
-        let slot = Slot::take(count);
+        let slot = Slot::take(count, 1);
 
         if slot.number >= self.limits.connections + REFUSED_CONNECTIONS {
             return;
@@ -143,40 +148,66 @@
     }
 }
 
-/// Counts the requests whose answer is not yet written in full.
+/// Counts the requests whose answer is not yet written in full, and the bytes
+/// of their bodies.
 #[derive(Clone, Debug, Default)]
-pub struct Busy(Arc<AtomicUsize>);
+pub struct Busy {
+    bytes: Arc<AtomicUsize>,
+    requests: Arc<AtomicUsize>,
+}
 
 impl Busy {
     /// Returns the number of requests.
     pub fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.requests.load(Ordering::Relaxed)
     }
 
     /// Counts one request while `answer` runs.
     pub fn during<T>(&self, answer: impl FnOnce() -> T) -> T {
-        let _slot = Slot::take(&self.0);
+        let _slot = Slot::take(&self.requests, 1);
         answer()
     }
+
+    /// Holds room for a body until the slot is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the bodies of all requests take too much room.
+    pub fn body(&self, bytes: usize) -> Result<Slot, Fault> {
+        let slot = Slot::take(&self.bytes, bytes);
+
+        if slot.number + bytes > BODIES_BYTES {
+            return Err(Fault::Bodies {
+                limit: BODIES_BYTES,
+            });
+        }
+
+        Ok(slot)
+    }
 }
 
-struct Slot {
+/// A part of a bounded count, given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
     count: Arc<AtomicUsize>,
+    /// The count before this part.
     number: usize,
+    size: usize,
 }
 
 impl Slot {
-    fn take(count: &Arc<AtomicUsize>) -> Self {
+    fn take(count: &Arc<AtomicUsize>, size: usize) -> Self {
         Self {
             count: Arc::clone(count),
-            number: count.fetch_add(1, Ordering::Relaxed),
+            number: count.fetch_add(size, Ordering::Relaxed),
+            size,
         }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
+        self.count.fetch_sub(self.size, Ordering::Relaxed);
     }
 }
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -140,6 +140,24 @@
     wait_for(|| raw(&host, "GET /v1/entrypoints HTTP/1.0\r\n\r\n").starts_with("HTTP/1.1 200"));
 }
 
+#[test]
+fn bodies_of_all_requests_above_their_limit() {
+    const HEAD: &[u8] = b"POST /v1/tickets HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n";
+
+    let (host, _fake) = host(Limits::default());
+    let held: Vec<_> = (0..65)
+        .map(|_| {
+            let mut stream = TcpStream::connect(host.address).unwrap();
+            stream.write_all(HEAD).unwrap();
+            stream
+        })
+        .collect();
+
+    wait_for(|| host.counter("refused_bodies") == 1);
+    drop(held);
+    wait_for(|| host.send("/v1/tickets", &[], "{}").0 == 400);
+}
+
 #[test]
 fn requests_in_progress_above_the_limit() {
     let limits = Limits {
--- a/tests/gateway/records.rs
+++ b/tests/gateway/records.rs
@@ -151,3 +151,42 @@
     assert_eq!(status, 200, "{text}");
     assert_eq!(parse(&text)["output"], "published");
 }
+
+/// A host for one request at a time, which holds 20 records.
+fn small(fake: &Fake) -> Host {
+    let limits = Limits {
+        requests: 1,
+        ..Limits::default()
+    };
+    Host::with_limits(&[("publish", Kind::Service, &[fake.address])], limits)
+}
+
+#[test]
+fn full_table_drops_the_oldest_answer_without_a_key() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = small(&fake);
+    let posted: Vec<_> = (0..21).map(|_| host.post("", &[], BODY)).collect();
+    let fetch = |text: &str| {
+        let request = parse(text)["request"].as_str().unwrap().to_string();
+        host.get(&format!("/v1/requests/{request}"), crate::support::TEAM_KEY)
+    };
+
+    assert!(posted.iter().all(|(status, _)| *status == 200));
+    assert_eq!(fetch(&posted[0].1).0, 404);
+    assert_eq!(fetch(&posted[1].1), posted[1]);
+}
+
+#[test]
+fn full_table_refuses_rather_than_drop_a_key() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = small(&fake);
+    let post = |number: usize| host.post("", &[("Idempotency-Key", &format!("k{number}"))], BODY);
+    let first = post(0);
+    (1..20).for_each(|number| assert_eq!(post(number).0, 200));
+
+    let (status, text) = post(20);
+    assert_eq!(status, 503, "{text}");
+    assert_eq!(parse(&text)["outcome"], "not_run");
+    assert_eq!(post(0), first);
+    assert_eq!(fake.count(), 20);
+}
