--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -6,7 +6,7 @@
         transport::{
             boot_clock,
             head::Head,
-            server::{Busy, Fault, Handler, Limits},
+            server::{Busy, Fault, Handler, Limits, Slot},
         },
     },
     rouille::{Request, Response},
@@ -40,8 +40,8 @@
     while matches!(reader.fill_buf(), Ok([_, ..])) {
         reader.get_mut().due = boot_clock::now() + limits.read_timeout;
 
-        match read(&mut reader, limits, caller) {
-            Received::Request(head, request) => {
+        match read(&mut reader, limits, caller, busy) {
+            Received::Request(head, request, _room) => {
                 let written = busy.during(|| {
                     let response = handler.handle(&request);
                     write(&reader.get_ref().stream, response, &head)
@@ -107,7 +107,8 @@
     End,
     /// A request with a fault, and its head unless the fault is there.
     Fault(Fault, Option<Head>),
-    Request(Head, Request),
+    /// A request, and the room that its body takes.
+    Request(Head, Request, Slot),
 }
 
 /// Reads from a socket until a moment.
@@ -144,10 +145,15 @@
     }
 }
 
-fn read(reader: &mut BufReader<Source>, limits: &Limits, caller: SocketAddr) -> Received {
+fn read(
+    reader: &mut BufReader<Source>,
+    limits: &Limits,
+    caller: SocketAddr,
+    busy: &Busy,
+) -> Received {
     match Head::read(reader, limits.header_bytes) {
-        Ok(Some(head)) => match request(reader, limits, caller, head.clone()) {
-            Ok(request) => Received::Request(head, request),
+        Ok(Some(head)) => match request(reader, limits, caller, head.clone(), busy) {
+            Ok((request, room)) => Received::Request(head, request, room),
             Err(fault) => Received::Fault(fault, Some(head)),
         },
         Ok(None) => Received::End,
@@ -160,13 +166,14 @@
     limits: &Limits,
     caller: SocketAddr,
     head: Head,
-) -> Result<Request, Fault> {
+    busy: &Busy,
+) -> Result<(Request, Slot), Fault> {
     let bytes = head.body_bytes()?;
     let limit = limits.body_bytes;
-
-    if bytes > u64::try_from(limit).unwrap_or(u64::MAX) {
-        return Err(Fault::Body { bytes, limit });
-    }
+    let room = match usize::try_from(bytes) {
+        Ok(bytes) if bytes <= limit => busy.body(bytes)?,
+        _ => return Err(Fault::Body { bytes, limit }),
+    };
 
     if head.header("expect").is_some() {
         let _ = (&reader.get_ref().stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -187,9 +194,8 @@
         target,
         ..
     } = head;
-    Ok(Request::fake_http_from(
-        caller, method, target, headers, body,
-    ))
+    let request = Request::fake_http_from(caller, method, target, headers, body);
+    Ok((request, room))
 }
 
 fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
