Keep the membership of the fleet

Within an incarnation the member's own clock orders its records, so that a host refutes a suspicion without a new incarnation, which would cost it its witness records. A host told that it is gone takes a higher incarnation and has the local phase Gone until a peer has answered to it. A process that finds another one in its place, with a higher incarnation at another address, leaves; taking a still higher incarnation was ruled out because both would do so for ever. Forgotten hosts leave their last incarnation behind, so that an older record never returns. A pause of this host restarts its suspicions.

--- /dev/null
+++ b/src/state/membership.rs
@@ -0,0 +1,376 @@
+//! Decides which hosts to probe and what to make of the answers.
+
+use {
+    crate::state::{
+        clock::Time,
+        gossip::Message,
+        id,
+        member::{Member, Phase},
+        membership_action::Action,
+        membership_event::Event,
+        probes::{Probe, Probes, Purpose},
+        roster::Roster,
+        rumours::Rumours,
+        standing::{self, Correction, Standing},
+        targets::Targets,
+    },
+    rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// Time between two rounds of probes.
+pub const PERIOD: Duration = Duration::from_millis(500);
+
+/// Hosts asked to probe one that did not answer.
+const RELAYS: usize = 2;
+
+/// Records passed on in one message, besides the sender's own.
+const UPDATES: usize = 16;
+
+/// Hosts told at once that this one is leaving.
+const ANNOUNCEMENTS: usize = 128;
+
+/// Time between two ticks after which this host takes itself to have been
+/// paused, so that missing answers say nothing about its peers.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// The membership as one host sees it.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    /// Whether there was news since this was last read.
+    changed: bool,
+    /// Whether a peer has ever answered to this process.
+    established: bool,
+    heard_peer: Option<Time>,
+    period: Option<Time>,
+    probes: Probes,
+    random: StdRng,
+    roster: Roster,
+    rumours: Rumours,
+    standing: Standing,
+    targets: Targets,
+    ticked: Option<Time>,
+}
+
+impl Default for Membership {
+    /// Builds the membership of a host without peers.
+    fn default() -> Self {
+        Self::new([], 0)
+    }
+}
+
+impl Membership {
+    /// Builds the membership of a new process that knows only the addresses
+    /// in its settings.
+    pub fn new(seeds: impl IntoIterator<Item = SocketAddr>, random: u64) -> Self {
+        Self {
+            changed: false,
+            established: false,
+            heard_peer: None,
+            period: None,
+            probes: Probes::default(),
+            random: StdRng::seed_from_u64(random),
+            roster: Roster::default(),
+            rumours: Rumours::default(),
+            standing: Standing::New,
+            targets: Targets::new(seeds),
+            ticked: None,
+        }
+    }
+
+    /// Returns when a peer last answered to the current incarnation.
+    pub fn heard_peer(&self) -> Option<Time> {
+        self.heard_peer
+    }
+
+    /// Returns the hosts that are not gone, the most recently heard first.
+    pub fn members(&self) -> Vec<Member> {
+        self.roster.members()
+    }
+
+    /// Returns whether a host came, went or changed its phase since the last
+    /// call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Handles one event. `local` is this host's record; its clock, phase and
+    /// incarnation are kept here. Its phase is `Gone` while the host must
+    /// not accept requests because peers took it to be gone.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        local: &mut Member,
+        event: Event,
+        actions: &mut Vec<Action>,
+    ) {
+        local.clock = now;
+
+        match event {
+            Event::Answered { message, probe } => {
+                self.answered(now, local, message, probe, actions);
+            }
+            Event::Failed { probe } => self.failed(now, probe, actions),
+            Event::Leave => self.leave(now, local, actions),
+            Event::Listed(addresses) => self.targets.list(addresses),
+            Event::ProbeFor { target, token } => {
+                self.probe(now, local, target, Purpose::Relay { token }, actions);
+            }
+            Event::Relayed { probe, reached } => {
+                if let Some(probe) = self.probes.relayed(probe, reached) {
+                    self.suspect(now, &probe);
+                }
+            }
+            Event::Tick => self.tick(now, local, actions),
+        }
+
+        self.settle(local);
+    }
+
+    /// Takes over a peer's probe and returns the answer.
+    pub fn probed(&mut self, now: Time, local: &mut Member, message: Message) -> Message {
+        local.clock = now;
+        let from = message.from.clone();
+        let news = self.take(now, local, message);
+        self.settle(local);
+
+        let mut answer = self.message(now, local, Some(&from));
+        if news {
+            self.introduce(&from, &mut answer);
+        }
+        answer
+    }
+
+    fn tick(&mut self, now: Time, local: &mut Member, actions: &mut Vec<Action>) {
+        let paused = self.ticked.is_some_and(|ticked| now.since(ticked) >= PAUSE);
+        self.ticked = Some(now);
+
+        if paused {
+            self.roster.excuse(now);
+        }
+
+        for host in self.roster.expire(now) {
+            self.spread(&host);
+        }
+
+        if self.period.is_none_or(|start| now.since(start) >= PERIOD) {
+            self.period = Some(now);
+
+            let own = local.peer_address;
+
+            for address in self.targets.choose(&self.roster, own, &mut self.random) {
+                self.probe(now, local, address, Purpose::Direct, actions);
+            }
+        }
+    }
+
+    fn probe(
+        &mut self,
+        now: Time,
+        local: &Member,
+        address: SocketAddr,
+        purpose: Purpose,
+        actions: &mut Vec<Action>,
+    ) {
+        let known = self.roster.at(address).cloned();
+        let message = self.message(now, local, known.as_ref());
+        let probe = self.probes.add(Probe {
+            address,
+            incarnation: local.incarnation,
+            purpose,
+            sent: now,
+            target: known.map(|known| (known.host, known.incarnation)),
+        });
+        actions.push(Action::Probe {
+            address,
+            message,
+            probe,
+        });
+    }
+
+    fn answered(
+        &mut self,
+        now: Time,
+        local: &mut Member,
+        message: Message,
+        probe: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(probe) = self.probes.take(probe) else {
+            return;
+        };
+        let expected = (probe.target.as_ref()).is_none_or(|(host, _)| *host == message.from.host);
+        self.take(now, local, message);
+
+        if !expected {
+            self.suspect(now, &probe);
+        }
+
+        if probe.incarnation == local.incarnation {
+            self.heard_peer = Some(now);
+            self.established = true;
+            self.standing = Standing::Acknowledged;
+        }
+
+        if let Purpose::Relay { token } = probe.purpose {
+            actions.push(Action::Reached {
+                reached: true,
+                token,
+            });
+        }
+    }
+
+    fn failed(&mut self, now: Time, id: u64, actions: &mut Vec<Action>) {
+        let Some(probe) = self.probes.take(id) else {
+            return;
+        };
+
+        if let Purpose::Relay { token } = probe.purpose {
+            return actions.push(Action::Reached {
+                reached: false,
+                token,
+            });
+        }
+
+        let relays = (self.roster.present())
+            .filter(|member| member.phase == Phase::Alive && member.peer_address != probe.address)
+            .map(|member| member.peer_address)
+            .choose_multiple(&mut self.random, RELAYS);
+
+        if relays.is_empty() || probe.target.is_none() {
+            return self.suspect(now, &probe);
+        }
+
+        let target = probe.address;
+        let waiting = relays.len();
+        self.probes.pass_on(id, probe, waiting);
+        actions.extend(relays.into_iter().map(|address| Action::ProbeFor {
+            address,
+            probe: id,
+            target,
+        }));
+    }
+
+    fn suspect(&mut self, now: Time, probe: &Probe) {
+        if let Some((host, incarnation)) = &probe.target
+            && self.roster.suspect(now, probe.sent, host, *incarnation)
+        {
+            self.spread(host);
+        }
+    }
+
+    fn leave(&mut self, now: Time, local: &mut Member, actions: &mut Vec<Action>) {
+        local.phase = Phase::Leaving;
+        self.spread(&local.host);
+        let addresses = (self.roster.present())
+            .map(|member| member.peer_address)
+            .choose_multiple(&mut self.random, ANNOUNCEMENTS);
+
+        for address in addresses {
+            self.probe(now, local, address, Purpose::Direct, actions);
+        }
+    }
+
+    /// Takes over the records of a message. Returns whether the sender's own
+    /// was news.
+    fn take(&mut self, now: Time, local: &mut Member, message: Message) -> bool {
+        let Message { from, updates } = message;
+        let news = from.host != local.host && self.merge(now, from, true);
+
+        for record in updates {
+            if record.host == local.host {
+                self.correct(local, &record);
+            } else {
+                self.merge(now, record, false);
+            }
+        }
+
+        news
+    }
+
+    fn spread(&mut self, host: &id::Host) {
+        self.changed = true;
+        self.rumours.add(host);
+    }
+
+    fn merge(&mut self, now: Time, record: Member, direct: bool) -> bool {
+        let host = record.host.clone();
+        let news = self.roster.merge(now, record, direct);
+
+        if news {
+            self.spread(&host);
+        }
+
+        news
+    }
+
+    fn correct(&mut self, local: &mut Member, record: &Member) {
+        match standing::correction(local, self.established, record) {
+            Correction::None => return,
+            Correction::Refute => {}
+            Correction::Renew(incarnation) => {
+                self.heard_peer = None;
+                self.standing = Standing::Doubted;
+                local.incarnation = incarnation;
+            }
+            Correction::Replaced => local.phase = Phase::Leaving,
+        }
+
+        self.spread(&local.host);
+    }
+
+    /// Sets the local phase from the standing. A doubted host with no peer left
+    /// has nobody to wait for.
+    fn settle(&mut self, local: &mut Member) {
+        if self.standing == Standing::Doubted && self.roster.present().next().is_none() {
+            self.standing = Standing::New;
+        }
+
+        local.phase = match (local.phase, self.standing) {
+            (Phase::Leaving, _) => Phase::Leaving,
+            (_, Standing::Doubted) => Phase::Gone,
+            (_, Standing::Acknowledged | Standing::New) => Phase::Alive,
+        };
+    }
+
+    /// Builds a message to the host with this record, with what contradicts
+    /// the record first.
+    fn message(&mut self, now: Time, local: &Member, to: Option<&Member>) -> Message {
+        let from = standing::record(local, now);
+        let mut updates = to
+            .and_then(|to| self.roster.contradiction(to))
+            .into_iter()
+            .collect::<Vec<Member>>();
+        let hosts = self.roster.present().count();
+        let sends = 3 * usize::BITS.saturating_sub((hosts + 1).leading_zeros());
+
+        for host in self.rumours.pick(UPDATES - updates.len(), sends) {
+            if host == local.host {
+                updates.push(from.clone());
+            } else if let Some(peer) = self.roster.get(&host) {
+                updates.push(peer.member().clone());
+            }
+        }
+
+        updates
+            .iter_mut()
+            .for_each(|update| update.demand = BTreeMap::new());
+
+        Message { from, updates }
+    }
+
+    /// Fills the answer to a host that was not known with other hosts.
+    fn introduce(&mut self, to: &Member, answer: &mut Message) {
+        let room = UPDATES.saturating_sub(answer.updates.len());
+        let others = (self.roster.present())
+            .filter(|member| member.host != to.host)
+            .choose_multiple(&mut self.random, room);
+
+        answer
+            .updates
+            .extend(others.into_iter().map(|member| Member {
+                demand: BTreeMap::new(),
+                ..member.clone()
+            }));
+    }
+}
--- /dev/null
+++ b/src/state/targets.rs
@@ -0,0 +1,87 @@
+//! Chooses which hosts to probe in a period.
+
+use {
+    crate::state::roster::Roster,
+    rand::{
+        Rng,
+        seq::{IteratorRandom, SliceRandom},
+    },
+    std::{collections::BTreeSet, net::SocketAddr},
+};
+
+/// Hosts probed in each period.
+const PROBES: usize = 3;
+
+/// Addresses from the settings and the host list, and a shuffled round
+/// through all peers.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    listed: BTreeSet<SocketAddr>,
+    round: Vec<SocketAddr>,
+    seeds: BTreeSet<SocketAddr>,
+}
+
+impl Targets {
+    /// Starts with the addresses in the settings.
+    pub fn new(seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+        Self {
+            seeds: seeds.into_iter().collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the addresses from the host list.
+    pub fn list(&mut self, addresses: Vec<SocketAddr>) {
+        self.listed = addresses.into_iter().collect();
+    }
+
+    /// Chooses whom to probe: suspected hosts, so that they can refute at
+    /// once, the next ones in turn, and one address at which nobody is known,
+    /// or more while there are few peers.
+    pub fn choose(
+        &mut self,
+        roster: &Roster,
+        own: SocketAddr,
+        random: &mut impl Rng,
+    ) -> BTreeSet<SocketAddr> {
+        let present = roster
+            .present()
+            .map(|member| member.peer_address)
+            .collect::<BTreeSet<SocketAddr>>();
+        let unknown = (self.seeds.iter().chain(&self.listed).copied())
+            .chain(roster.gone_addresses())
+            .filter(|address| !present.contains(address) && *address != own)
+            .collect::<BTreeSet<SocketAddr>>();
+        let suspected = roster.suspected().map(|member| member.peer_address);
+
+        let mut targets = suspected.take(PROBES).collect::<BTreeSet<SocketAddr>>();
+        targets.extend(self.next(&present, random));
+        let missing = PROBES.saturating_sub(targets.len()).max(1);
+        targets.extend(unknown.into_iter().choose_multiple(random, missing));
+        targets
+    }
+
+    /// Returns the next addresses of the round. Every present address comes up
+    /// once in each round, in a new order each time.
+    fn next(
+        &mut self,
+        present: &BTreeSet<SocketAddr>,
+        random: &mut impl Rng,
+    ) -> BTreeSet<SocketAddr> {
+        let count = PROBES.min(present.len());
+        let mut next = BTreeSet::new();
+
+        while next.len() < count {
+            match self.round.pop() {
+                Some(address) if present.contains(&address) => drop(next.insert(address)),
+                Some(_) => {}
+                None => {
+                    self.round = present.iter().copied().collect();
+                    self.round.shuffle(random);
+                }
+            }
+        }
+
+        next
+    }
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,13 +1,12 @@
-//! Members and views for tests.
+//! Members for tests.
 
 use {
     persimmoncleat::state::{
         clock::Time,
         id::Incarnation,
         member::{Member, Phase},
-        view::View,
     },
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Builds a live member whose peer port is 100 above its caller port.
@@ -27,16 +26,3 @@
         settings: 0,
     }
 }
-
-/// Builds the view of one host.
-pub fn view(local: Member, members: Vec<Member>) -> View {
-    View {
-        endpoints: Arc::default(),
-        had_peers: !members.is_empty(),
-        heard_peer: None,
-        heard_store: None,
-        local,
-        members: Arc::new(members),
-        policy: Arc::default(),
-    }
-}
--- /dev/null
+++ b/tests/support/view.rs
@@ -0,0 +1,19 @@
+//! Views for tests.
+
+use {
+    persimmoncleat::state::{member::Member, view::View},
+    std::sync::Arc,
+};
+
+/// Builds the view of one host.
+pub fn view(local: Member, members: Vec<Member>) -> View {
+    View {
+        endpoints: Arc::default(),
+        had_peers: !members.is_empty(),
+        heard_peer: None,
+        heard_store: None,
+        local,
+        members: Arc::new(members),
+        policy: Arc::default(),
+    }
+}
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -2,9 +2,11 @@
 
 #[path = "support/fleet.rs"]
 mod fleet;
+#[path = "support/view.rs"]
+mod view;
 
 use {
-    fleet::{member, view},
+    fleet::member,
     persimmoncleat::{
         coordination::tickets::Tickets,
         protocol::{caller::TicketBody, ticket::Ticket},
@@ -14,6 +16,7 @@
         },
     },
     std::{collections::BTreeSet, time::Duration},
+    view::view,
 };
 
 fn issue(members: &[Member]) -> Ticket {
--- a/tests/witness.rs
+++ b/tests/witness.rs
@@ -2,9 +2,11 @@
 
 #[path = "support/fleet.rs"]
 mod fleet;
+#[path = "support/view.rs"]
+mod view;
 
 use {
-    fleet::{member, view},
+    fleet::member,
     persimmoncleat::{
         coordination::claims::{Claims, Event},
         state::{
@@ -14,6 +16,7 @@
         },
     },
     tokio::sync::oneshot,
+    view::view,
 };
 
 enum Ask {
