--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,7 @@
 pub mod membership_action;
 pub mod membership_event;
 pub mod peer;
+pub mod peers;
 pub mod pipeline;
 pub mod policy;
 pub mod pool;
@@ -28,7 +29,7 @@
 pub mod refusal;
 pub mod request;
 pub mod resolution;
-pub mod roster;
+
 pub mod rumours;
 pub mod scheduler;
 pub mod standing;
--- a/src/state/membership.rs
+++ b/src/state/membership.rs
@@ -8,8 +8,8 @@
         member::{Member, Phase},
         membership_action::Action,
         membership_event::Event,
+        peers::Peers,
         probes::{Probe, Probes, Purpose},
-        roster::Roster,
         rumours::Rumours,
         standing::{self, Correction, Standing},
         targets::Targets,
@@ -45,7 +45,7 @@
     period: Option<Time>,
     probes: Probes,
     random: StdRng,
-    roster: Roster,
+    peers: Peers,
     rumours: Rumours,
     standing: Standing,
     targets: Targets,
@@ -70,7 +70,7 @@
             period: None,
             probes: Probes::default(),
             random: StdRng::seed_from_u64(random),
-            roster: Roster::default(),
+            peers: Peers::default(),
             rumours: Rumours::default(),
             standing: Standing::New,
             targets: Targets::new(seeds),
@@ -85,7 +85,7 @@
 
     /// Returns the hosts that are not gone, the most recently heard first.
     pub fn members(&self) -> Vec<Member> {
-        self.roster.members()
+        self.peers.members()
     }
 
     /// Returns whether a host came, went or changed its phase since the last
@@ -146,10 +146,10 @@
         self.ticked = Some(now);
 
         if paused {
-            self.roster.excuse(now);
+            self.peers.excuse(now);
         }
 
-        for host in self.roster.expire(now) {
+        for host in self.peers.expire(now) {
             self.spread(&host);
         }
 
@@ -158,7 +158,7 @@
 
             let own = local.peer_address;
 
-            for address in self.targets.choose(&self.roster, own, &mut self.random) {
+            for address in self.targets.choose(&self.peers, own, &mut self.random) {
                 self.probe(now, local, address, Purpose::Direct, actions);
             }
         }
@@ -172,7 +172,7 @@
         purpose: Purpose,
         actions: &mut Vec<Action>,
     ) {
-        let known = self.roster.at(address).cloned();
+        let known = self.peers.at(address).cloned();
         let message = self.message(now, local, known.as_ref());
         let probe = self.probes.add(Probe {
             address,
@@ -232,7 +232,7 @@
             });
         }
 
-        let relays = (self.roster.present())
+        let relays = (self.peers.present())
             .filter(|member| member.phase == Phase::Alive && member.peer_address != probe.address)
             .map(|member| member.peer_address)
             .choose_multiple(&mut self.random, RELAYS);
@@ -253,7 +253,7 @@
 
     fn suspect(&mut self, now: Time, probe: &Probe) {
         if let Some((host, incarnation)) = &probe.target
-            && self.roster.suspect(now, probe.sent, host, *incarnation)
+            && self.peers.suspect(now, probe.sent, host, *incarnation)
         {
             self.spread(host);
         }
@@ -262,7 +262,7 @@
     fn leave(&mut self, now: Time, local: &mut Member, actions: &mut Vec<Action>) {
         local.phase = Phase::Leaving;
         self.spread(&local.host);
-        let addresses = (self.roster.present())
+        let addresses = (self.peers.present())
             .map(|member| member.peer_address)
             .choose_multiple(&mut self.random, ANNOUNCEMENTS);
 
@@ -295,7 +295,7 @@
 
     fn merge(&mut self, now: Time, record: Member, direct: bool) -> bool {
         let host = record.host.clone();
-        let news = self.roster.merge(now, record, direct);
+        let news = self.peers.merge(now, record, direct);
 
         if news {
             self.spread(&host);
@@ -322,7 +322,7 @@
     /// Sets the local phase from the standing. A doubted host with no peer left
     /// has nobody to wait for.
     fn settle(&mut self, local: &mut Member) {
-        if self.standing == Standing::Doubted && self.roster.present().next().is_none() {
+        if self.standing == Standing::Doubted && self.peers.present().next().is_none() {
             self.standing = Standing::New;
         }
 
@@ -338,16 +338,16 @@
     fn message(&mut self, now: Time, local: &Member, to: Option<&Member>) -> Message {
         let from = standing::record(local, now);
         let mut updates = to
-            .and_then(|to| self.roster.contradiction(to))
+            .and_then(|to| self.peers.contradiction(to))
             .into_iter()
             .collect::<Vec<Member>>();
-        let hosts = self.roster.present().count();
+        let hosts = self.peers.present().count();
         let sends = 3 * usize::BITS.saturating_sub((hosts + 1).leading_zeros());
 
         for host in self.rumours.pick(UPDATES - updates.len(), sends) {
             if host == local.host {
                 updates.push(from.clone());
-            } else if let Some(peer) = self.roster.get(&host) {
+            } else if let Some(peer) = self.peers.get(&host) {
                 updates.push(peer.member().clone());
             }
         }
@@ -362,7 +362,7 @@
     /// Fills the answer to a host that was not known with other hosts.
     fn introduce(&mut self, to: &Member, answer: &mut Message) {
         let room = UPDATES.saturating_sub(answer.updates.len());
-        let others = (self.roster.present())
+        let others = (self.peers.present())
             .filter(|member| member.host != to.host)
             .choose_multiple(&mut self.random, room);
 
--- a/src/state/roster.rs
+++ b/src/state/peers.rs
@@ -23,13 +23,13 @@
 
 /// The other hosts, by id.
 #[derive(Clone, Debug, Default)]
-pub struct Roster {
+pub struct Peers {
     /// Last incarnation of forgotten hosts, and when they were forgotten.
     forgotten: BTreeMap<id::Host, (id::Incarnation, Time)>,
     peers: BTreeMap<id::Host, Peer>,
 }
 
-impl Roster {
+impl Peers {
     /// Returns what is known of a host.
     pub fn get(&self, host: &id::Host) -> Option<&Peer> {
         self.peers.get(host)
--- a/src/state/targets.rs
+++ b/src/state/targets.rs
@@ -1,7 +1,7 @@
 //! Chooses which hosts to probe in a period.
 
 use {
-    crate::state::roster::Roster,
+    crate::state::peers::Peers,
     rand::{
         Rng,
         seq::{IteratorRandom, SliceRandom},
@@ -40,19 +40,19 @@
     /// or more while there are few peers.
     pub fn choose(
         &mut self,
-        roster: &Roster,
+        peers: &Peers,
         own: SocketAddr,
         random: &mut impl Rng,
     ) -> BTreeSet<SocketAddr> {
-        let present = roster
+        let present = peers
             .present()
             .map(|member| member.peer_address)
             .collect::<BTreeSet<SocketAddr>>();
         let unknown = (self.seeds.iter().chain(&self.listed).copied())
-            .chain(roster.gone_addresses())
+            .chain(peers.gone_addresses())
             .filter(|address| !present.contains(address) && *address != own)
             .collect::<BTreeSet<SocketAddr>>();
-        let suspected = roster.suspected().map(|member| member.peer_address);
+        let suspected = peers.suspected().map(|member| member.peer_address);
 
         let mut targets = suspected.take(PROBES).collect::<BTreeSet<SocketAddr>>();
         targets.extend(self.next(&present, random));
