--- /dev/null
+++ b/src/coordination/requests.rs
@@ -0,0 +1,141 @@
+//! The callers' routes: posting requests and fetching their answers.
+
+use {
+    crate::{
+        coordination::{
+            auth, body, claim, forward,
+            gateway::Gateway,
+            intake, orders,
+            posted::{self, Posted},
+            problem,
+            record::{Record, Subject},
+            records::Opened,
+        },
+        protocol::caller::TICKET_HEADER,
+        state::{
+            id,
+            refusal::{Reason, Refusal},
+        },
+        transport::boot_clock,
+    },
+    rouille::{Request, Response},
+    std::sync::Arc,
+};
+
+/// Takes a request to a pipeline.
+pub fn post(gateway: &Arc<Gateway>, request: &Request, pipeline: &str) -> Response {
+    taken(gateway, request, pipeline).unwrap_or_else(|refused| *refused)
+}
+
+/// Returns the answer of a request, waiting for it if need be.
+pub fn get(gateway: &Gateway, request: &Request, id: &id::Request) -> Response {
+    if let Some(record) = gateway.records.get(boot_clock::now(), id) {
+        return match auth::team(gateway, request, &record.subject.team) {
+            Ok(()) => body::whole(gateway, &record),
+            Err(response) => response,
+        };
+    }
+
+    let view = gateway.published.get();
+    let home = id
+        .home()
+        .filter(|home| *home != view.local.host.as_str())
+        .and_then(|home| {
+            view.members
+                .iter()
+                .find(|member| member.host.as_str() == home)
+        });
+
+    if let Some(home) = home
+        && !forward::forwarded(request)
+        && let Ok(response) = forward::get(gateway, request, home.caller_address)
+    {
+        return response;
+    }
+
+    let refusal = match request.header(TICKET_HEADER) {
+        Some(text) => match gateway.tickets.verify(text) {
+            // This host may be a later incarnation of the ticket's home, so it
+            // asks the witness as well.
+            Ok(ticket) if ticket.request == *id => {
+                claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT)
+            }
+            _ => {
+                let refusal = posted::invalid(TICKET_HEADER, "a ticket", "the request's ticket");
+                problem::unresolved(true, refusal)
+            }
+        },
+        None => Refusal::unknown(Reason::Missing, "no host holds a record of the request"),
+    };
+    problem::respond(gateway, Some(id), &refusal)
+}
+
+fn taken(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    pipeline: &str,
+) -> Result<Response, Box<Response>> {
+    let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
+    let unresolved = |refusal| {
+        let ticketed = problem::is_ticketed(request);
+        refuse(problem::unresolved(ticketed, refusal))
+    };
+    let posted = Posted::read(request, pipeline).map_err(unresolved)?;
+
+    if gateway.published.get().policy.version == 0
+        && let Some(refusal) = gateway.unready()
+    {
+        return Err(unresolved(refusal));
+    }
+
+    auth::team(gateway, request, &posted.team).map_err(Box::new)?;
+    let record = match &posted.ticket {
+        None => repeatable(gateway, &posted).map_err(refuse)?,
+        Some(text) => {
+            let ticket = orders::check_ticket(gateway, &posted, text).map_err(unresolved)?;
+
+            if ticket.home.host != gateway.published.get().local.host {
+                return Ok(orders::foreign(gateway, request, &posted, &ticket));
+            }
+
+            orders::once(gateway, &posted, ticket).map_err(refuse)?
+        }
+    };
+
+    Ok(if posted.stream {
+        body::stream(gateway, &record)
+    } else {
+        body::whole(gateway, &record)
+    })
+}
+
+fn repeatable(gateway: &Arc<Gateway>, posted: &Posted) -> Result<Arc<Record>, Refusal> {
+    let now = boot_clock::now();
+    let deadline = posted.deadline(&gateway.published.get().policy);
+    let subject = Subject {
+        deadline: now + deadline,
+        digest: posted.digest(),
+        key: posted.key.clone(),
+        request: gateway.request_id(),
+        team: posted.team.clone(),
+        ticket: None,
+    };
+
+    if let Some(found) = gateway.records.find(now, &subject) {
+        return intake::known(gateway, found);
+    }
+
+    if let Some(refusal) = gateway.unready() {
+        return Err(refusal);
+    }
+
+    let stages = intake::stages(gateway, posted)?;
+
+    match gateway.records.open(now, subject) {
+        Opened::New(record) => {
+            intake::start(gateway, posted, None, &record, stages);
+            Ok(record)
+        }
+        found => intake::known(gateway, found),
+    }
+}
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,10 +2,17 @@
 
 pub mod call;
 pub mod caller;
+pub mod daemon_file;
+pub mod digest;
 pub mod error;
+pub mod fields;
 pub mod hex;
 pub mod hosts;
 pub mod object;
+pub mod object_api;
+pub mod order;
+pub mod secret;
 pub mod ticket;
+pub mod tree_file;
 
 pub use error::Error;
--- /dev/null
+++ b/src/transport/head.rs
@@ -0,0 +1,127 @@
+//! The head of an HTTP/1 request: its request line and headers.
+
+use {
+    crate::transport::server::Fault,
+    std::io::{self, BufRead, Read},
+};
+
+/// Most headers of one request.
+const HEADERS: usize = 64;
+
+/// The head of one request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Head {
+    pub headers: Vec<(String, String)>,
+    /// Whether the connection may carry another request afterwards.
+    pub keep: bool,
+    pub method: String,
+    /// Whether the caller knows HTTP/1.1, and with it chunks.
+    pub modern: bool,
+    pub target: String,
+}
+
+impl Head {
+    /// Reads a head of at most `limit` bytes. Returns `None` at the end of the
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault that the head has.
+    pub fn read(reader: &mut impl BufRead, limit: usize) -> Result<Option<Self>, Fault> {
+        let mut bytes = Vec::new();
+
+        while !bytes.ends_with(b"\r\n\r\n") && !bytes.ends_with(b"\n\n") {
+            let left = u64::try_from(limit - bytes.len()).unwrap_or(u64::MAX);
+            let read = reader.take(left).read_until(b'\n', &mut bytes);
+
+            match read.map_err(|error| broken(&error))? {
+                0 if bytes.len() == limit => return Err(Fault::Header { limit }),
+                0 if bytes.is_empty() => return Ok(None),
+                0 => return Err(invalid("the end of the header")),
+                _ => {}
+            }
+        }
+
+        Self::parse(&bytes).map(Some)
+    }
+
+    fn parse(bytes: &[u8]) -> Result<Self, Fault> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        request
+            .parse(bytes)
+            .map_err(|error| invalid(&format!("the head ({error})")))?;
+
+        let (Some(method), Some(target)) = (request.method, request.path) else {
+            return Err(invalid("the request line"));
+        };
+
+        if !target.starts_with('/') {
+            return Err(invalid("the request's target"));
+        }
+
+        let modern = request.version == Some(1);
+        let mut head = Self {
+            headers: Vec::new(),
+            keep: false,
+            method: method.into(),
+            modern,
+            target: target.into(),
+        };
+
+        for header in request.headers.iter() {
+            let value = std::str::from_utf8(header.value).map_err(|_| invalid("a header"))?;
+            let name = header.name.to_ascii_lowercase();
+            head.headers.push((name, value.into()));
+        }
+
+        let connection = head.header("connection").unwrap_or("").to_ascii_lowercase();
+        head.keep = modern && !connection.contains("close");
+        Ok(head)
+    }
+
+    /// Returns the length of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the length is not given exactly once as a number.
+    pub fn body_bytes(&self) -> Result<u64, Fault> {
+        if self.header("transfer-encoding").is_some() {
+            return Err(invalid("transfer-encoding, expected content-length,"));
+        }
+
+        let mut lengths = self
+            .headers
+            .iter()
+            .filter(|(name, _)| name == "content-length")
+            .map(|(_, value)| value);
+
+        match (lengths.next(), lengths.next()) {
+            (None, _) => Ok(0),
+            (Some(length), None) if length.bytes().all(|byte| byte.is_ascii_digit()) => {
+                length.parse().map_err(|_| invalid("content-length"))
+            }
+            _ => Err(invalid("content-length")),
+        }
+    }
+
+    /// Returns the first header with this lower-case name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+fn invalid(what: &str) -> Fault {
+    Fault::Invalid {
+        detail: format!("{what} is not valid in HTTP/1.1"),
+    }
+}
+
+fn broken(error: &io::Error) -> Fault {
+    Fault::Invalid {
+        detail: format!("the request broke off: {error}"),
+    }
+}
