Start membership in the daemon

Cause: the daemon ran with a membership part that knows no peers. Change: seeds come from the settings file and from the host list's entry hosts; the links carry the probes.

--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -69,7 +69,7 @@
         client: Client::new(),
         control: control.clone(),
         limits: file.limits.clone(),
-        links,
+        links: links.clone(),
         observer: Observer::new(metrics),
         operator: file.keys.operator.clone(),
         published: published.clone(),
@@ -81,7 +81,7 @@
     let parts = Control {
         claims: Claims::new(&view, file.limits.witness_records),
         leases: Leases::new(&view, jobs),
-        membership: Membership::default(),
+        membership: Membership::new(file.host.peers.iter().copied(), links, control.clone()),
         published: published.clone(),
         scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
         settings: Settings::default(),
--- a/src/coordination/discovery.rs
+++ b/src/coordination/discovery.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::{control, published::Published, scheduling},
+        coordination::{control, membership, published::Published, scheduling},
         protocol::{
             call::{CacheEvents, Load},
             hosts::{ENTRY_POOL, Host, Hosts},
@@ -114,6 +114,8 @@
         match self.read::<Hosts>(self.host_list, "/v1/hosts", LIST_TIMEOUT) {
             Ok(hosts) => {
                 let endpoints = hosts.hosts.iter().filter_map(endpoint).collect();
+                let event = membership::Event::Hosts(hosts.hosts);
+                let _ = self.control.send(control::Event::Membership(event));
                 self.registry()
                     .list(boot_clock::now(), hosts.revision, endpoints);
                 self.publish()
