Do not deny an order because a copy of it is refused

A copy of an order's request that came with a wrong key, a broken body or an oversized one was refused as not run, although the first copy may have run; a ticket that does not verify, as every older one after a change of the fleet's key, likewise. Such refusals now say unknown whenever the request names a ticket. Fetching an answer with a ticket checks the team's key before the witness is asked, since that closes the ticket.

--- a/src/coordination/auth.rs
+++ b/src/coordination/auth.rs
@@ -17,7 +17,7 @@
 pub fn team(gateway: &Gateway, request: &Request, team: &id::Team) -> Result<(), Response> {
     let Some(key) = bearer(request) else {
         let detail = "Authorization is missing, expected Bearer and the team's key";
-        return Err(problem::forbidden(gateway, 401, detail));
+        return Err(problem::forbidden(gateway, request, 401, detail));
     };
 
     if has_key(gateway, team, key) {
@@ -26,7 +26,7 @@
 
     log::warn!(team = team.as_str(); "wrong team key");
     let detail = "Authorization is wrong, expected Bearer and the team's key";
-    Err(problem::forbidden(gateway, 403, detail))
+    Err(problem::forbidden(gateway, request, 403, detail))
 }
 
 /// Checks that a request carries the operators' key.
@@ -44,7 +44,7 @@
                 request.url()
             );
             let detail = "Authorization is wrong, expected Bearer and the operators' key";
-            Err(problem::forbidden(gateway, 401, detail))
+            Err(problem::forbidden(gateway, request, 401, detail))
         }
     }
 }
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -174,7 +174,7 @@
     let ticket = gateway
         .tickets
         .verify(text)
-        .map_err(|error| Refusal::not_run(Reason::Ticket, error.to_string()))?;
+        .map_err(|error| Refusal::unknown(Reason::Ticket, error.to_string()))?;
 
     if !ticket.body_sha256.eq_ignore_ascii_case(&posted.sha256) {
         gateway.observer.count("conflicts");
--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -6,7 +6,7 @@
         state::{
             id,
             policy::Policy,
-            refusal::{Reason, Refusal},
+            refusal::{Outcome, Reason, Refusal},
         },
     },
     rouille::Request,
@@ -128,6 +128,24 @@
     bytes
 }
 
+/// Returns the refusal with an outcome that also holds for an earlier copy of
+/// the request. A ticket may have been posted before, here or at another host,
+/// and a caller that takes `not_run` for its order would order again.
+pub fn doubt(ticketed: bool, refusal: Refusal) -> Refusal {
+    match refusal.outcome {
+        Outcome::NotRun if ticketed => Refusal {
+            outcome: Outcome::Unknown,
+            ..refusal
+        },
+        _ => refusal,
+    }
+}
+
+/// Returns whether a request names one that may have run before.
+pub fn ticketed(request: &Request) -> bool {
+    request.method() == "GET" || request.header("Persimmon-Ticket").is_some()
+}
+
 /// Builds the refusal of a field.
 pub fn invalid(field: &str, value: &str, expected: &str) -> Refusal {
     Refusal::not_run(
--- a/src/coordination/problem.rs
+++ b/src/coordination/problem.rs
@@ -2,15 +2,15 @@
 
 use {
     crate::{
-        coordination::gateway::Gateway,
+        coordination::{gateway::Gateway, posted},
         protocol::caller::Problem,
         state::{
             id,
             refusal::{Outcome, Reason, Refusal},
         },
-        transport::{client, server::Fault},
+        transport::{client, head::Head, server::Fault},
     },
-    rouille::{Response, ResponseBody},
+    rouille::{Request, Response, ResponseBody},
     std::time::Duration,
 };
 
@@ -23,14 +23,16 @@
 }
 
 /// Returns the response for a missing or wrong key.
-pub fn forbidden(gateway: &Gateway, status: u16, detail: &str) -> Response {
+pub fn forbidden(gateway: &Gateway, request: &Request, status: u16, detail: &str) -> Response {
     gateway.observer.count("wrong_keys");
     let refusal = Refusal::not_run(Reason::Forbidden, detail);
+    let refusal = posted::doubt(posted::ticketed(request), refusal);
     response(gateway, None, &refusal, status).with_additional_header("WWW-Authenticate", "Bearer")
 }
 
-/// Returns the response for a request that broke a limit of the server.
-pub fn fault(gateway: &Gateway, fault: &Fault) -> Response {
+/// Returns the response for a request that broke a limit of the server. The
+/// head is missing if the request was refused before it was read.
+pub fn fault(gateway: &Gateway, fault: &Fault, head: Option<&Head>) -> Response {
     let (name, status, reason, detail) = match fault {
         Fault::Bodies { limit } => (
             "refused_bodies",
@@ -68,7 +70,9 @@
         ),
     };
     gateway.observer.count(name);
-    response(gateway, None, &Refusal::not_run(reason, detail), status)
+    let ticketed = head.is_some_and(|head| head.header("persimmon-ticket").is_some());
+    let refusal = posted::doubt(ticketed, Refusal::not_run(reason, detail));
+    response(gateway, None, &refusal, status)
 }
 
 /// Returns the problem document of a refusal.
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -52,12 +52,14 @@
         return response;
     }
 
-    let refusal = match request.header("Persimmon-Ticket") {
-        Some(text) => match gateway.tickets.verify(text) {
-            Ok(ticket) if ticket.request == *id && ticket.home.host != view.local.host => {
-                claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT)
-            }
-            _ => posted::invalid("Persimmon-Ticket", "a ticket", "the ticket of the request"),
+    let ticket = request
+        .header("Persimmon-Ticket")
+        .and_then(|text| gateway.tickets.verify(text).ok())
+        .filter(|ticket| ticket.request == *id && ticket.home.host != view.local.host);
+    let refusal = match ticket {
+        Some(ticket) => match auth::team(gateway, request, &ticket.team) {
+            Ok(()) => claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT),
+            Err(response) => return response,
         },
         None => Refusal::unknown(Reason::Missing, "no host holds a record of the request"),
     };
@@ -70,12 +72,13 @@
     pipeline: &str,
 ) -> Result<Response, Box<Response>> {
     let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
-    let posted = Posted::read(request, pipeline).map_err(refuse)?;
+    let doubt = |refusal| refuse(posted::doubt(posted::ticketed(request), refusal));
+    let posted = Posted::read(request, pipeline).map_err(doubt)?;
 
     if gateway.published.get().policy.version == 0
         && let Some(refusal) = gateway.unready()
     {
-        return Err(refuse(refusal));
+        return Err(doubt(refusal));
     }
 
     auth::team(gateway, request, &posted.team).map_err(Box::new)?;
--- a/src/coordination/routes.rs
+++ b/src/coordination/routes.rs
@@ -6,7 +6,10 @@
             admin, auth, body, entrypoints, gateway::Gateway, orders, problem, requests,
         },
         state::refusal::{Reason, Refusal},
-        transport::server::{Fault, Handler},
+        transport::{
+            head::Head,
+            server::{Fault, Handler},
+        },
     },
     rouille::{Request, Response, router},
     std::sync::Arc,
@@ -51,7 +54,7 @@
         )
     }
 
-    fn refuse(&self, fault: &Fault) -> Response {
-        problem::fault(&self.0, fault)
+    fn refuse(&self, fault: &Fault, head: Option<&Head>) -> Response {
+        problem::fault(&self.0, fault, head)
     }
 }
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -54,9 +54,10 @@
                 reader.get_mut().due = boot_clock::now() + IDLE;
             }
             Ok(None) => return,
-            Err(fault) => {
+            Err((fault, head)) => {
                 let fault = slow(reader.get_ref(), limits, fault);
-                refuse(reader.into_inner().stream, handler, &fault);
+                let stream = reader.into_inner().stream;
+                refuse(stream, handler, &fault, head.as_ref());
                 return;
             }
         }
@@ -64,7 +65,7 @@
 }
 
 /// Answers a connection with a refusal and closes it.
-pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault) {
+pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault, refused: Option<&Head>) {
     let _ = stream.set_write_timeout(Some(LINGER));
     let head = Head {
         headers: Vec::new(),
@@ -74,7 +75,7 @@
         target: String::new(),
     };
 
-    if write(&stream, handler.refuse(fault), &head).is_err() {
+    if write(&stream, handler.refuse(fault, refused), &head).is_err() {
         return;
     }
 
@@ -119,17 +120,41 @@
     }
 }
 
+type Refused = (Fault, Option<Head>);
+
 fn read(
     reader: &mut BufReader<Source>,
     limits: &Limits,
     caller: SocketAddr,
     busy: &Busy,
-) -> Result<Option<(Head, Request, Slot)>, Fault> {
-    let Some(head) = Head::read(reader, limits.header_bytes)? else {
+) -> Result<Option<(Head, Request, Slot)>, Refused> {
+    let head = Head::read(reader, limits.header_bytes).map_err(|fault| (fault, None))?;
+    let Some(head) = head else {
         return Ok(None);
     };
+
+    match read_body(reader, limits.body_bytes, &head, busy) {
+        Ok((body, room)) => {
+            let Head {
+                headers,
+                method,
+                target,
+                ..
+            } = head.clone();
+            let request = Request::fake_http_from(caller, method, target, headers, body);
+            Ok(Some((head, request, room)))
+        }
+        Err(fault) => Err((fault, Some(head))),
+    }
+}
+
+fn read_body(
+    reader: &mut BufReader<Source>,
+    limit: usize,
+    head: &Head,
+    busy: &Busy,
+) -> Result<(Vec<u8>, Slot), Fault> {
     let bytes = head.body_bytes()?;
-    let limit = limits.body_bytes;
     let room = match usize::try_from(bytes) {
         Ok(bytes) if bytes <= limit => busy.body(bytes)?,
         _ => return Err(Fault::Body { bytes, limit }),
@@ -148,14 +173,7 @@
         });
     }
 
-    let Head {
-        headers,
-        method,
-        target,
-        ..
-    } = head.clone();
-    let request = Request::fake_http_from(caller, method, target, headers, body);
-    Ok(Some((head, request, room)))
+    Ok((body, room))
 }
 
 fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -6,7 +6,7 @@
 //! have come together, and stops accepting after one failed `accept`.
 
 use {
-    crate::transport::{error::Error, http_connection},
+    crate::transport::{error::Error, head::Head, http_connection},
     rouille::{Request, Response},
     std::{
         io,
@@ -61,8 +61,8 @@
     /// Answers one request.
     fn handle(&self, request: &Request) -> Response;
 
-    /// Answers a request that broke a limit.
-    fn refuse(&self, fault: &Fault) -> Response;
+    /// Answers a request that broke a limit, with its head if it was read.
+    fn refuse(&self, fault: &Fault, head: Option<&Head>) -> Response;
 }
 
 /// A server that listens but does not accept yet.
@@ -137,7 +137,7 @@
                     http_connection::serve(stream, &limits, &*handler, &busy);
                 } else {
                     let limit = limits.connections;
-                    http_connection::refuse(stream, &*handler, &Fault::Connections { limit });
+                    http_connection::refuse(stream, &*handler, &Fault::Connections { limit }, None);
                 }
                 drop(slot);
             });
--- a/tests/gateway/records.rs
+++ b/tests/gateway/records.rs
@@ -92,9 +92,39 @@
     let (status, text) = host.post_once(&ticket, BODY);
     assert_eq!(status, 409, "{text}");
     assert_eq!(parse(&text)["reason"], "ticket");
+    // A key change makes good tickets look forged, whose orders may have run.
+    assert_eq!(parse(&text)["outcome"], "unknown");
     assert_eq!(fake.count(), 0);
 }
 
+#[test]
+fn refusal_of_a_copy_does_not_deny_the_order() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+    let ticket = host.ticket(BODY);
+    assert_eq!(host.post_once(&ticket, BODY).0, 200);
+    let text = ticket["ticket"].as_str().unwrap();
+    let headers = |authorization| {
+        [
+            ("Authorization", authorization),
+            ("Persimmon-Class", "volume"),
+            ("Persimmon-Repeatable", "false"),
+            ("Persimmon-Team", "hvarfdal"),
+            ("Persimmon-Ticket", text),
+        ]
+    };
+    let copy = |authorization, body: &str| {
+        let path = "/v1/pipelines/draft/requests";
+        let (status, text) = host.send(path, &headers(authorization), body);
+        (status, parse(&text)["outcome"].clone())
+    };
+
+    assert_eq!(copy("Bearer wrong", BODY), (403, "unknown".into()));
+    let key = format!("Bearer {}", crate::support::TEAM_KEY);
+    assert_eq!(copy(&key, "{}"), (400, "unknown".into()));
+    assert_eq!(copy(&key, &"x".repeat(1_048_577)), (413, "unknown".into()));
+}
+
 #[test]
 fn refused_ticket_stays_closed() {
     let fake = Fake::start(|_, call| done(call, "published"));
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -31,6 +31,7 @@
         transport::{
             boot_clock,
             client::Client,
+            head::Head,
             links::Links,
             metrics::Metrics,
             object_api::Calls,
@@ -94,7 +95,7 @@
         (self.answer)(before, &call)
     }
 
-    fn refuse(&self, _fault: &Fault) -> Response {
+    fn refuse(&self, _fault: &Fault, _head: Option<&Head>) -> Response {
         Response::empty_400()
     }
 }
