Count refused connections apart from served ones

Connections above the limit were counted together with those being served. As a refused one stays for up to two seconds, lasting overload would have left ever fewer places for connections that could be served. They now have a count of their own. The head of a refused connection is read first, so that a copy of an order is not refused as not run.

--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -64,6 +64,22 @@
     }
 }
 
+/// Refuses a connection above the limit. The head is read first, because the
+/// answer depends on whether the request names a ticket.
+pub fn turn_away(stream: TcpStream, limits: &Limits, handler: &impl Handler) {
+    let due = boot_clock::now() + LINGER;
+    let mut reader = BufReader::new(Source { due, stream });
+    let head = Head::read(&mut reader, limits.header_bytes).ok().flatten();
+    let limit = limits.connections;
+    let stream = reader.into_inner().stream;
+    refuse(
+        stream,
+        handler,
+        &Fault::Connections { limit },
+        head.as_ref(),
+    );
+}
+
 /// Answers a connection with a refusal and closes it.
 pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault, refused: Option<&Head>) {
     let _ = stream.set_write_timeout(Some(LINGER));
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -106,11 +106,20 @@
 
     /// Accepts connections until the process ends, a thread for each.
     pub fn run(self, handler: Arc<impl Handler>) -> ! {
-        let count = Arc::new(AtomicUsize::new(0));
+        let (served, refused) = <(Arc<AtomicUsize>, Arc<AtomicUsize>)>::default();
 
         loop {
             match self.listener.accept() {
-                Ok((stream, _)) => self.start(stream, &handler, &count),
+                Ok((stream, _)) => {
+                    let started = match Slot::below(&served, self.limits.connections) {
+                        Some(slot) => self.serve(stream, &handler, slot),
+                        None => self.turn_away(stream, &handler, &refused),
+                    };
+
+                    if let Err(error) = started {
+                        log::warn!("cannot start a thread for a connection: {error}");
+                    }
+                }
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
                     thread::sleep(ACCEPT_PAUSE);
@@ -119,35 +128,46 @@
         }
     }
 
-    fn start(&self, stream: TcpStream, handler: &Arc<impl Handler>, count: &Arc<AtomicUsize>) {
-        let slot = Slot::take(count, 1);
+    fn serve(&self, stream: TcpStream, handler: &Arc<impl Handler>, slot: Slot) -> io::Result<()> {
+        let handler = Arc::clone(handler);
+        let limits = self.limits.clone();
+        let busy = self.busy.clone();
 
-        if slot.number >= self.limits.connections + REFUSED_CONNECTIONS {
-            return;
-        }
+        spawn(move || {
+            http_connection::serve(stream, &limits, &*handler, &busy);
+            drop(slot);
+        })
+    }
 
+    /// Refuses a connection above the limit. These have a count of their own,
+    /// so that they never take the place of one that can be served.
+    fn turn_away(
+        &self,
+        stream: TcpStream,
+        handler: &Arc<impl Handler>,
+        refused: &Arc<AtomicUsize>,
+    ) -> io::Result<()> {
+        let Some(slot) = Slot::below(refused, REFUSED_CONNECTIONS) else {
+            return Ok(());
+        };
         let handler = Arc::clone(handler);
         let limits = self.limits.clone();
-        let busy = self.busy.clone();
-        let started = thread::Builder::new()
-            .name("caller".into())
-            .stack_size(STACK_BYTES)
-            .spawn(move || {
-                if slot.number < limits.connections {
-                    http_connection::serve(stream, &limits, &*handler, &busy);
-                } else {
-                    let limit = limits.connections;
-                    http_connection::refuse(stream, &*handler, &Fault::Connections { limit }, None);
-                }
-                drop(slot);
-            });
 
-        if let Err(error) = started {
-            log::warn!("cannot start a thread for a connection: {error}");
-        }
+        spawn(move || {
+            http_connection::turn_away(stream, &limits, &*handler);
+            drop(slot);
+        })
     }
 }
 
+fn spawn(serve: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new()
+        .name("caller".into())
+        .stack_size(STACK_BYTES)
+        .spawn(serve)
+        .map(drop)
+}
+
 /// Counts the requests whose answer is not yet written in full, and the bytes
 /// of their bodies.
 #[derive(Clone, Debug, Default)]
@@ -196,6 +216,12 @@
 }
 
 impl Slot {
+    /// Takes one place, or none if `limit` places are taken.
+    fn below(count: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        let slot = Self::take(count, 1);
+        (slot.number < limit).then_some(slot)
+    }
+
     fn take(count: &Arc<AtomicUsize>, size: usize) -> Self {
         Self {
             count: Arc::clone(count),
