--- a/src/coordination/problem.rs
+++ b/src/coordination/problem.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::{
-        coordination::gateway::Gateway,
+        coordination::{gateway::Gateway, posted},
         protocol::caller::{Problem, TICKET_HEADER},
         state::{
             id,
             refusal::{Outcome, Reason, Refusal},
         },
-        transport::{client, server::Fault},
+        transport::{client, head::Head, server::Fault},
     },
     rouille::{Request, Response, ResponseBody},
     std::time::Duration,
@@ -22,34 +22,17 @@
     response(gateway, request, refusal, status(refusal))
 }
 
-/// Returns the refusal of a request before its ticket was resolved.
-///
-/// The request of a ticket may have run when it was posted earlier, here or
-/// elsewhere, so such a refusal proves nothing about it.
-pub fn unresolved(ticketed: bool, mut refusal: Refusal) -> Refusal {
-    if ticketed {
-        refusal.outcome = Outcome::Unknown;
-    }
-
-    refusal
-}
-
 /// Returns the response for a missing or wrong key.
 pub fn forbidden(gateway: &Gateway, request: &Request, status: u16, detail: &str) -> Response {
     gateway.observer.count("wrong_keys");
     let refusal = Refusal::not_run(Reason::Forbidden, detail);
-    let refusal = unresolved(is_ticketed(request), refusal);
+    let refusal = posted::doubt(posted::ticketed(request), refusal);
     response(gateway, None, &refusal, status).with_additional_header("WWW-Authenticate", "Bearer")
 }
 
-/// Returns whether a request carries a ticket.
-pub fn is_ticketed(request: &Request) -> bool {
-    request.header(TICKET_HEADER).is_some()
-}
-
-/// Returns the response for a request that broke a limit of the server;
-/// `ticketed` says whether it carries, or may carry, a ticket.
-pub fn fault(gateway: &Gateway, fault: &Fault, ticketed: bool) -> Response {
+/// Returns the response for a request that broke a limit of the server. A
+/// request whose head could not be read may carry a ticket.
+pub fn fault(gateway: &Gateway, fault: &Fault, head: Option<&Head>) -> Response {
     let (name, status, reason, detail) = match fault {
         Fault::Bodies { limit } => (
             "refused_bodies",
@@ -87,7 +70,9 @@
         ),
     };
     gateway.observer.count(name);
-    let refusal = unresolved(ticketed, Refusal::not_run(reason, detail));
+    let ticketed =
+        head.is_none_or(|head| head.header(&TICKET_HEADER.to_ascii_lowercase()).is_some());
+    let refusal = posted::doubt(ticketed, Refusal::not_run(reason, detail));
     response(gateway, None, &refusal, status)
 }
 
--- a/src/coordination/routes.rs
+++ b/src/coordination/routes.rs
@@ -5,7 +5,6 @@
         coordination::{
             admin, auth, body, entrypoints, gateway::Gateway, orders, problem, requests,
         },
-        protocol::caller::TICKET_HEADER,
         state::refusal::{Reason, Refusal},
         transport::{
             head::Head,
@@ -56,9 +55,6 @@
     }
 
     fn refuse(&self, fault: &Fault, head: Option<&Head>) -> Response {
-        // Without its head a request may carry a ticket.
-        let ticketed =
-            head.is_none_or(|head| head.header(&TICKET_HEADER.to_ascii_lowercase()).is_some());
-        problem::fault(&self.0, fault, ticketed)
+        problem::fault(&self.0, fault, head)
     }
 }
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -41,7 +41,7 @@
         reader.get_mut().due = boot_clock::now() + limits.read_timeout;
 
         match read(&mut reader, limits, caller, busy) {
-            Received::Request(head, request, _room) => {
+            Ok(Some((head, request, _room))) => {
                 let written = busy.during(|| {
                     let response = handler.handle(&request);
                     write(&reader.get_ref().stream, response, &head)
@@ -53,18 +53,19 @@
 
                 reader.get_mut().due = boot_clock::now() + IDLE;
             }
-            Received::End => return,
-            Received::Fault(fault, head) => {
+            Ok(None) => return,
+            Err((fault, head)) => {
                 let fault = slow(reader.get_ref(), limits, fault);
-                refuse(reader.into_inner().stream, handler, &fault, head.as_ref());
+                let stream = reader.into_inner().stream;
+                refuse(stream, handler, &fault, head.as_ref());
                 return;
             }
         }
     }
 }
 
-/// Refuses the request of a connection above the limit. Its head is read
-/// first, since what a refusal proves depends on it.
+/// Refuses a connection above the limit. The head is read first, because the
+/// answer depends on whether the request names a ticket.
 pub fn turn_away(stream: TcpStream, limits: &Limits, handler: &impl Handler) {
     let due = boot_clock::now() + LINGER;
     let mut reader = BufReader::new(Source { due, stream });
@@ -80,9 +81,8 @@
 }
 
 /// Answers a connection with a refusal and closes it.
-fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault, head: Option<&Head>) {
+pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault, refused: Option<&Head>) {
     let _ = stream.set_write_timeout(Some(LINGER));
-    let response = handler.refuse(fault, head);
     let head = Head {
         headers: Vec::new(),
         keep: false,
@@ -91,7 +91,7 @@
         target: String::new(),
     };
 
-    if write(&stream, response, &head).is_err() {
+    if write(&stream, handler.refuse(fault, refused), &head).is_err() {
         return;
     }
 
@@ -102,15 +102,6 @@
     while matches!(source.read(&mut buffer), Ok(1..)) {}
 }
 
-/// What a caller sent.
-enum Received {
-    End,
-    /// A request with a fault, and its head unless the fault is there.
-    Fault(Fault, Option<Head>),
-    /// A request, and the room that its body takes.
-    Request(Head, Request, Slot),
-}
-
 /// Reads from a socket until a moment.
 struct Source {
     due: Time,
@@ -145,31 +136,41 @@
     }
 }
 
+type Refused = (Fault, Option<Head>);
+
 fn read(
     reader: &mut BufReader<Source>,
     limits: &Limits,
     caller: SocketAddr,
     busy: &Busy,
-) -> Received {
-    match Head::read(reader, limits.header_bytes) {
-        Ok(Some(head)) => match request(reader, limits, caller, head.clone(), busy) {
-            Ok((request, room)) => Received::Request(head, request, room),
-            Err(fault) => Received::Fault(fault, Some(head)),
-        },
-        Ok(None) => Received::End,
-        Err(fault) => Received::Fault(fault, None),
+) -> Result<Option<(Head, Request, Slot)>, Refused> {
+    let head = Head::read(reader, limits.header_bytes).map_err(|fault| (fault, None))?;
+    let Some(head) = head else {
+        return Ok(None);
+    };
+
+    match read_body(reader, limits.body_bytes, &head, busy) {
+        Ok((body, room)) => {
+            let Head {
+                headers,
+                method,
+                target,
+                ..
+            } = head.clone();
+            let request = Request::fake_http_from(caller, method, target, headers, body);
+            Ok(Some((head, request, room)))
+        }
+        Err(fault) => Err((fault, Some(head))),
     }
 }
 
-fn request(
+fn read_body(
     reader: &mut BufReader<Source>,
-    limits: &Limits,
-    caller: SocketAddr,
-    head: Head,
+    limit: usize,
+    head: &Head,
     busy: &Busy,
-) -> Result<(Request, Slot), Fault> {
+) -> Result<(Vec<u8>, Slot), Fault> {
     let bytes = head.body_bytes()?;
-    let limit = limits.body_bytes;
     let room = match usize::try_from(bytes) {
         Ok(bytes) if bytes <= limit => busy.body(bytes)?,
         _ => return Err(Fault::Body { bytes, limit }),
@@ -188,14 +189,7 @@
         });
     }
 
-    let Head {
-        headers,
-        method,
-        target,
-        ..
-    } = head;
-    let request = Request::fake_http_from(caller, method, target, headers, body);
-    Ok((request, room))
+    Ok((body, room))
 }
 
 fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
