--- a/src/state.rs
+++ b/src/state.rs
@@ -65,7 +65,6 @@
 pub mod replica_peers;
 pub mod request;
 pub mod resolution;
-
 pub mod rollout;
 pub mod roster;
 pub mod rumours;
--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -12,6 +12,7 @@
             claim::{self, Claim},
             claims::Claims,
             control::{Control, Event},
+            leases::Leases,
             membership::{self, Membership},
             published::Published,
             scheduling::Scheduling,
@@ -69,6 +70,7 @@
         let seeds = seeds.iter().copied();
         let control = Control {
             claims: Claims::new(&view, 100),
+            leases: Leases::new(&view, channel().0),
             membership: Membership::new(seeds, links.clone(), events.clone()),
             published: published.clone(),
             scheduling: Scheduling::new(Scheduler::new(domain.into(), 1)),
