Estimate queueing by what holds the calls, and claim endpoints by share

Stages waited longer than their queue_time, which admission did not look at; the estimate assumed that all calls are free at once, although drafts held most of them; and hosts that saw the same load report filled an endpoint together, up to 180 calls where 144 fit, because each took what was free and counted its own rising demand against the older demand of its peers.

Change: the wait is solved from calls in progress by priority, work that goes first keeps arriving, and the estimate must also fit queue_time; measured waits correct it by priority. A load report gives each host a window on the endpoint: what it had, and its share of what is free. The own demand in the share is smoothed. Long calls leave headroom for more urgent work.

--- a/src/state/admission.rs
+++ b/src/state/admission.rs
@@ -17,7 +17,9 @@
     pub bottleneck: usize,
     /// Time in all stages without queues, at about the 95th percentile.
     pub service: Duration,
-    /// Time in queues.
+    /// Estimated time in the bottleneck's queue.
+    pub raw: Duration,
+    /// Time in queues, corrected by the measured error of earlier estimates.
     pub wait: Duration,
 }
 
@@ -42,6 +44,7 @@
 pub fn finish(
     fleet: &Fleet,
     pools: &[usize],
+    now: Time,
     request: &Request,
     flow: &Flow,
     share: f64,
@@ -49,6 +52,7 @@
 ) -> Finish {
     let mut bottleneck = pools.first().copied().unwrap_or(0);
     let mut longest = 0.0;
+    let mut raw = 0.0;
     let mut service = 0.0;
     let mut variance = 0.0;
 
@@ -57,11 +61,13 @@
         let size = pool.size_of(request);
         let median = pool.estimates.median(size).as_secs_f64();
         let high = pool.estimates.high(size).as_secs_f64();
-        let wait = pool.ledger.wait(flow, pool.slots(share)) * tuning.admission_margin;
+        let estimated = pool.ledger.wait(now, flow, pool.slots(share));
+        let wait = estimated * pool.forecast.factor(flow.priority, tuning);
 
         if wait > longest {
             bottleneck = *index;
             longest = wait;
+            raw = estimated;
         }
 
         service += median;
@@ -71,16 +77,27 @@
     Finish {
         bottleneck,
         service: Duration::from_secs_f64(service + variance.sqrt()),
+        raw: Duration::from_secs_f64(raw.min(1e6)),
         wait: Duration::from_secs_f64(longest.min(1e6)),
     }
 }
 
-/// Judges a request by its estimated finish.
-pub fn judge(fleet: &Fleet, pools: &[usize], finish: Finish, now: Time, deadline: Time) -> Verdict {
+/// Judges a request by its estimated finish and its longest time in a queue.
+pub fn judge(
+    fleet: &Fleet,
+    pools: &[usize],
+    finish: Finish,
+    now: Time,
+    deadline: Time,
+    queue_time: Duration,
+) -> Verdict {
     let left = deadline.since(now);
     let needed = finish.service + finish.wait;
+    let by = needed
+        .saturating_sub(left)
+        .max(finish.wait.saturating_sub(queue_time));
 
-    if needed <= left {
+    if by.is_zero() {
         return Verdict::Accepted;
     }
 
@@ -98,7 +115,6 @@
         }
     }
 
-    let by = needed - left;
     Verdict::Late {
         by,
         retry_after: by.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
--- a/src/state/arrival.rs
+++ b/src/state/arrival.rs
@@ -29,7 +29,7 @@
         match self.accept(now, &request) {
             Ok(work) => {
                 let id = request.request;
-                self.limits.begin(&request.team, &request.class);
+                self.limits.begin(now, &request.team, &request.class);
                 self.works.insert(id.clone(), work);
                 actions.push(Action::Admitted { request: id });
             }
@@ -44,7 +44,7 @@
     }
 
     /// Forgets a request that is over and cancels what still runs for it.
-    pub(super) fn forget(&mut self, request: &id::Request, actions: &mut Vec<Action>) {
+    pub(super) fn forget(&mut self, now: Time, request: &id::Request, actions: &mut Vec<Action>) {
         let Some(mut work) = self.works.remove(request) else {
             return;
         };
@@ -69,12 +69,14 @@
             }
         }
 
-        self.limits.end(&work.request.team, &work.request.class);
+        self.limits
+            .end(now, &work.request.team, &work.request.class);
     }
 
     /// Ends a request without an answer.
     pub(super) fn give_up(
         &mut self,
+        now: Time,
         request: &id::Request,
         stage: usize,
         reason: Reason,
@@ -97,7 +99,7 @@
             request: request.clone(),
             stage,
         });
-        self.forget(request, actions);
+        self.forget(now, request, actions);
     }
 
     /// Returns the pool of a stage, if any endpoint of it was ever seen.
@@ -137,7 +139,7 @@
             .unwrap_or(&fallback);
         let pools = self.pools(request)?;
         let flow = self.flow(request, class);
-        self.check_finish(now, request, &flow, &pools)?;
+        let finish = self.check_finish(now, request, &flow, class.queue_time, &pools)?;
         self.check_limits(now, request)?;
 
         let mut committed = Vec::with_capacity(pools.len());
@@ -145,13 +147,16 @@
         for index in &pools {
             let pool = &mut self.fleet.pools[*index];
             let work = pool.estimates.mean(pool.size_of(request)).as_secs_f64();
-            pool.ledger.add(&flow, work);
+            pool.ledger.add(now, &flow, work);
             committed.push(work);
         }
 
         Ok(Work {
+            admitted: now,
+            bottleneck: finish.bottleneck,
             committed,
             current: None,
+            estimated: finish.raw,
             flow,
             queue_time: class.queue_time,
             ran: false,
@@ -164,25 +169,28 @@
         now: Time,
         request: &Request,
         flow: &Flow,
+        queue_time: Duration,
         pools: &[usize],
-    ) -> Result<(), Refusal> {
+    ) -> Result<admission::Finish, Refusal> {
+        let share = self.limits.share(now);
+        let finish = admission::finish(&self.fleet, pools, now, request, flow, share, &self.tuning);
+
         if !self.tuning.admission {
-            return Ok(());
+            return Ok(finish);
         }
 
-        let share = self.limits.share();
-        let finish = admission::finish(&self.fleet, pools, request, flow, share, &self.tuning);
+        let deadline = request.deadline;
 
-        match admission::judge(&self.fleet, pools, finish, now, request.deadline) {
-            admission::Verdict::Accepted => Ok(()),
+        match admission::judge(&self.fleet, pools, finish, now, deadline, queue_time) {
+            admission::Verdict::Accepted => Ok(finish),
             admission::Verdict::Probe { pool } => {
                 self.fleet.pools[pool].probed = Some(now);
-                Ok(())
+                Ok(finish)
             }
             admission::Verdict::Late { by, retry_after } => {
                 let name = &self.fleet.pools[finish.bottleneck].name;
                 let detail = format!(
-                    "estimated finish is {} ms past the deadline: {} ms in queues, longest before pool {name}, and {} ms of service",
+                    "estimated to be {} ms too late: {} ms in queues, longest before pool {name}, and {} ms of service",
                     by.as_millis(),
                     finish.wait.as_millis(),
                     finish.service.as_millis(),
--- a/src/state/completion.rs
+++ b/src/state/completion.rs
@@ -49,7 +49,9 @@
             return;
         };
 
-        self.fleet.end(running.endpoint, running.pool);
+        let ledger = &mut self.fleet.pools[running.pool].ledger;
+        ledger.end(running.priority, running.service);
+        self.fleet.end(now, running.endpoint, running.pool);
         self.learn(now, &running, report);
 
         if !running.cancelled {
@@ -89,7 +91,7 @@
                     .for_each(|loser| self.cancel(loser, actions));
             }
             Next::GiveUp(reason, detail) => {
-                self.give_up(id, running.stage, reason, detail.into(), actions);
+                self.give_up(now, id, running.stage, reason, detail.into(), actions);
             }
             Next::Nothing => {}
             Next::Queue => self.queue(now, id, actions),
--- a/src/state/dispatch.rs
+++ b/src/state/dispatch.rs
@@ -59,7 +59,7 @@
         let stage = current.stage;
         let Some(pool) = self.pool_of(work, stage) else {
             let detail = format!("pool {} has no endpoint", work.request.stages[stage].pool);
-            self.give_up(id, stage, Reason::NoEndpoint, detail, actions);
+            self.give_up(now, id, stage, Reason::NoEndpoint, detail, actions);
             return;
         };
 
@@ -83,7 +83,7 @@
 
             if work.committed[stage] == 0.0 {
                 work.committed[stage] = cost.as_secs_f64();
-                pool.ledger.add(&work.flow, work.committed[stage]);
+                pool.ledger.add(now, &work.flow, work.committed[stage]);
             }
 
             pool.queue.push(&work.flow, position, item);
@@ -112,15 +112,24 @@
         };
 
         let stage = current.stage;
-        let pool = &work.request.stages[stage].pool;
+        let pool = work.request.stages[stage].pool.clone();
+
+        if current.tried.is_empty() {
+            let work = work.clone();
+            self.compare(now, &work, stage);
+        }
+
+        let Some(work) = self.works.get(id) else {
+            return;
+        };
 
         if now >= work.request.deadline {
             let detail = format!("the deadline passed in the queue before pool {pool}");
-            self.give_up(id, stage, Reason::Deadline, detail, actions);
+            self.give_up(now, id, stage, Reason::Deadline, detail, actions);
         } else {
             let limit = work.queue_time.as_millis();
             let detail = format!("waited longer than {limit} ms before pool {pool}");
-            self.give_up(id, stage, Reason::Overload, detail, actions);
+            self.give_up(now, id, stage, Reason::Overload, detail, actions);
         }
     }
 
@@ -176,7 +185,7 @@
         actions: &mut Vec<Action>,
     ) {
         while let Some(item) = self.fleet.pools[pool].queue.peek() {
-            let (id, stage) = (item.request.clone(), item.stage);
+            let (id, stage, cost) = (item.request.clone(), item.stage, item.cost);
             let Some(work) = self.works.get(&id) else {
                 return;
             };
@@ -184,10 +193,20 @@
             if self.hopeless(now, work, stage) {
                 let name = &self.fleet.pools[pool].name;
                 let detail = format!("cannot finish in time after the queue before pool {name}");
-                self.give_up(&id, stage, Reason::Overload, detail, actions);
+                self.give_up(now, &id, stage, Reason::Overload, detail, actions);
                 continue;
             }
 
+            let state = &self.fleet.pools[pool];
+            let (share, headroom) = (self.limits.share(now), self.tuning.headroom);
+
+            if cost >= self.tuning.long_call
+                && !state.queue.owes()
+                && !state.leaves_room(now, work.flow.priority, share, headroom)
+            {
+                return;
+            }
+
             let tried = work
                 .current
                 .as_ref()
@@ -212,6 +231,15 @@
         }
     }
 
+    /// Compares the estimated wait before a stage with the measured one.
+    fn compare(&mut self, now: Time, work: &Work, stage: usize) {
+        if self.pool_of(work, stage) == Some(work.bottleneck) {
+            let measured = now.since(work.admitted);
+            let forecast = &mut self.fleet.pools[work.bottleneck].forecast;
+            forecast.record(work.flow.priority, work.estimated, measured);
+        }
+    }
+
     /// Chooses an endpoint that has had the stage before, if no other is open.
     fn again(
         &mut self,
@@ -237,10 +265,16 @@
         if let Some(current) = &mut work.current
             && let Some(queued) = current.queued.take()
         {
+            let first = current.tried.is_empty();
             current.waited += now.since(queued.since);
             let timer = Timer::Expiry(id.clone());
             self.timers.remove(&(queued.expires, timer));
             let stage = current.stage;
+
+            if first {
+                self.compare(now, &work, stage);
+            }
+
             self.release(&mut work, stage);
         }
 
@@ -266,7 +300,7 @@
             freed,
             prefix: self.works.get(id)?.request.prefix,
         };
-        let share = self.limits.share();
+        let share = self.limits.share(now);
 
         Placement::new(&self.fleet, now, pool, &mut self.rng, share, &self.tuning).choose(wish)
     }
@@ -298,7 +332,10 @@
 
         self.next_attempt += 1;
         let attempt = id::Attempt(self.next_attempt);
-        self.fleet.begin(endpoint);
+        let service = pool.estimates.mean(size).as_secs_f64();
+        let (flow, priority) = (work.flow.clone(), work.flow.priority);
+        self.fleet.pools[index].ledger.begin(&flow, service);
+        self.fleet.begin(now, endpoint);
         self.tally.dispatched += 1;
         self.attempts.insert(
             attempt,
@@ -307,7 +344,9 @@
                 ended: false,
                 endpoint,
                 pool: index,
+                priority,
                 request: id.clone(),
+                service,
                 size,
                 stage,
             },
--- a/src/state/fair_queue.rs
+++ b/src/state/fair_queue.rs
@@ -189,6 +189,12 @@
         self.list(&key);
     }
 
+    /// Returns whether what is to run next is owed to its class.
+    pub fn owes(&self) -> bool {
+        let owed = self.owed.first();
+        owed.is_some_and(|(shared, _)| *shared <= self.served)
+    }
+
     /// Removes an item, without charging for it.
     pub fn remove(&mut self, flow: &Flow, position: Position) -> Option<Item> {
         self.take(&(flow.priority, flow.class.clone()), &flow.team, position)
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -9,6 +9,7 @@
         estimates::Size,
         hints::Hints,
         id,
+        load::Claim,
         policy::Policy,
         pool_state::PoolState,
         tuning::Tuning,
@@ -43,15 +44,15 @@
     }
 
     /// Counts a call that starts.
-    pub fn begin(&mut self, node: usize) {
+    pub fn begin(&mut self, now: Time, node: usize) {
         let pool = self.nodes[node].pool;
-        self.nodes[node].load.begin();
+        self.nodes[node].load.begin(now);
         self.pools[pool].own += 1;
     }
 
     /// Counts a call that ended; `pool` is where it began.
-    pub fn end(&mut self, node: usize, pool: usize) {
-        self.nodes[node].load.end();
+    pub fn end(&mut self, now: Time, node: usize, pool: usize) {
+        self.nodes[node].load.end(now);
         self.pools[pool].own -= 1;
     }
 
@@ -93,10 +94,13 @@
         self.judge(now, node, tuning);
     }
 
-    /// Takes an endpoint's report of its load.
-    pub fn report(&mut self, now: Time, node: usize, load: &endpoint::Load) {
+    /// Takes an endpoint's report of its load. `share` is this host's part of
+    /// all demand, `lot` a random number between 0 and 1.
+    pub fn report(&mut self, now: Time, node: usize, load: &endpoint::Load, share: f64, lot: f64) {
         let state = &mut self.nodes[node];
-        let change = state.load.report(now, load);
+        let limit = self.pools[state.pool].limit();
+        let claim = Claim { limit, lot, share };
+        let change = state.load.report(now, load, claim);
 
         if state.phase() == Phase::Live {
             let pool = &mut self.pools[state.pool];
--- /dev/null
+++ b/src/state/forecast.rs
@@ -0,0 +1,50 @@
+//! How far estimates of queueing time were off.
+
+use {
+    crate::state::{estimate::Estimate, tuning::Tuning},
+    std::time::Duration,
+};
+
+/// Number of priorities.
+const PRIORITIES: usize = 10;
+/// Shorter estimates say nothing about the error.
+const SHORTEST: Duration = Duration::from_millis(50);
+/// Samples from which the error is used.
+const TRUSTED: f32 = 8.0;
+/// Largest factor of correction.
+const MOST: f64 = 4.0;
+
+/// The measured error of one pool's estimates, by priority. Work that arrives
+/// later and goes first makes the estimates of low priorities too short.
+#[derive(Clone, Debug, Default)]
+pub struct Forecast {
+    /// Ratios of measured to estimated waits; one second stands for one.
+    ratios: [Estimate; PRIORITIES],
+}
+
+impl Forecast {
+    /// Returns the factor for an estimate: the 95th percentile of the ratios,
+    /// at least the tuned margin.
+    pub fn factor(&self, priority: u8, tuning: &Tuning) -> f64 {
+        let ratio = &self.ratios[level(priority)];
+
+        if ratio.samples() < TRUSTED {
+            return tuning.admission_margin;
+        }
+
+        let high = ratio.high().as_secs_f64();
+        high.max(tuning.admission_margin).min(MOST)
+    }
+
+    /// Takes the estimated and the measured wait of one stage.
+    pub fn record(&mut self, priority: u8, estimated: Duration, measured: Duration) {
+        if estimated >= SHORTEST {
+            let ratio = measured.as_secs_f64() / estimated.as_secs_f64();
+            self.ratios[level(priority)].record(Duration::from_secs_f64(ratio.min(100.0)));
+        }
+    }
+}
+
+fn level(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -1,10 +1,17 @@
 //! Work that is admitted and has not started yet, before one pool.
 
 use {
-    crate::state::{fair_queue::Flow, id},
+    crate::state::{
+        clock::Time,
+        drain::{Drain, Group},
+        fair_queue::Flow,
+        id,
+    },
     std::collections::HashMap,
 };
 
+/// Time over which arrivals are smoothed.
+const RATE_SECONDS: f64 = 1.0;
 /// Number of priorities.
 const PRIORITIES: usize = 10;
 /// Work below this many seconds is a rounding error.
@@ -18,6 +25,33 @@
     work: f64,
 }
 
+impl Account {
+    fn group(&self) -> Group {
+        Group {
+            count: f64::from(self.items),
+            service: self.work / f64::from(self.items),
+        }
+    }
+}
+
+/// Work that arrives each second, smoothed.
+#[derive(Debug, Default)]
+struct Rate {
+    at: Time,
+    value: f64,
+}
+
+impl Rate {
+    fn add(&mut self, now: Time, work: f64) {
+        self.value = self.at(now) + work / RATE_SECONDS;
+        self.at = now;
+    }
+
+    fn at(&self, now: Time) -> f64 {
+        self.value * (-now.since(self.at).as_secs_f64() / RATE_SECONDS).exp()
+    }
+}
+
 #[derive(Debug, Default)]
 struct Reserve {
     items: u32,
@@ -32,15 +66,19 @@
     flows: HashMap<(id::Team, id::Class), Account>,
     /// Sum of the shares of classes with work, in percent.
     reserved: u32,
+    rates: [Rate; PRIORITIES],
     reserves: HashMap<id::Class, Reserve>,
+    /// Calls in progress.
+    running: [Account; PRIORITIES],
     weights: [u64; PRIORITIES],
     work: [f64; PRIORITIES],
 }
 
 impl Ledger {
     /// Adds work.
-    pub fn add(&mut self, flow: &Flow, work: f64) {
+    pub fn add(&mut self, now: Time, flow: &Flow, work: f64) {
         let priority = level(flow);
+        self.rates[priority].add(now, work);
         let key = (flow.team.clone(), flow.class.clone());
         let account = self.flows.entry(key).or_default();
 
@@ -65,6 +103,16 @@
         }
     }
 
+    /// Returns how many more calls than now work of a higher priority is about
+    /// to run, judged by its arrivals.
+    pub fn preferred(&self, now: Time, priority: u8, headroom: f64) -> f64 {
+        let above = usize::from(priority).min(PRIORITIES - 1) + 1;
+        let rates = self.rates[above..].iter();
+        let expected: f64 = rates.map(|rate| rate.at(now)).sum();
+        let running: u32 = self.running[above..].iter().map(|group| group.items).sum();
+        (expected + headroom * expected.sqrt() - f64::from(running)).max(0.0)
+    }
+
     /// Removes work that was added for the same flow.
     pub fn remove(&mut self, flow: &Flow, work: f64) {
         let priority = level(flow);
@@ -94,13 +142,27 @@
         }
     }
 
+    /// Counts a call that starts.
+    pub fn begin(&mut self, flow: &Flow, service: f64) {
+        let group = &mut self.running[level(flow)];
+        group.items += 1;
+        group.work += service;
+    }
+
+    /// Counts a call that ended; `service` is what was given at its begin.
+    pub fn end(&mut self, priority: u8, service: f64) {
+        let group = &mut self.running[usize::from(priority).min(PRIORITIES - 1)];
+        group.items -= 1;
+        group.work = less(group.work, service);
+    }
+
     /// Estimates how many seconds a new item of the flow waits when `slots`
     /// calls run at a time.
     ///
-    /// Work of higher priority goes first. Within the priority the flow waits
-    /// for its own work at its weighted share of the slots, but never longer
-    /// than for all work of the priority.
-    pub fn wait(&self, flow: &Flow, slots: f64) -> f64 {
+    /// Work of higher priority goes first, including what keeps arriving.
+    /// Within the priority the flow waits for its own work at its weighted
+    /// share of the calls, but never longer than for all work of the priority.
+    pub fn wait(&self, now: Time, flow: &Flow, slots: f64) -> f64 {
         let priority = level(flow);
         let key = (flow.team.clone(), flow.class.clone());
         let account = self.flows.get(&key);
@@ -111,8 +173,16 @@
         let higher: f64 = self.work[priority + 1..].iter().sum();
         let reserve = self.reserves.get(&flow.class);
         let kept = self.reserved - reserve.map_or(0, |reserve| u32::from(reserve.share));
-        let free = 1.0 - (f64::from(kept) / 100.0).min(MOST_RESERVED);
-        let wait = (higher + fair) / (slots * free);
+        let rates = self.rates[priority + 1..].iter();
+        let running: u32 = self.running.iter().map(|group| group.items).sum();
+        let groups = self.running.iter().filter(|group| group.items > 0);
+        let drain = Drain {
+            free: (slots - f64::from(running)).max(0.0),
+            groups: groups.map(Account::group).collect(),
+            part: 1.0 - (f64::from(kept) / 100.0).min(MOST_RESERVED),
+            preferred: rates.map(|rate| rate.at(now)).sum(),
+        };
+        let wait = drain.wait(higher + fair);
 
         if flow.share == 0 {
             return wait;
--- a/src/state/limit.rs
+++ b/src/state/limit.rs
@@ -11,6 +11,9 @@
 /// Length of the burst that a rate allows, in seconds.
 const BURST_SECONDS: f64 = 0.25;
 
+/// Smoothing of the own demand, about the age of what peers report.
+const SMOOTHING_SECONDS: f64 = 1.0;
+
 /// One rate limit: a token bucket.
 #[derive(Debug)]
 struct Bucket {
@@ -46,6 +49,9 @@
     classes: HashMap<(id::Team, id::Class), u32>,
     hosts: Vec<Demand>,
     own: u32,
+    own_at: Time,
+    /// Requests in progress here, smoothed.
+    own_smooth: f64,
     peers: BTreeMap<id::Team, u32>,
     peers_total: u64,
     teams: Demand,
@@ -82,7 +88,8 @@
     }
 
     /// Counts a request that starts.
-    pub fn begin(&mut self, team: &id::Team, class: &id::Class) {
+    pub fn begin(&mut self, now: Time, team: &id::Team, class: &id::Class) {
+        self.settle(now);
         self.own += 1;
         *self.teams.entry(team.clone()).or_insert(0) += 1;
         let key = (team.clone(), class.clone());
@@ -95,7 +102,8 @@
     }
 
     /// Counts a request that is over.
-    pub fn end(&mut self, team: &id::Team, class: &id::Class) {
+    pub fn end(&mut self, now: Time, team: &id::Team, class: &id::Class) {
+        self.settle(now);
         self.own = self.own.saturating_sub(1);
 
         if let Some(count) = self.teams.get_mut(team) {
@@ -158,8 +166,12 @@
     }
 
     /// Returns the part of all demand that is on this host, between 0 and 1.
-    pub fn share(&self) -> f64 {
-        let own = f64::from(self.own) + 1.0;
+    ///
+    /// The own demand is smoothed because the peers' is late: when demand
+    /// rises everywhere, each host would otherwise see only its own rise, and
+    /// the parts would sum to far more than one.
+    pub fn share(&self, now: Time) -> f64 {
+        let own = self.smooth(now) + 1.0;
         own / (own + f64::from(u32::try_from(self.peers_total).unwrap_or(u32::MAX)))
     }
 
@@ -198,6 +210,17 @@
         Verdict::Allowed
     }
 
+    fn settle(&mut self, now: Time) {
+        self.own_smooth = self.smooth(now);
+        self.own_at = now;
+    }
+
+    fn smooth(&self, now: Time) -> f64 {
+        let age = now.since(self.own_at).as_secs_f64() / SMOOTHING_SECONDS;
+        let own = f64::from(self.own);
+        own + (self.own_smooth - own) * (-age).exp()
+    }
+
     fn part(&self, team: &id::Team) -> f64 {
         let own = f64::from(self.teams.get(team).copied().unwrap_or(0)) + 1.0;
         let peers = f64::from(self.peers.get(team).copied().unwrap_or(0));
--- a/src/state/load.rs
+++ b/src/state/load.rs
@@ -2,9 +2,12 @@
 
 use {
     crate::state::{clock::Time, endpoint, tuning::Tuning},
-    std::time::Duration,
+    std::{collections::VecDeque, time::Duration},
 };
 
+/// Changes of the own calls that are remembered.
+const HISTORY: usize = 32;
+
 /// The last report of an endpoint.
 #[derive(Clone, Debug)]
 struct Report {
@@ -15,22 +18,38 @@
     running: u32,
 }
 
+/// This host's claim on an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// Calls at a time that the endpoint takes.
+    pub limit: u32,
+    /// A random number between 0 and 1 that rounds the claim.
+    pub lot: f64,
+    /// This host's part of all demand.
+    pub share: f64,
+}
+
 /// This host's own calls and the endpoint's reports.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
+    /// When the own calls changed, and to what.
+    history: VecDeque<(Time, u32)>,
     own: u32,
     report: Option<Report>,
+    window: u32,
 }
 
 impl Load {
     /// Counts a call that starts.
-    pub fn begin(&mut self) {
+    pub fn begin(&mut self, now: Time) {
         self.own += 1;
+        self.note(now);
     }
 
     /// Counts a call that ended.
-    pub fn end(&mut self) {
+    pub fn end(&mut self, now: Time) {
         self.own = self.own.saturating_sub(1);
+        self.note(now);
     }
 
     /// Returns the calls of other hosts. A report counts less the older it
@@ -56,13 +75,15 @@
     }
 
     /// Takes a report and returns the change in other hosts' calls.
-    pub fn report(&mut self, now: Time, load: &endpoint::Load) -> f64 {
+    pub fn report(&mut self, now: Time, load: &endpoint::Load, claim: Claim) -> f64 {
         let before = self.reported();
         let total = load.queued.saturating_add(load.running);
+        let own = self.own_before(now, load.age);
+        self.window = window(own, total, claim);
 
         self.report = Some(Report {
             age: load.age,
-            others: f64::from(total.saturating_sub(self.own)),
+            others: f64::from(total.saturating_sub(own)),
             queued: load.queued,
             received: now,
             running: load.running,
@@ -76,13 +97,50 @@
         self.report.as_ref().map_or(0.0, |report| report.others)
     }
 
-    /// Returns whether the endpoint has reported its load.
-    pub fn reports(&self) -> bool {
-        self.report.is_some()
-    }
-
     /// Returns the last reported number of running calls.
     pub fn running(&self) -> u32 {
         self.report.as_ref().map_or(0, |report| report.running)
     }
+
+    /// Returns the calls that this host may have on the endpoint according to
+    /// the last report, or `None` before the first one.
+    pub fn window(&self) -> Option<u32> {
+        self.report.as_ref().map(|_| self.window)
+    }
+
+    fn note(&mut self, now: Time) {
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+        }
+
+        self.history.push_back((now, self.own));
+    }
+
+    /// Returns the own calls at the time to which a report of this age refers.
+    fn own_before(&self, now: Time, age: Duration) -> u32 {
+        let recent = |entry: &&(Time, u32)| now.since(entry.0) >= age;
+        let entry = self.history.iter().rev().find(recent);
+        let oldest = self.history.front();
+        entry.or(oldest).map_or(0, |(_, own)| *own)
+    }
+}
+
+/// Returns the calls that a host may have on an endpoint that had `total`
+/// calls, `own` of them this host's.
+///
+/// Hosts see the same report at the same time, so each takes only its share
+/// of what is free, and what it had it may have again. Above the limit, hosts
+/// that hold more than their share give one up.
+fn window(own: u32, total: u32, claim: Claim) -> u32 {
+    let quota = f64::from(claim.limit) * claim.share;
+    if total < claim.limit {
+        let free = claim.limit - total;
+        let part = f64::from(free) * claim.share;
+        let rounded = part.floor() + f64::from(u8::from(claim.lot < part.fract()));
+        (own + rounded as u32).max(quota as u32)
+    } else if total > claim.limit && f64::from(own) > quota {
+        own - 1
+    } else {
+        own
+    }
 }
--- a/src/state/placement.rs
+++ b/src/state/placement.rs
@@ -10,8 +10,7 @@
 
 /// Draws after which a large pool is taken to be full.
 const DRAWS: usize = 16;
-/// Part of a host's entitlement below which it may go over an endpoint's
-/// limit by one, to get in where the other hosts hold everything.
+/// Part of a host's entitlement below which it goes over limits.
 const UNDER_ENTITLED: f64 = 0.8;
 
 /// What a call asks for.
@@ -28,12 +27,14 @@
 #[derive(Debug)]
 pub struct Placement<'a> {
     fleet: &'a Fleet,
-    limit: f64,
     now: Time,
     pool: &'a PoolState,
     rng: &'a mut StdRng,
     share: f64,
     tuning: &'a Tuning,
+    /// Whether this host has so little of the pool that it may go over an
+    /// endpoint's limit, to get in where other hosts hold everything.
+    under_entitled: bool,
 }
 
 impl<'a> Placement<'a> {
@@ -50,12 +51,12 @@
 
         Self {
             fleet,
-            limit: limit(pool, share),
             now,
             pool,
             rng,
             share,
             tuning,
+            under_entitled: f64::from(pool.own) < pool.entitlement(share) * UNDER_ENTITLED,
         }
     }
 
@@ -183,29 +184,18 @@
             self.pool.limit()
         };
 
-        !ejection.ejected(self.now)
-            && !ejection.paused(self.now)
-            && own < most
-            && (own == 0 && !state.load.reports() || self.load(node) < self.limit)
+        let fits = match state.load.window() {
+            Some(window) => {
+                let full = f64::from(self.pool.limit());
+                own < window || self.under_entitled && own == 0 && self.load(node) <= full
+            }
+            None => own == 0 || self.load(node) < f64::from(self.pool.limit()),
+        };
+
+        fits && own < most && !ejection.ejected(self.now) && !ejection.paused(self.now)
     }
 
     fn state(&self, node: usize) -> &'a EndpointState {
         &self.fleet.nodes[node]
     }
 }
-
-/// Returns the load up to which this host uses an endpoint. A host above its
-/// entitlement leaves one call free for hosts below theirs.
-fn limit(pool: &PoolState, share: f64) -> f64 {
-    let limit = f64::from(pool.limit());
-    let own = f64::from(pool.own);
-    let entitled = pool.entitlement(share);
-
-    if own < entitled * UNDER_ENTITLED {
-        limit + 1.0
-    } else if own > entitled && limit > 1.0 {
-        limit - 1.0
-    } else {
-        limit
-    }
-}
--- a/src/state/pool_state.rs
+++ b/src/state/pool_state.rs
@@ -6,6 +6,7 @@
         clock::Time,
         estimates::{Estimates, Size},
         fair_queue::FairQueue,
+        forecast::Forecast,
         id,
         ledger::Ledger,
         pool::{Kind, Pool},
@@ -23,6 +24,7 @@
 pub struct PoolState {
     pub budget: Budget,
     pub estimates: Estimates,
+    pub forecast: Forecast,
     /// Members in other failure domains.
     pub foreign: Vec<usize>,
     /// Hashes of the members' ids, in the order of `members`.
@@ -51,6 +53,7 @@
         Self {
             budget: Budget::default(),
             estimates: Estimates::new(tuning),
+            forecast: Forecast::default(),
             foreign: Vec::new(),
             hashes: Vec::new(),
             ledger: Ledger::default(),
@@ -101,6 +104,17 @@
         self.estimates.overall().as_secs_f64()
     }
 
+    /// Returns whether a long call of a priority leaves enough calls free for
+    /// what is more urgent, within this host's entitlement. Calls in progress
+    /// are not interrupted, so long ones must not take every free call, nor
+    /// all hosts together more than there are.
+    pub fn leaves_room(&self, now: Time, priority: u8, share: f64, headroom: f64) -> bool {
+        let preferred = self.ledger.preferred(now, priority, headroom);
+
+        let slots = self.slots(share).min(self.entitlement(share));
+        slots - f64::from(self.own) >= preferred + 1.0
+    }
+
     /// Takes one more call into the pool's slowness.
     pub fn observe(&mut self, ratio: f64) {
         self.slowness += WEIGHT * (ratio.min(10.0) - self.slowness);
--- a/src/state/scheduler.rs
+++ b/src/state/scheduler.rs
@@ -18,7 +18,7 @@
         tuning::Tuning,
         work::{Running, Timer, Work},
     },
-    rand::{SeedableRng, rngs::StdRng},
+    rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
@@ -77,7 +77,7 @@
 
         for pool in &self.fleet.pools {
             let mut by_flow: BTreeMap<_, backlog::Row> = BTreeMap::new();
-            let slots = pool.slots(self.limits.share());
+            let slots = pool.slots(self.limits.share(now));
 
             for item in pool.queue.iter() {
                 let Some(work) = self.works.get(&item.request) else {
@@ -100,7 +100,7 @@
 
                 // Items come in the order of their deadlines, so the last one
                 // decides.
-                let wait = pool.ledger.wait(&work.flow, slots).min(1e6);
+                let wait = pool.ledger.wait(now, &work.flow, slots).min(1e6);
                 let finish = now + Duration::from_secs_f64(wait) + self.remaining(work, item.stage);
                 row.depth += 1;
                 row.lateness = finish.since(request.deadline);
@@ -144,7 +144,7 @@
 
     /// Takes one event and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        self.prepare(&event, actions);
+        self.prepare(now, &event, actions);
         self.advance(now, actions);
 
         match event {
@@ -164,7 +164,9 @@
             }
             Event::Load { endpoint, load } => {
                 if let Some(node) = self.fleet.find(&endpoint) {
-                    self.fleet.report(now, node, &load);
+                    let lot = self.rng.random_range(0.0..1.0);
+                    let share = self.limits.share(now);
+                    self.fleet.report(now, node, &load, share, lot);
                     self.pump(now, self.fleet.nodes[node].pool, Some(node), actions);
                 }
             }
@@ -214,9 +216,9 @@
 
     /// Takes what an event ends before the timers run, so that no timer sends
     /// anything for it.
-    fn prepare(&mut self, event: &Event, actions: &mut Vec<Action>) {
+    fn prepare(&mut self, now: Time, event: &Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Ended { request } => self.forget(request, actions),
+            Event::Ended { request } => self.forget(now, request, actions),
             Event::Finished { attempt, .. } => {
                 if let Some(running) = self.attempts.get_mut(attempt) {
                     running.ended = true;
--- a/src/state/tuning.rs
+++ b/src/state/tuning.rs
@@ -31,6 +31,11 @@
     pub ejection_time: Duration,
     /// Queues by class, team and deadline instead of by arrival.
     pub fairness: bool,
+    /// Calls kept free for more urgent work, as a multiple of the square root
+    /// of the calls that such work uses on average.
+    pub headroom: f64,
+    /// Expected service time from which a call must leave headroom.
+    pub long_call: Duration,
     /// Sends slow repeatable calls to a second endpoint.
     pub hedging: bool,
     /// Hedge delay as a multiple of the 95th percentile.
@@ -65,7 +70,7 @@
     fn default() -> Self {
         Self {
             admission: true,
-            admission_margin: 1.2,
+            admission_margin: 3.0,
             affinity: true,
             affinity_bound: 1.25,
             affinity_candidates: 4,
@@ -77,6 +82,8 @@
             ejection_max: Duration::from_secs(60),
             ejection_time: Duration::from_secs(5),
             fairness: true,
+            headroom: 2.0,
+            long_call: Duration::from_millis(1500),
             hedging: true,
             hedge_factor: 1.0,
             hints_per_endpoint: 64,
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -41,6 +41,13 @@
     /// Endpoint-seconds entered in the ledger of each stage's pool.
     pub committed: Vec<f64>,
     pub current: Option<Current>,
+    /// When the request was admitted.
+    pub admitted: Time,
+    /// Time in queues that was estimated at admission before the pool with
+    /// the longest queue, without the factor of correction.
+    pub estimated: Duration,
+    /// That pool.
+    pub bottleneck: usize,
     pub flow: Flow,
     /// Longest time in a queue before a stage.
     pub queue_time: Duration,
@@ -69,7 +76,10 @@
     pub ended: bool,
     pub endpoint: usize,
     pub pool: usize,
+    pub priority: u8,
     pub request: id::Request,
+    /// Service time in seconds as entered in the ledger.
+    pub service: f64,
     pub size: Size,
     pub stage: usize,
 }
