--- a/src/state/admission.rs
+++ b/src/state/admission.rs
@@ -62,7 +62,7 @@
         let median = pool.estimates.median(size).as_secs_f64();
         let high = pool.estimates.high(size).as_secs_f64();
         let estimated = pool.ledger.wait(now, flow, pool.slots(share));
-        let wait = estimated * pool.forecast.factor(now, flow.priority, tuning);
+        let wait = estimated * pool.forecast.factor(flow.priority, tuning);
 
         if wait > longest {
             bottleneck = *index;
--- a/src/state/dispatch.rs
+++ b/src/state/dispatch.rs
@@ -236,7 +236,7 @@
         if self.pool_of(work, stage) == Some(work.bottleneck) {
             let measured = now.since(work.admitted);
             let forecast = &mut self.fleet.pools[work.bottleneck].forecast;
-            forecast.record(now, work.flow.priority, work.estimated, measured);
+            forecast.record(work.flow.priority, work.estimated, measured);
         }
     }
 
