--- a/src/coordination/problem.rs
+++ b/src/coordination/problem.rs
@@ -51,6 +51,12 @@
 /// `ticketed` says whether it carries, or may carry, a ticket.
 pub fn fault(gateway: &Gateway, fault: &Fault, ticketed: bool) -> Response {
     let (name, status, reason, detail) = match fault {
+        Fault::Bodies { limit } => (
+            "refused_bodies",
+            503,
+            Reason::Limit,
+            format!("bodies of all requests take more than {limit} bytes"),
+        ),
         Fault::Body { bytes, limit } => (
             "refused_body_bytes",
             413,
