--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -2,11 +2,14 @@
 
 use {
     crate::{
-        protocol::{caller::Body, digest},
+        protocol::{
+            caller::{Body, TICKET_HEADER},
+            digest,
+        },
         state::{
             id,
             policy::Policy,
-            refusal::{Outcome, Reason, Refusal},
+            refusal::{Reason, Refusal},
         },
     },
     rouille::Request,
@@ -54,20 +57,20 @@
             None => false,
             Some(value) => flag("stream", Some(&value))?,
         };
-        let ticket = request.header("Persimmon-Ticket").map(String::from);
+        let ticket = request.header(TICKET_HEADER).map(String::from);
         let key = request.header("Idempotency-Key").map(String::from);
 
         match (&ticket, &key) {
             (None, _) if !repeatable => {
                 return Err(invalid(
-                    "Persimmon-Ticket",
+                    TICKET_HEADER,
                     "",
                     "a ticket, because the request is not repeatable",
                 ));
             }
             (Some(_), _) if repeatable => {
                 return Err(invalid(
-                    "Persimmon-Ticket",
+                    TICKET_HEADER,
                     "a ticket",
                     "none, because the request is repeatable",
                 ));
@@ -128,24 +131,6 @@
     bytes
 }
 
-/// Returns the refusal with an outcome that also holds for an earlier copy of
-/// the request. A ticket may have been posted before, here or at another host,
-/// and a caller that takes `not_run` for its order would order again.
-pub fn doubt(ticketed: bool, refusal: Refusal) -> Refusal {
-    match refusal.outcome {
-        Outcome::NotRun if ticketed => Refusal {
-            outcome: Outcome::Unknown,
-            ..refusal
-        },
-        _ => refusal,
-    }
-}
-
-/// Returns whether a request names one that may have run before.
-pub fn ticketed(request: &Request) -> bool {
-    request.method() == "GET" || request.header("Persimmon-Ticket").is_some()
-}
-
 /// Builds the refusal of a field.
 pub fn invalid(field: &str, value: &str, expected: &str) -> Refusal {
     Refusal::not_run(
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -61,7 +61,8 @@
     /// Answers one request.
     fn handle(&self, request: &Request) -> Response;
 
-    /// Answers a request that broke a limit, with its head if it was read.
+    /// Answers a request that broke a limit; its head is known unless the
+    /// fault is in the head.
     fn refuse(&self, fault: &Fault, head: Option<&Head>) -> Response;
 }
 
