--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -57,8 +57,12 @@
         Some(text) => match gateway.tickets.verify(text) {
             // This host may be a later incarnation of the ticket's home, so it
             // asks the witness as well.
+            // The witness closes the ticket, so only its team may ask.
             Ok(ticket) if ticket.request == *id => {
-                claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT)
+                match auth::team(gateway, request, &ticket.team) {
+                    Ok(()) => claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT),
+                    Err(response) => return response,
+                }
             }
             _ => {
                 let refusal = posted::invalid(TICKET_HEADER, "a ticket", "the request's ticket");
