--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -11,9 +11,11 @@
             record::{Record, Subject},
             records::Opened,
         },
+        protocol::{caller::TICKET_HEADER, ticket::Ticket},
         state::{
             id,
             refusal::{Reason, Refusal},
+            view::View,
         },
         transport::boot_clock,
     },
@@ -52,30 +54,38 @@
         return response;
     }
 
-    let refusal = match request.header("Persimmon-Ticket") {
-        Some(text) => match gateway.tickets.verify(text) {
-            Ok(ticket) if ticket.request == *id && ticket.home.host != view.local.host => {
-                claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT)
-            }
-            _ => posted::invalid("Persimmon-Ticket", "a ticket", "the ticket of the request"),
+    let ticket = request
+        .header(TICKET_HEADER)
+        .and_then(|text| gateway.tickets.verify(text).ok())
+        .filter(|ticket| ticket.request == *id && !is_home(&view, ticket));
+    let refusal = match ticket {
+        Some(ticket) => match auth::team(gateway, request, &ticket.team) {
+            Ok(()) => claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT),
+            Err(response) => return response,
         },
         None => Refusal::unknown(Reason::Missing, "no host holds a record of the request"),
     };
     problem::respond(gateway, Some(id), &refusal)
 }
 
+/// Whether this incarnation of this host is the ticket's home.
+fn is_home(view: &View, ticket: &Ticket) -> bool {
+    ticket.home.host == view.local.host && ticket.home.incarnation == view.local.incarnation
+}
+
 fn taken(
     gateway: &Arc<Gateway>,
     request: &Request,
     pipeline: &str,
 ) -> Result<Response, Box<Response>> {
     let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
-    let posted = Posted::read(request, pipeline).map_err(refuse)?;
+    let doubt = |refusal| refuse(posted::doubt(posted::ticketed(request), refusal));
+    let posted = Posted::read(request, pipeline).map_err(doubt)?;
 
     if gateway.published.get().policy.version == 0
         && let Some(refusal) = gateway.unready()
     {
-        return Err(refuse(refusal));
+        return Err(doubt(refusal));
     }
 
     auth::team(gateway, request, &posted.team).map_err(Box::new)?;
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -6,7 +6,7 @@
         transport::{
             boot_clock,
             head::Head,
-            server::{Busy, Fault, Handler, Limits},
+            server::{Busy, Fault, Handler, Limits, Slot},
         },
     },
     rouille::{Request, Response},
@@ -40,8 +40,8 @@
     while matches!(reader.fill_buf(), Ok([_, ..])) {
         reader.get_mut().due = boot_clock::now() + limits.read_timeout;
 
-        match read(&mut reader, limits, caller) {
-            Ok(Some((head, request))) => {
+        match read(&mut reader, limits, caller, busy) {
+            Ok(Some((head, request, _room))) => {
                 let written = busy.during(|| {
                     let response = handler.handle(&request);
                     write(&reader.get_ref().stream, response, &head)
@@ -54,17 +54,34 @@
                 reader.get_mut().due = boot_clock::now() + IDLE;
             }
             Ok(None) => return,
-            Err(fault) => {
+            Err((fault, head)) => {
                 let fault = slow(reader.get_ref(), limits, fault);
-                refuse(reader.into_inner().stream, handler, &fault);
+                let stream = reader.into_inner().stream;
+                refuse(stream, handler, &fault, head.as_ref());
                 return;
             }
         }
     }
 }
 
+/// Refuses a connection above the limit. The head is read first, because the
+/// answer depends on whether the request names a ticket.
+pub fn turn_away(stream: TcpStream, limits: &Limits, handler: &impl Handler) {
+    let due = boot_clock::now() + LINGER;
+    let mut reader = BufReader::new(Source { due, stream });
+    let head = Head::read(&mut reader, limits.header_bytes).ok().flatten();
+    let limit = limits.connections;
+    let stream = reader.into_inner().stream;
+    refuse(
+        stream,
+        handler,
+        &Fault::Connections { limit },
+        head.as_ref(),
+    );
+}
+
 /// Answers a connection with a refusal and closes it.
-pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault) {
+pub fn refuse(stream: TcpStream, handler: &impl Handler, fault: &Fault, refused: Option<&Head>) {
     let _ = stream.set_write_timeout(Some(LINGER));
     let head = Head {
         headers: Vec::new(),
@@ -74,7 +91,7 @@
         target: String::new(),
     };
 
-    if write(&stream, handler.refuse(fault), &head).is_err() {
+    if write(&stream, handler.refuse(fault, refused), &head).is_err() {
         return;
     }
 
@@ -119,20 +136,45 @@
     }
 }
 
+type Refused = (Fault, Option<Head>);
+
 fn read(
     reader: &mut BufReader<Source>,
     limits: &Limits,
     caller: SocketAddr,
-) -> Result<Option<(Head, Request)>, Fault> {
-    let Some(head) = Head::read(reader, limits.header_bytes)? else {
+    busy: &Busy,
+) -> Result<Option<(Head, Request, Slot)>, Refused> {
+    let head = Head::read(reader, limits.header_bytes).map_err(|fault| (fault, None))?;
+    let Some(head) = head else {
         return Ok(None);
     };
-    let bytes = head.body_bytes()?;
-    let limit = limits.body_bytes;
 
-    if bytes > u64::try_from(limit).unwrap_or(u64::MAX) {
-        return Err(Fault::Body { bytes, limit });
+    match read_body(reader, limits.body_bytes, &head, busy) {
+        Ok((body, room)) => {
+            let Head {
+                headers,
+                method,
+                target,
+                ..
+            } = head.clone();
+            let request = Request::fake_http_from(caller, method, target, headers, body);
+            Ok(Some((head, request, room)))
+        }
+        Err(fault) => Err((fault, Some(head))),
     }
+}
+
+fn read_body(
+    reader: &mut BufReader<Source>,
+    limit: usize,
+    head: &Head,
+    busy: &Busy,
+) -> Result<(Vec<u8>, Slot), Fault> {
+    let bytes = head.body_bytes()?;
+    let room = match usize::try_from(bytes) {
+        Ok(bytes) if bytes <= limit => busy.body(bytes)?,
+        _ => return Err(Fault::Body { bytes, limit }),
+    };
 
     if head.header("expect").is_some() {
         let _ = (&reader.get_ref().stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -147,14 +189,7 @@
         });
     }
 
-    let Head {
-        headers,
-        method,
-        target,
-        ..
-    } = head.clone();
-    let request = Request::fake_http_from(caller, method, target, headers, body);
-    Ok(Some((head, request)))
+    Ok((body, room))
 }
 
 fn write(stream: &TcpStream, response: Response, head: &Head) -> io::Result<()> {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -6,7 +6,7 @@
 //! have come together, and stops accepting after one failed `accept`.
 
 use {
-    crate::transport::{error::Error, http_connection},
+    crate::transport::{error::Error, head::Head, http_connection},
     rouille::{Request, Response},
     std::{
         io,
@@ -27,6 +27,10 @@
 /// further ones are closed without an answer.
 const REFUSED_CONNECTIONS: usize = 64;
 
+/// Bytes of bodies held at a time, for all connections together. The limits on
+/// one body and on connections alone would allow 2 GB.
+const BODIES_BYTES: usize = 64 * 1024 * 1024;
+
 /// Enough for a request thread; the default of 2 MB would reserve 4 GB of
 /// address space at the connection limit.
 const STACK_BYTES: usize = 512 * 1024;
@@ -44,6 +48,7 @@
 /// Why a request was refused before the handler saw it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Fault {
+    Bodies { limit: usize },
     Body { bytes: u64, limit: usize },
     Connections { limit: usize },
     Header { limit: usize },
@@ -56,8 +61,8 @@
     /// Answers one request.
     fn handle(&self, request: &Request) -> Response;
 
-    /// Answers a request that broke a limit.
-    fn refuse(&self, fault: &Fault) -> Response;
+    /// Answers a request that broke a limit, with its head if it was read.
+    fn refuse(&self, fault: &Fault, head: Option<&Head>) -> Response;
 }
 
 /// A server that listens but does not accept yet.
@@ -101,11 +106,20 @@
 
     /// Accepts connections until the process ends, a thread for each.
     pub fn run(self, handler: Arc<impl Handler>) -> ! {
-        let count = Arc::new(AtomicUsize::new(0));
+        let (served, refused) = <(Arc<AtomicUsize>, Arc<AtomicUsize>)>::default();
 
         loop {
             match self.listener.accept() {
-                Ok((stream, _)) => self.start(stream, &handler, &count),
+                Ok((stream, _)) => {
+                    let started = match Slot::below(&served, self.limits.connections) {
+                        Some(slot) => self.serve(stream, &handler, slot),
+                        None => self.turn_away(stream, &handler, &refused),
+                    };
+
+                    if let Err(error) = started {
+                        log::warn!("cannot start a thread for a connection: {error}");
+                    }
+                }
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
                     thread::sleep(ACCEPT_PAUSE);
@@ -114,69 +128,112 @@
         }
     }
 
-    fn start(&self, stream: TcpStream, handler: &Arc<impl Handler>, count: &Arc<AtomicUsize>) {
-        let slot = Slot::take(count);
+    fn serve(&self, stream: TcpStream, handler: &Arc<impl Handler>, slot: Slot) -> io::Result<()> {
+        let handler = Arc::clone(handler);
+        let limits = self.limits.clone();
+        let busy = self.busy.clone();
 
-        if slot.number >= self.limits.connections + REFUSED_CONNECTIONS {
-            return;
-        }
+        spawn(move || {
+            http_connection::serve(stream, &limits, &*handler, &busy);
+            drop(slot);
+        })
+    }
 
+    /// Refuses a connection above the limit. These have a count of their own,
+    /// so that they never take the place of one that can be served.
+    fn turn_away(
+        &self,
+        stream: TcpStream,
+        handler: &Arc<impl Handler>,
+        refused: &Arc<AtomicUsize>,
+    ) -> io::Result<()> {
+        let Some(slot) = Slot::below(refused, REFUSED_CONNECTIONS) else {
+            return Ok(());
+        };
         let handler = Arc::clone(handler);
         let limits = self.limits.clone();
-        let busy = self.busy.clone();
-        let started = thread::Builder::new()
-            .name("caller".into())
-            .stack_size(STACK_BYTES)
-            .spawn(move || {
-                if slot.number < limits.connections {
-                    http_connection::serve(stream, &limits, &*handler, &busy);
-                } else {
-                    let limit = limits.connections;
-                    http_connection::refuse(stream, &*handler, &Fault::Connections { limit });
-                }
-                drop(slot);
-            });
 
-        if let Err(error) = started {
-            log::warn!("cannot start a thread for a connection: {error}");
-        }
+        spawn(move || {
+            http_connection::turn_away(stream, &limits, &*handler);
+            drop(slot);
+        })
     }
 }
 
-/// Counts the requests whose answer is not yet written in full.
+fn spawn(serve: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new()
+        .name("caller".into())
+        .stack_size(STACK_BYTES)
+        .spawn(serve)
+        .map(drop)
+}
+
+/// Counts the requests whose answer is not yet written in full, and the bytes
+/// of their bodies.
 #[derive(Clone, Debug, Default)]
-pub struct Busy(Arc<AtomicUsize>);
+pub struct Busy {
+    bytes: Arc<AtomicUsize>,
+    requests: Arc<AtomicUsize>,
+}
 
 impl Busy {
     /// Returns the number of requests.
     pub fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.requests.load(Ordering::Relaxed)
     }
 
     /// Counts one request while `answer` runs.
     pub fn during<T>(&self, answer: impl FnOnce() -> T) -> T {
-        let _slot = Slot::take(&self.0);
+        let _slot = Slot::take(&self.requests, 1);
         answer()
     }
+
+    /// Holds room for a body until the slot is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the bodies of all requests take too much room.
+    pub fn body(&self, bytes: usize) -> Result<Slot, Fault> {
+        let slot = Slot::take(&self.bytes, bytes);
+
+        if slot.number + bytes > BODIES_BYTES {
+            return Err(Fault::Bodies {
+                limit: BODIES_BYTES,
+            });
+        }
+
+        Ok(slot)
+    }
 }
 
-struct Slot {
+/// A part of a bounded count, given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
     count: Arc<AtomicUsize>,
+    /// The count before this part.
     number: usize,
+    size: usize,
 }
 
 impl Slot {
-    fn take(count: &Arc<AtomicUsize>) -> Self {
+    /// Takes one place, or none if `limit` places are taken.
+    fn below(count: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        let slot = Self::take(count, 1);
+        (slot.number < limit).then_some(slot)
+    }
+
+    fn take(count: &Arc<AtomicUsize>, size: usize) -> Self {
         Self {
             count: Arc::clone(count),
-            number: count.fetch_add(1, Ordering::Relaxed),
+            number: count.fetch_add(size, Ordering::Relaxed),
+            size,
         }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
+        self.count.fetch_sub(self.size, Ordering::Relaxed);
     }
 }
 
--- a/tests/gateway/records.rs
+++ b/tests/gateway/records.rs
@@ -68,6 +68,46 @@
     assert_eq!(fake.count(), 1);
 }
 
+/// A caller that lost its answer posts the ticket again; a refusal that comes
+/// before the ticket is looked up must not claim that the request did not run.
+macro_rules! refusal_after_the_run_is_unknown {
+    ($($name:ident: $header:expr, $status:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let fake = Fake::start(|_, call| done(call, "published"));
+                let host = service(&fake);
+                let ticket = host.ticket(BODY);
+                assert_eq!(host.post_once(&ticket, BODY).0, 200);
+
+                let wrong: (&str, &str) = $header;
+                let mut headers = vec![
+                    wrong,
+                    ("Authorization", "Bearer the key of team hvarfdal"),
+                    ("Persimmon-Class", "volume"),
+                    ("Persimmon-Repeatable", "false"),
+                    ("Persimmon-Team", "hvarfdal"),
+                    ("Persimmon-Ticket", ticket["ticket"].as_str().unwrap()),
+                ];
+                // The wrong header replaces the right one of the same name.
+                headers.sort_by_key(|(name, _)| *name);
+                headers.dedup_by_key(|(name, _)| *name);
+                let path = "/v1/pipelines/draft/requests";
+                let (status, text) = host.send(path, &headers, BODY);
+                assert_eq!(status, $status, "{text}");
+                assert_eq!(parse(&text)["outcome"], "unknown", "{text}");
+                assert_eq!(fake.count(), 1);
+            }
+        )*
+    };
+}
+
+refusal_after_the_run_is_unknown! {
+    wrong_key_after_the_run: ("Authorization", "Bearer wrong"), 403;
+    wrong_deadline_after_the_run: ("Persimmon-Deadline-Ms", "0"), 400;
+    damaged_ticket_after_the_run: ("Persimmon-Ticket", "damaged"), 409;
+}
+
 #[test]
 fn ticket_with_another_body_is_a_conflict() {
     let fake = Fake::start(|_, call| done(call, "published"));
@@ -92,9 +132,39 @@
     let (status, text) = host.post_once(&ticket, BODY);
     assert_eq!(status, 409, "{text}");
     assert_eq!(parse(&text)["reason"], "ticket");
+    // A key change makes good tickets look forged, whose orders may have run.
+    assert_eq!(parse(&text)["outcome"], "unknown");
     assert_eq!(fake.count(), 0);
 }
 
+#[test]
+fn refusal_of_a_copy_does_not_deny_the_order() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = service(&fake);
+    let ticket = host.ticket(BODY);
+    assert_eq!(host.post_once(&ticket, BODY).0, 200);
+    let text = ticket["ticket"].as_str().unwrap();
+    let headers = |authorization| {
+        [
+            ("Authorization", authorization),
+            ("Persimmon-Class", "volume"),
+            ("Persimmon-Repeatable", "false"),
+            ("Persimmon-Team", "hvarfdal"),
+            ("Persimmon-Ticket", text),
+        ]
+    };
+    let copy = |authorization, body: &str| {
+        let path = "/v1/pipelines/draft/requests";
+        let (status, text) = host.send(path, &headers(authorization), body);
+        (status, parse(&text)["outcome"].clone())
+    };
+
+    assert_eq!(copy("Bearer wrong", BODY), (403, "unknown".into()));
+    let key = format!("Bearer {}", crate::support::TEAM_KEY);
+    assert_eq!(copy(&key, "{}"), (400, "unknown".into()));
+    assert_eq!(copy(&key, &"x".repeat(1_048_577)), (413, "unknown".into()));
+}
+
 #[test]
 fn refused_ticket_stays_closed() {
     let fake = Fake::start(|_, call| done(call, "published"));
@@ -151,3 +221,42 @@
     assert_eq!(status, 200, "{text}");
     assert_eq!(parse(&text)["output"], "published");
 }
+
+/// A host for one request at a time, which holds 20 records.
+fn small(fake: &Fake) -> Host {
+    let limits = Limits {
+        requests: 1,
+        ..Limits::default()
+    };
+    Host::with_limits(&[("publish", Kind::Service, &[fake.address])], limits)
+}
+
+#[test]
+fn full_table_drops_the_oldest_answer_without_a_key() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = small(&fake);
+    let posted: Vec<_> = (0..21).map(|_| host.post("", &[], BODY)).collect();
+    let fetch = |text: &str| {
+        let request = parse(text)["request"].as_str().unwrap().to_string();
+        host.get(&format!("/v1/requests/{request}"), crate::support::TEAM_KEY)
+    };
+
+    assert!(posted.iter().all(|(status, _)| *status == 200));
+    assert_eq!(fetch(&posted[0].1).0, 404);
+    assert_eq!(fetch(&posted[1].1), posted[1]);
+}
+
+#[test]
+fn full_table_refuses_rather_than_drop_a_key() {
+    let fake = Fake::start(|_, call| done(call, "published"));
+    let host = small(&fake);
+    let post = |number: usize| host.post("", &[("Idempotency-Key", &format!("k{number}"))], BODY);
+    let first = post(0);
+    (1..20).for_each(|number| assert_eq!(post(number).0, 200));
+
+    let (status, text) = post(20);
+    assert_eq!(status, 503, "{text}");
+    assert_eq!(parse(&text)["outcome"], "not_run");
+    assert_eq!(post(0), first);
+    assert_eq!(fake.count(), 20);
+}
