--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -74,7 +74,7 @@
             membership: Membership::new(seeds, links.clone(), events.clone()),
             published: published.clone(),
             scheduling: Scheduling::new(Scheduler::new(domain.into(), 1)),
-            settings: Settings::default(),
+            settings: Settings::new(&view, channel().0),
             view,
         };
 
