--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -11,10 +11,11 @@
             record::{Record, Subject},
             records::Opened,
         },
-        protocol::caller::TICKET_HEADER,
+        protocol::{caller::TICKET_HEADER, ticket::Ticket},
         state::{
             id,
             refusal::{Reason, Refusal},
+            view::View,
         },
         transport::boot_clock,
     },
@@ -53,50 +54,45 @@
         return response;
     }
 
-    let refusal = match request.header(TICKET_HEADER) {
-        Some(text) => match gateway.tickets.verify(text) {
-            // This host may be a later incarnation of the ticket's home, so it
-            // asks the witness as well.
-            // The witness closes the ticket, so only its team may ask.
-            Ok(ticket) if ticket.request == *id => {
-                match auth::team(gateway, request, &ticket.team) {
-                    Ok(()) => claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT),
-                    Err(response) => return response,
-                }
-            }
-            _ => {
-                let refusal = posted::invalid(TICKET_HEADER, "a ticket", "the request's ticket");
-                problem::unresolved(true, refusal)
-            }
+    let ticket = request
+        .header(TICKET_HEADER)
+        .and_then(|text| gateway.tickets.verify(text).ok())
+        .filter(|ticket| ticket.request == *id && !is_home(&view, ticket));
+    let refusal = match ticket {
+        Some(ticket) => match auth::team(gateway, request, &ticket.team) {
+            Ok(()) => claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT),
+            Err(response) => return response,
         },
         None => Refusal::unknown(Reason::Missing, "no host holds a record of the request"),
     };
     problem::respond(gateway, Some(id), &refusal)
 }
 
+/// Whether this incarnation of this host is the ticket's home.
+fn is_home(view: &View, ticket: &Ticket) -> bool {
+    ticket.home.host == view.local.host && ticket.home.incarnation == view.local.incarnation
+}
+
 fn taken(
     gateway: &Arc<Gateway>,
     request: &Request,
     pipeline: &str,
 ) -> Result<Response, Box<Response>> {
     let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
-    let unresolved = |refusal| {
-        let ticketed = problem::is_ticketed(request);
-        refuse(problem::unresolved(ticketed, refusal))
-    };
-    let posted = Posted::read(request, pipeline).map_err(unresolved)?;
+    let doubt = |refusal| refuse(posted::doubt(posted::ticketed(request), refusal));
+    let posted = Posted::read(request, pipeline).map_err(doubt)?;
 
     if gateway.published.get().policy.version == 0
         && let Some(refusal) = gateway.unready()
     {
-        return Err(unresolved(refusal));
+        return Err(doubt(refusal));
     }
 
     auth::team(gateway, request, &posted.team).map_err(Box::new)?;
     let record = match &posted.ticket {
         None => repeatable(gateway, &posted).map_err(refuse)?,
         Some(text) => {
-            let ticket = orders::check_ticket(gateway, &posted, text).map_err(unresolved)?;
+            let ticket = orders::check_ticket(gateway, &posted, text).map_err(refuse)?;
 
             if ticket.home.host != gateway.published.get().local.host {
                 return Ok(orders::foreign(gateway, request, &posted, &ticket));
