Measure the control work of one host

Cause: the capacity page needs slopes of processor time, bytes, memory and object API calls over hosts, teams, endpoints, requests and tickets. Change: benches/control drives the product's own membership, settings, scheduler and witness on virtual time; bytes are those of the Cap'n Proto messages, memory is counted by the allocator. Ruled out: starting hundreds of daemons, since their processor time on one machine says nothing about a host of its own.

--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,35 @@
+//! Measures the control work of one host: processor time, bytes, memory and
+//! calls of the object API, at several sizes.
+//!
+//! `cargo bench --bench control`. Rates are per second of virtual time, so a
+//! busy machine does not change them. Processor time is that of the measuring
+//! thread.
+
+#[path = "control/allocation.rs"]
+mod allocation;
+#[path = "control/endpoints.rs"]
+mod endpoints;
+#[path = "control/hosts.rs"]
+mod hosts;
+#[path = "control/meter.rs"]
+mod meter;
+#[path = "control/requests.rs"]
+mod requests;
+#[path = "control/settings.rs"]
+mod settings;
+#[path = "control/store.rs"]
+mod store;
+#[path = "control/tickets.rs"]
+mod tickets;
+
+#[global_allocator]
+static ALLOCATOR: allocation::Counter = allocation::Counter;
+
+fn main() {
+    hosts::print(&[2, 4, 8, 16, 64, 256, 890]);
+    settings::print(&[10, 100, 1000, 8500]);
+    endpoints::print(&[18, 100, 896, 12_000]);
+    requests::print(&[1, 10, 26, 100]);
+    tickets::print(&[1000, 10_000, 200_000]);
+    store::print(&[2, 4, 8, 16, 890]);
+}
--- /dev/null
+++ b/benches/control/tickets.rs
@@ -0,0 +1,50 @@
+//! The witness's records.
+
+use {
+    crate::meter::{float, micros_per, timed, weighed},
+    persimmoncleat::state::{
+        clock::Time,
+        id::Incarnation,
+        witness::{Subject, Witness},
+    },
+};
+
+fn subject(number: usize) -> Subject {
+    Subject {
+        host: "host-0001".into(),
+        incarnation: Incarnation(1),
+        request: format!("host-0002.1796371911159120.{number:032x}").into(),
+        stamp: Time::from_millis(u64::try_from(number).unwrap_or_default() / 100),
+    }
+}
+
+/// Prints the cost of witness records at several sizes.
+pub fn print(sizes: &[usize]) {
+    println!("witness records, per host");
+    println!(
+        "{:>9} {:>12} {:>12} {:>14}",
+        "records", "us/permit", "us/expiry", "bytes/record"
+    );
+
+    for count in sizes {
+        let subjects: Vec<Subject> = (0..*count).map(subject).collect();
+        let mut witness = Witness::new("host-0001".into(), Incarnation(1), *count);
+        let (((), permits), bytes) = weighed(|| {
+            timed(|| {
+                for subject in &subjects {
+                    witness.permit(subject.stamp, subject, 7);
+                }
+            })
+        });
+        let ((), expiry) = timed(|| witness.expire(Time::from_millis(1_000_000)));
+
+        println!(
+            "{count:>9} {:>12.2} {:>12.2} {:>14}",
+            micros_per(permits, float(*count)),
+            micros_per(expiry, float(*count)),
+            bytes / count
+        );
+    }
+
+    println!();
+}
