Prove the propagation of settings between processes

Propagation between hosts was not run before, because the membership part was a stub. Three tests start up to 4 daemons: exactly two of a region keep watching the object API, a change whose watch event is dropped is in force on all hosts within the 7 s that the answer waits, and a host that starts during an outage takes the tree from its peers. A first form of the watch test counted calls from readiness on and failed: a host may start one more watch in the 100 ms before it learns that others watch. The count now starts later and demands no further call at all from the others.

--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -179,3 +179,70 @@
     assert_eq!(log.compact(&snapshot, late).unwrap(), floor);
     assert_eq!(calls.counts().put, puts);
 }
+
+/// Starts hosts in failure domains of one region, two of which watch.
+fn region(hosts: usize) -> Fleet {
+    let mut fleet = Fleet::platform(BINARY);
+
+    for number in 1..=hosts {
+        fleet.host(&format!("h{number}"), &format!("is-{number}"));
+    }
+
+    fleet.ready();
+    fleet
+}
+
+#[test]
+fn change_reaches_hosts_that_do_not_watch() {
+    let fleet = region(4);
+    let (status, answer) = submit(&fleet, "op-1", &weight(None, "300"));
+
+    assert_eq!((status, &answer["pending"]), (200, &json!([])), "{answer}");
+    assert_eq!(answer["in_force"].as_array().unwrap().len(), 4);
+
+    let watches = || {
+        let hosts = fleet.hosts.iter();
+        hosts
+            .map(|host| fleet.status(host)["store_calls"]["watch"].as_u64())
+            .collect::<Vec<_>>()
+    };
+    let above = |counts: &[Option<u64>], least: u64| {
+        let counts = counts.iter().flatten();
+        counts.filter(|count| **count >= least).count()
+    };
+    // A host may watch until it knows the others, so only later calls count.
+    let before = wait("some watches of a host", LIMIT, || {
+        let counts = watches();
+        (above(&counts, 4) > 0).then_some(counts)
+    });
+    let after = wait("more watches of a host", LIMIT, || {
+        let counts = watches();
+        (above(&counts, 8) > 0).then_some(counts)
+    });
+    let still = before.iter().zip(&after).filter(|(old, new)| old == new);
+    assert_eq!(still.count(), 2, "{before:?} {after:?}");
+}
+
+#[test]
+fn change_that_the_watch_misses_is_in_force_everywhere() {
+    let fleet = region(3);
+    fleet.objects.set(Faults {
+        watch_drop: Some(1),
+        ..Faults::default()
+    });
+    let (status, answer) = submit(&fleet, "op-1", &weight(None, "300"));
+    assert_eq!((status, &answer["pending"]), (200, &json!([])), "{answer}");
+}
+
+#[test]
+fn new_host_takes_settings_from_peers_during_an_outage() {
+    let mut fleet = region(2);
+    submit(&fleet, "op-1", &weight(None, "300"));
+    fleet.objects.set(Faults {
+        outage: Some(true),
+        ..Faults::default()
+    });
+    fleet.host("h3", "is-3");
+    fleet.ready();
+    assert_eq!(fleet.status(fleet.named("h3"))["settings_version"], 2);
+}
