Bound settings messages by bytes and split the oracle of the trials

Sizes were counted without what JSON adds, so a tree of many small values could outgrow the object API's 1 MB; an answer to a peer was bounded by changes, not bytes, and could outgrow the 8 MB of a message; a page of 256 large changes could outgrow the 64 MB that the client reads.

--- a/src/bin/persimmoncleatctl/change.rs
+++ b/src/bin/persimmoncleatctl/change.rs
@@ -71,7 +71,7 @@
             Err(Failure::refused(lines(&faults)))
         }
         503 if body["outcome"] == "not_run" => Err(Failure::unreachable(
-            "the change was not applied: the object API cannot be reached; try again",
+            "the change was not applied: the host is busy or cannot reach the object API; try again",
         )),
         503 if body["outcome"] == "unknown" => Err(Failure::unreachable(unknown(operation))),
         status => Err(Failure::other(format!(
--- a/src/bin/persimmoncleatctl/config.rs
+++ b/src/bin/persimmoncleatctl/config.rs
@@ -12,7 +12,7 @@
         protocol::tree_file,
         state::{
             edit::Edit,
-            key,
+            key, path,
             tree::{Row, Tree},
         },
     },
@@ -93,6 +93,13 @@
 ///
 /// Fails if the host does not answer.
 pub fn get(operator: &Operator, path: &str, explain: bool, json: bool) -> Result<(), Failure> {
+    if path::subtree(path).is_none() {
+        let expected = path::PATHS;
+        return Err(Failure::usage(format!(
+            "PATH is {path:?}, expected {expected}"
+        )));
+    }
+
     let answer = operator.get(&format!("{PATH}?path={path}"))?;
 
     if json {
--- a/src/coordination/settings_log.rs
+++ b/src/coordination/settings_log.rs
@@ -23,8 +23,9 @@
 const FLOOR: &str = "settings/floor";
 const SNAPSHOT: &str = "settings/snapshot";
 
-/// Objects in one page of a list.
-const PAGE: usize = 256;
+/// Objects in one page of a list. A change takes up to 1 MB, and the client
+/// reads answers of up to 64 MB.
+const PAGE: usize = 60;
 
 /// The log of changes, its snapshot and its floor.
 #[derive(Clone, Debug)]
@@ -65,7 +66,12 @@
                 changes.push(decode(&object.key, object.value)?);
             }
 
-            if count < PAGE {
+            let has_gap = changes
+                .first()
+                .is_some_and(|change| change.version > after + 1);
+
+            // After a gap a snapshot is needed, so the rest is of no use.
+            if count < PAGE || has_gap {
                 let floor = if changes.is_empty() {
                     Floor::default()
                 } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,7 @@
 pub mod scheduler_oracle;
 pub mod scheduler_trace;
 pub mod settings_call;
+mod settings_oracle;
 pub mod settings_step;
 pub mod settings_store;
 pub mod settings_trace;
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -103,6 +103,15 @@
 }
 
 impl Change {
+    /// Returns about how many bytes the change takes as JSON.
+    pub fn bytes(&self) -> usize {
+        let length = |value: &Option<String>| value.as_ref().map_or(0, String::len);
+        let edits = self.edits.iter().map(|edit| {
+            edit.path.len() + edit.key.len() + length(&edit.old) + length(&edit.new) + 48
+        });
+        edits.sum::<usize>() + self.operation.len() + self.author.len() + 64
+    }
+
     /// Returns the first edit whose key one of the other changes sets as well;
     /// they lead to `tree`, which has this version.
     pub fn conflict<'a>(
--- a/src/state/log.rs
+++ b/src/state/log.rs
@@ -15,8 +15,9 @@
 /// Most changes kept that cannot be applied yet.
 const AHEAD: usize = 2000;
 
-/// Most changes in one answer to a peer.
-const BATCH: usize = 256;
+/// Most bytes in one answer to a peer, unless a single change is larger. A
+/// message between hosts takes up to 8 MB.
+const BATCH_BYTES: usize = 1_000_000;
 
 /// The applied changes and their tree. Its version only rises.
 #[derive(Clone, Debug)]
@@ -123,13 +124,17 @@
             return Batch::Snapshot(self.snapshot());
         }
 
-        let changes = self.recent.range(version.saturating_add(1)..);
-        Batch::Changes(
-            changes
-                .take(BATCH)
-                .map(|(_, change)| change.clone())
-                .collect(),
-        )
+        let mut bytes = 0;
+        let changes = self
+            .recent
+            .range(version.saturating_add(1)..)
+            .map(|(_, change)| change)
+            .take_while(|change| {
+                let first = bytes == 0;
+                bytes += change.bytes();
+                first || bytes <= BATCH_BYTES
+            });
+        Batch::Changes(changes.cloned().collect())
     }
 
     /// Returns the whole settings.
--- /dev/null
+++ b/src/state/settings_oracle.rs
@@ -0,0 +1,67 @@
+//! What must hold for the answers and the versions in a trial of settings
+//! replicas.
+
+use crate::state::{
+    change::Outcome,
+    settings_trace::World,
+    settings_violation::{BehindSnafu, MisreportedSnafu, Violation},
+};
+
+impl World {
+    pub(super) fn reply(&mut self, ticket: u64, outcome: &Outcome) -> Result<(), Violation> {
+        let Some((host, operation)) = self.tickets.remove(&ticket) else {
+            return Ok(());
+        };
+        self.bases.remove(&(host, operation.clone()));
+
+        match outcome {
+            Outcome::Accepted { version } => {
+                let change = self.store.change(*version);
+
+                if change.is_none_or(|change| change.operation != operation) {
+                    return misreported(&operation, outcome);
+                }
+            }
+            Outcome::Conflict(_) | Outcome::Invalid(_) | Outcome::NotRun => {
+                if self.submissions.get(&operation) == Some(&1) {
+                    self.refused.push(operation);
+                }
+            }
+            Outcome::Unknown => {}
+        }
+
+        Ok(())
+    }
+
+    pub(super) fn check_refused(&self) -> Result<(), Violation> {
+        self.refused
+            .iter()
+            .find(|operation| self.store.has(operation))
+            .map_or(Ok(()), |operation| misreported(operation, &Outcome::NotRun))
+    }
+
+    pub(super) fn check_versions(&self, newest: u64) -> Result<(), Violation> {
+        for (host, state) in self.hosts.iter().enumerate() {
+            let version = state.replica.log().version();
+
+            if version != newest {
+                return BehindSnafu {
+                    host,
+                    newest,
+                    version,
+                }
+                .fail();
+            }
+        }
+
+        Ok(())
+    }
+}
+
+fn misreported(operation: &str, outcome: &Outcome) -> Result<(), Violation> {
+    MisreportedSnafu {
+        operation,
+        outcome: format!("{outcome:?}"),
+    }
+    .fail()
+}
--- a/src/state/settings_trace.rs
+++ b/src/state/settings_trace.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::state::{
-        change::{Draft, Outcome},
+        change::Draft,
         clock::Time,
         edit::Wish,
         id,
@@ -17,9 +17,7 @@
         replica_event::Event,
         settings_call::Call,
         settings_store::Store,
-        settings_violation::{
-            BehindSnafu, DiffersSnafu, FellSnafu, MisreportedSnafu, UnansweredSnafu,
-        },
+        settings_violation::{DiffersSnafu, FellSnafu, UnansweredSnafu},
         watchers::watchers,
     },
     std::{collections::BTreeMap, time::Duration},
@@ -46,29 +44,30 @@
 /// Time in which every host must reach the newest version without faults.
 const IN_FORCE: Duration = Duration::from_secs(7);
 
+/// One host of a trial.
 #[derive(Clone, Debug)]
-struct Host {
+pub(super) struct Host {
     cut: bool,
     frozen: bool,
     leaving: bool,
-    replica: Replica,
+    pub(super) replica: Replica,
 }
 
 /// Several replicas, a store and the calls between them.
 #[derive(Clone, Debug)]
 pub struct World {
     /// The version on which a host first based its change of an operation.
-    bases: BTreeMap<(usize, String), u64>,
+    pub(super) bases: BTreeMap<(usize, String), u64>,
     calls: Vec<Call>,
-    hosts: Vec<Host>,
+    pub(super) hosts: Vec<Host>,
     late: Vec<Call>,
     now: Time,
     outage: bool,
     /// Operations reported as not accepted, unless submitted again.
-    refused: Vec<String>,
-    store: Store,
-    submissions: BTreeMap<String, u32>,
-    tickets: BTreeMap<u64, (usize, String)>,
+    pub(super) refused: Vec<String>,
+    pub(super) store: Store,
+    pub(super) submissions: BTreeMap<String, u32>,
+    pub(super) tickets: BTreeMap<u64, (usize, String)>,
     ticket: u64,
 }
 
@@ -328,38 +327,6 @@
         Ok(())
     }
 
-    fn reply(&mut self, ticket: u64, outcome: &Outcome) -> Result<(), Violation> {
-        let Some((host, operation)) = self.tickets.remove(&ticket) else {
-            return Ok(());
-        };
-        self.bases.remove(&(host, operation.clone()));
-
-        match outcome {
-            Outcome::Accepted { version } => {
-                let change = self.store.change(*version);
-
-                if change.is_none_or(|change| change.operation != operation) {
-                    return misreported(&operation, outcome);
-                }
-            }
-            Outcome::Conflict(_) | Outcome::Invalid(_) | Outcome::NotRun => {
-                if self.submissions.get(&operation) == Some(&1) {
-                    self.refused.push(operation);
-                }
-            }
-            Outcome::Unknown => {}
-        }
-
-        Ok(())
-    }
-
-    fn check_refused(&self) -> Result<(), Violation> {
-        self.refused
-            .iter()
-            .find(|operation| self.store.has(operation))
-            .map_or(Ok(()), |operation| misreported(operation, &Outcome::NotRun))
-    }
-
     fn settle(&mut self) -> Result<(), Violation> {
         self.outage = false;
 
@@ -394,23 +361,6 @@
             UnansweredSnafu { operation }.fail()
         })
     }
-
-    fn check_versions(&self, newest: u64) -> Result<(), Violation> {
-        for (host, state) in self.hosts.iter().enumerate() {
-            let version = state.replica.log().version();
-
-            if version != newest {
-                return BehindSnafu {
-                    host,
-                    newest,
-                    version,
-                }
-                .fail();
-            }
-        }
-
-        Ok(())
-    }
 }
 
 fn fresh(host: usize) -> Host {
@@ -422,14 +372,6 @@
     }
 }
 
-fn misreported(operation: &str, outcome: &Outcome) -> Result<(), Violation> {
-    MisreportedSnafu {
-        operation,
-        outcome: format!("{outcome:?}"),
-    }
-    .fail()
-}
-
 fn name(host: usize) -> id::Host {
     format!("h{host}").into()
 }
--- a/src/state/validation.rs
+++ b/src/state/validation.rs
@@ -8,15 +8,21 @@
     tree::Tree,
 };
 
-/// Most bytes of all paths, keys and values together. The snapshot must fit
-/// into one object of the object API, which takes 1 MB.
+/// Most bytes of the tree. The snapshot must fit into one object of the object
+/// API, which takes 1 MB, together with the operation ids of 1,000 changes.
 const TREE_BYTES: usize = 800_000;
 
-/// Most bytes of one change, for the same reason.
+/// Bytes that JSON adds to a value of the tree on a path of its own.
+const VALUE_BYTES: usize = 12;
+
+/// Bytes that JSON adds to an edit, apart from the value that it replaces.
+const EDIT_BYTES: usize = 48;
+
+/// Most bytes of one change, which must fit into an object as well.
 const CHANGE_BYTES: usize = 400_000;
 
-/// Most bytes of an operation id and of an author.
-const LABEL_BYTES: usize = 128;
+/// Most bytes of an author's name.
+const AUTHOR_BYTES: usize = 128;
 
 impl Tree {
     /// Returns everything that is wrong with the tree.
@@ -60,11 +66,11 @@
 
         let bytes = self
             .values()
-            .map(|(path, key, value)| path.len() + key.len() + value.len())
+            .map(|(path, key, value)| path.len() + key.len() + value.len() + VALUE_BYTES)
             .sum::<usize>();
 
         if bytes > TREE_BYTES {
-            let expected = format!("at most {TREE_BYTES} bytes of paths, keys and values");
+            let expected = format!("at most {TREE_BYTES} bytes, {VALUE_BYTES} more for each value");
             faults.push(Fault::new("", "size", &bytes.to_string(), expected));
         }
 
@@ -106,21 +112,33 @@
 
 fn check_labels(draft: &Draft) -> Vec<Fault> {
     let mut faults = Vec::new();
-
-    for (name, value) in [("operation", &draft.operation), ("author", &draft.author)] {
-        if !(1..=LABEL_BYTES).contains(&value.len()) {
+    let mut check = |field: &str, value: &str, valid: bool, expected: String| {
+        if !valid {
             faults.push(Fault {
-                field: name.into(),
-                value: value.clone(),
-                expected: format!("1 to {LABEL_BYTES} bytes"),
+                field: field.into(),
+                value: value.into(),
+                expected,
             });
         }
-    }
+    };
+    let (operation, author) = (&draft.operation, &draft.author);
+    let expected = "1 to 64 letters, digits, '-', '_' and '.'".into();
+    check("operation", operation, path::is_name(operation), expected);
+    let valid = (1..=AUTHOR_BYTES).contains(&author.len());
+    check(
+        "author",
+        author,
+        valid,
+        format!("1 to {AUTHOR_BYTES} bytes"),
+    );
 
     let bytes = draft
         .edits
         .iter()
-        .map(|wish| wish.path.len() + wish.key.len() + wish.new.as_ref().map_or(0, String::len))
+        .map(|wish| {
+            let value = wish.new.as_ref().map_or(0, String::len);
+            wish.path.len() + wish.key.len() + value + EDIT_BYTES
+        })
         .sum::<usize>();
 
     if draft.edits.is_empty() || bytes > CHANGE_BYTES {
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -159,6 +159,8 @@
     let line = "teams/hvarfdal/volume  rate         40     requests/s     teams/hvarfdal";
     assert!(stdout(&get).contains(line), "{}", stdout(&get));
 
+    assert_eq!(ctl(&["config", "get", "team s"]).status.code(), Some(2));
+
     let wrong = ctl(&["config", "set", "teams/hvarfdal", "rate", "many"]);
     assert_eq!(wrong.status.code(), Some(3));
     assert!(stderr(&wrong).contains("a whole number from 0 to 1000000 (requests/s)"));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -165,9 +165,13 @@
         ..Snapshot::default()
     };
     assert_eq!(log.compact(&snapshot, floor).unwrap(), floor);
-    let (changes, read, _) = log.list(0).unwrap();
-    assert_eq!(changes.first().map(|change| change.version), Some(501));
+    let (changes, read, _) = log.list(500).unwrap();
     assert_eq!((changes.len(), read), (100, floor));
+    // Before the floor only one page shows that the snapshot is needed.
+    let lists = calls.counts().list;
+    let (changes, read, _) = log.list(0).unwrap();
+    assert_eq!((changes[0].version, read), (501, floor));
+    assert_eq!(calls.counts().list, lists + 1);
     assert_eq!(log.read_snapshot().unwrap().unwrap().0, snapshot);
 
     // A second watcher that comes late writes nothing.
--- a/tests/tree.rs
+++ b/tests/tree.rs
@@ -253,3 +253,23 @@
     assert_eq!(conflict.theirs.as_deref(), Some("6000"));
     assert_eq!(conflict.version, 4);
 }
+
+#[test]
+fn labels_and_sizes_of_a_draft_are_checked() {
+    let mut empty = draft(&[]);
+    empty.operation = "a \"quoted\" id".into();
+    empty.author = String::new();
+    insta::assert_snapshot!(messages(&tree().check_draft(&empty)), @r#"
+    operation: "a \"quoted\" id", expected 1 to 64 letters, digits, '-', '_' and '.'
+    author: "", expected 1 to 128 bytes
+    edits: "0 edits of 0 bytes", expected at least 1 edit and at most 400000 bytes
+    "#);
+
+    // A snapshot of the tree must fit into one object of 1 MB.
+    let mut tree = tree();
+    for number in 0..24_500 {
+        tree.set(&format!("teams/team-{number:05}"), "rate", Some("1"));
+    }
+    assert!(messages(&tree.check()).contains("at most 800000 bytes"));
+    assert!(serde_json::to_vec(&tree).unwrap().len() < 850_000);
+}
