Split the start of the daemon and test the loss of an order's home

The start had grown to one function of 75 lines; it is now one per group of parts. A process test kills the home of a running and of an unposted order and asks the other host for both.

--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -3,10 +3,22 @@
 use {
     crate::{
         coordination::{
-            claims::Claims, control::Control, discovery::Discovery, drain, engines, error::Error,
-            gateway::Gateway, leases::Leases, membership::Membership, observer::Observer,
-            published::Published, records::Records, routes::Routes, scheduling::Scheduling,
-            settings::Settings, settings_worker, tickets::Tickets,
+            claims::Claims,
+            control::{self, Control},
+            discovery::Discovery,
+            drain, engines,
+            error::{Error, ListenSnafu, SignalsSnafu, ThreadSnafu},
+            gateway::Gateway,
+            leases::Leases,
+            membership::Membership,
+            observer::Observer,
+            published::Published,
+            records::Records,
+            routes::Routes,
+            scheduling::Scheduling,
+            settings::Settings,
+            settings_worker,
+            tickets::Tickets,
         },
         protocol::{self, daemon_file::File, object_api::ObjectApi},
         state::{
@@ -28,11 +40,15 @@
         consts::{SIGINT, SIGTERM},
         iterator::Signals,
     },
+    snafu::ResultExt,
     std::{
         collections::BTreeMap,
         net::{SocketAddr, TcpListener},
         process,
-        sync::{Arc, mpsc},
+        sync::{
+            Arc,
+            mpsc::{self, Receiver, Sender},
+        },
         thread,
         time::{SystemTime, UNIX_EPOCH},
     },
@@ -42,86 +58,109 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound or a signal not be handled.
+/// Returns an error if an address cannot be bound or a thread not be started.
 pub fn run(file: File) -> Result<(), Error> {
     let server = Server::bind(file.host.caller_address, server_limits(&file))
         .map_err(protocol::Error::from)?;
     let caller_address = server.address().map_err(protocol::Error::from)?;
-    let peers =
-        TcpListener::bind(file.host.peer_address).map_err(|source| Error::Listen { source })?;
-    let peer_address = peers
-        .local_addr()
-        .map_err(|source| Error::Listen { source })?;
-    let view = view(&file, caller_address, peer_address);
-    let published = Published::new(view.clone());
+    let peers = TcpListener::bind(file.host.peer_address).context(ListenSnafu)?;
+    let peer_address = peers.local_addr().context(ListenSnafu)?;
     let (control, events) = mpsc::channel();
-    let incoming = control.clone();
-    let links = Links::start(peers, file.keys.fleet.as_bytes(), move |call| {
+    let links = links(&file, peers, control.clone())?;
+    let view = view(&file, caller_address, peer_address);
+    let gateway = Arc::new(gateway(&file, &view, links, control)?);
+    let busy = server.busy();
+
+    handle_signals(&gateway)?;
+    start_control(&file, view, &gateway, events)?;
+    start_discovery(&file, &gateway)?;
+    log::info!(
+        caller_address = caller_address.to_string().as_str(),
+        peer_address = peer_address.to_string().as_str();
+        "listening"
+    );
+    let routes = Arc::new(Routes(Arc::clone(&gateway)));
+    thread::spawn(move || server.run(routes));
+    drain::wait(&gateway, || busy.count());
+    log::info!("stopped");
+    Ok(())
+}
+
+fn links(
+    file: &File,
+    listener: TcpListener,
+    control: Sender<control::Event>,
+) -> Result<Links, Error> {
+    let links = Links::start(listener, file.keys.fleet.as_bytes(), move |call| {
         // A send fails only after the control thread has stopped.
-        let _ = incoming.send(call.into());
-    })
-    .map_err(protocol::Error::from)?;
+        let _ = control.send(call.into());
+    });
+    Ok(links.map_err(protocol::Error::from)?)
+}
+
+fn gateway(
+    file: &File,
+    view: &View,
+    links: Links,
+    control: Sender<control::Event>,
+) -> Result<Gateway, Error> {
     let metrics = Metrics::new(file.statsd).map_err(protocol::Error::from)?;
-    let calls = Calls::default();
-    let gateway = Arc::new(Gateway {
-        calls: calls.clone(),
+
+    Ok(Gateway {
+        calls: Calls::default(),
         client: Client::new(),
-        control: control.clone(),
+        control,
         limits: file.limits.clone(),
-        links: links.clone(),
+        links,
         observer: Observer::new(metrics),
         operator: file.keys.operator.clone(),
-        published: published.clone(),
+        published: Published::new(view.clone()),
         records: Records::new(file.limits.requests, file.limits.answer_retention),
         tickets: Tickets::new(file.keys.fleet.as_bytes()),
-    });
-    let (jobs, leases) = mpsc::channel();
+    })
+}
+
+/// Starts the control thread and the threads that carry out its calls.
+fn start_control(
+    file: &File,
+    view: View,
+    gateway: &Gateway,
+    events: Receiver<control::Event>,
+) -> Result<(), Error> {
+    let control = || gateway.control.clone();
+    let links = || gateway.links.clone();
+    let (lease_jobs, leases) = mpsc::channel();
     let (settings_jobs, settings) = mpsc::channel();
     let seed = view.local.incarnation.0;
     let parts = Control {
         claims: Claims::new(&view, file.limits.witness_records),
-        leases: Leases::new(&view, jobs),
-        membership: Membership::new(file.host.peers.iter().copied(), links, control.clone()),
-        published: published.clone(),
+        leases: Leases::new(&view, lease_jobs),
+        membership: Membership::new(file.host.peers.iter().copied(), links(), control()),
+        published: gateway.published.clone(),
         scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
         settings: Settings::new(&view, settings_jobs),
         view,
     };
-    let busy = server.busy();
-
-    handle_signals(&gateway)?;
-    let control_thread = thread::Builder::new()
+    let thread = thread::Builder::new()
         .name("control".into())
         .spawn(move || parts.run(&events))
-        .map_err(|source| Error::Thread { source })?;
-    thread::spawn(move || end_with(control_thread));
-    let store = object_api(&file, calls);
-    settings_worker::start(
-        settings,
-        store.clone(),
-        gateway.links.clone(),
-        control.clone(),
-    )
-    .map_err(|source| Error::Thread { source })?;
-    engines::start(leases, store, control.clone()).map_err(|source| Error::Thread { source })?;
+        .context(ThreadSnafu)?;
+    let store = object_api(file, gateway.calls.clone());
+
+    thread::spawn(move || end_with(thread));
+    settings_worker::start(settings, store.clone(), links(), control()).context(ThreadSnafu)?;
+    engines::start(leases, store, control()).context(ThreadSnafu)
+}
+
+fn start_discovery(file: &File, gateway: &Gateway) -> Result<(), Error> {
     Discovery::new(
         file.host.id.clone(),
         file.platform.host_list,
-        published,
-        control,
+        gateway.published.clone(),
+        gateway.control.clone(),
     )
     .start()
-    .map_err(|source| Error::Thread { source })?;
-    log::info!(
-        caller_address = caller_address.to_string().as_str(),
-        peer_address = peer_address.to_string().as_str();
-        "listening"
-    );
-    let routes = Arc::new(Routes(Arc::clone(&gateway)));
-    thread::spawn(move || server.run(routes));
-    drain::wait(&gateway, || busy.count());
-    log::info!("stopped");
-    Ok(())
+    .context(ThreadSnafu)
 }
 
 fn object_api(file: &File, calls: Calls) -> ObjectApi {
@@ -182,8 +221,7 @@
 /// Handles the stop signals: the first one starts the planned stop, the
 /// second one ends the process.
 fn handle_signals(gateway: &Arc<Gateway>) -> Result<(), Error> {
-    let mut signals =
-        Signals::new([SIGINT, SIGTERM]).map_err(|source| Error::Signals { source })?;
+    let mut signals = Signals::new([SIGINT, SIGTERM]).context(SignalsSnafu)?;
     let gateway = Arc::clone(gateway);
 
     thread::spawn(move || {
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -2,6 +2,7 @@
 
 use {
     stand_ins::{
+        caller::Caller,
         daemon::{Signal, wait},
         faults::Change,
         fleet::Fleet,
@@ -73,3 +74,33 @@
     assert!(fleet.hosts[0].log().contains("abandoned"));
     assert!(request.join().unwrap().is_err());
 }
+
+#[test]
+fn order_is_resolved_after_its_home_was_killed() {
+    const ORDER: &str = r#"{"prompt": "order-1 issue"}"#;
+    const UNPOSTED: &str = r#"{"prompt": "order-2 issue"}"#;
+
+    let fleet = Fleet::start(BINARY, 2);
+    let home = fleet.team(fleet.named("h1"));
+    let (order, _) = home.ticket("publish", ORDER, 5000).unwrap();
+    let (unposted, _) = home.ticket("publish", UNPOSTED, 5000).unwrap();
+    let slow = Change {
+        slow_ms: Some(1500),
+        ..Change::default()
+    };
+    fleet.faults("publish", &slow);
+    let posted = order.clone();
+    let posted = thread::spawn(move || posted.post("publish", ORDER));
+    let runs = || fleet.ran(|row| row.stage == "publish").len();
+    wait("the order's run", LIMIT, || (runs() == 1).then_some(()));
+
+    fleet.named("h1").signal(Signal::Kill);
+    assert!(posted.join().unwrap().is_err());
+    let resolve = |order: &Caller, body| {
+        let other = order.clone().at(fleet.named("h2").caller_address());
+        other.post("publish", body).unwrap().json()["outcome"].clone()
+    };
+    assert_eq!(resolve(&order, ORDER), "unknown");
+    assert_eq!(resolve(&unposted, UNPOSTED), "not_run");
+    assert_eq!(runs(), 1);
+}
