Bound names and split the gateway's test files

The names of teams and classes were bounded by the header only, and a class that the settings do not know gets its own histogram; names now have at most 64 characters. Fake endpoints and the scripted scheduler of the tests have files of their own; the cases are unchanged.

--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -19,6 +19,9 @@
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
+/// Longest name of a team or a class, in bytes.
+const NAME_BYTES: usize = 64;
+
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 256;
 
@@ -159,8 +162,11 @@
 
 fn text<'a>(request: &'a Request, name: &str) -> Result<&'a str, Refusal> {
     match request.header(name) {
-        Some(value) if !value.is_empty() => Ok(value),
-        _ => Err(invalid(name, "", "a name")),
+        Some(value) if (1..=NAME_BYTES).contains(&value.len()) => Ok(value),
+        value => {
+            let expected = format!("a name of 1 to {NAME_BYTES} characters");
+            Err(invalid(name, value.unwrap_or(""), &expected))
+        }
     }
 }
 
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -1,7 +1,10 @@
 //! Requests from callers through all stages, and their refusals.
 
 use {
-    crate::support::{Fake, Host, TEAM_KEY, done, end, lines, parse, token},
+    crate::{
+        fakes::{Fake, done, end, lines, token},
+        support::{Host, TEAM_KEY, parse},
+    },
     persimmoncleat::state::pool::Kind,
 };
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -2,7 +2,10 @@
 //! where the head may hold the ticket of a request that ran earlier.
 
 use {
-    crate::support::{Fake, Host, TEAM_KEY, done, parse, wait_for},
+    crate::{
+        fakes::{Fake, done},
+        support::{Host, TEAM_KEY, parse, wait_for},
+    },
     persimmoncleat::{protocol::daemon_file::Limits, state::pool::Kind},
     std::{
         io::{Read, Write},
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,9 +1,11 @@
 //! The caller interface of one host, against fake endpoints.
 
 mod answers;
+mod fakes;
 mod limits;
 mod peers;
 mod records;
 mod runner;
+mod script;
 mod stop;
 mod support;
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -1,7 +1,10 @@
 //! Orders and answers whose home is another host.
 
 use {
-    crate::support::{Fake, Host, TEAM_KEY, done, parse},
+    crate::{
+        fakes::{Fake, done},
+        support::{Host, TEAM_KEY, parse},
+    },
     persimmoncleat::{
         protocol::daemon_file::Limits,
         state::{
--- a/tests/gateway/records.rs
+++ b/tests/gateway/records.rs
@@ -1,7 +1,10 @@
 //! Requests that come twice: idempotency keys and tickets.
 
 use {
-    crate::support::{Fake, Host, done, parse, wait_for},
+    crate::{
+        fakes::{Fake, done},
+        support::{Host, parse, wait_for},
+    },
     persimmoncleat::{protocol::daemon_file::Limits, state::pool::Kind},
     rouille::Response,
     std::{sync::Arc, thread, time::Duration},
--- a/tests/gateway/runner.rs
+++ b/tests/gateway/runner.rs
@@ -2,108 +2,25 @@
 //! of the scheduler.
 
 use {
-    crate::support::{Fake, Host, done, end, lines, not_run, parse, token, wait_for},
+    crate::{
+        fakes::{Fake, done, end, lines, not_run, token},
+        script::Script,
+        support::{TIMEOUT, parse, wait_for},
+    },
     persimmoncleat::{
-        coordination::{control, scheduling},
-        protocol::{call::Call, daemon_file::Limits},
-        state::{action::Action, attempt::End, event::Event, id, pool::Kind},
+        protocol::call::Call,
+        state::{action::Action, attempt::End, event::Event},
     },
     rouille::Response,
     serde_json::json,
     std::{
-        net::SocketAddr,
-        sync::{
-            Arc, Mutex,
-            mpsc::{Receiver, Sender},
-        },
-        thread::{self, JoinHandle},
+        sync::{Arc, Mutex},
+        thread,
         time::Duration,
     },
 };
 
 const BODY: &str = r#"{"prompt": "tides of May"}"#;
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-/// A host whose scheduler is the test.
-struct Script {
-    actions: Option<Sender<Action>>,
-    events: Receiver<control::Event>,
-    host: Arc<Host>,
-    request: id::Request,
-}
-
-impl Script {
-    fn start(endpoints: &[SocketAddr]) -> Self {
-        let pools = [("generate", Kind::Engine, endpoints)];
-        let (host, _parts, events) = Host::scripted(&pools, Limits::default());
-
-        Self {
-            actions: None,
-            events,
-            host: Arc::new(host),
-            request: "".into(),
-        }
-    }
-
-    /// Posts a request in a thread and admits it.
-    fn post(&mut self, query: &'static str) -> JoinHandle<(u16, String)> {
-        let host = Arc::clone(&self.host);
-        let caller = thread::spawn(move || host.post(query, &[], BODY));
-        self.admit();
-        caller
-    }
-
-    fn admit(&mut self) {
-        match self.event() {
-            control::Event::Scheduling(scheduling::Event::Register { actions, request }) => {
-                self.actions = Some(actions);
-                self.request = request;
-            }
-            event => panic!("{event:?}"),
-        }
-        assert!(matches!(self.next(), Event::Arrived(_)));
-        let request = self.request.clone();
-        self.act(Action::Admitted { request });
-        assert!(matches!(self.next(), Event::Ready { stage: 0, .. }));
-    }
-
-    fn event(&self) -> control::Event {
-        self.events.recv_timeout(TIMEOUT).unwrap()
-    }
-
-    fn next(&self) -> Event {
-        match self.event() {
-            control::Event::Scheduling(scheduling::Event::Scheduler(event)) => event,
-            event => panic!("{event:?}"),
-        }
-    }
-
-    fn act(&self, action: Action) {
-        self.actions.as_ref().unwrap().send(action).unwrap();
-    }
-
-    fn dispatch(&self, attempt: u64, endpoint: SocketAddr, timeout: Duration) {
-        self.act(Action::Dispatched {
-            attempt: id::Attempt(attempt),
-            endpoint: format!("generate-{}", endpoint.port()).into(),
-            hedge: attempt > 1,
-            request: self.request.clone(),
-            stage: 0,
-            timeout,
-        });
-    }
-
-    /// Waits for the report of an attempt.
-    fn finished(&self, attempt: u64) -> End {
-        match self.next() {
-            Event::Finished {
-                attempt: id,
-                report,
-            } if id == id::Attempt(attempt) => report.end,
-            event => panic!("{event:?}"),
-        }
-    }
-}
 
 /// Runs one attempt that goes wrong, then a good one, and checks that the
 /// caller gets the good answer, and how the bad one was counted.
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -1,7 +1,10 @@
 //! The planned stop and the operators' routes.
 
 use {
-    crate::support::{Fake, Host, OPERATOR_KEY, TEAM_KEY, done, end, parse, token, wait_for},
+    crate::{
+        fakes::{Fake, done, end, token},
+        support::{Host, OPERATOR_KEY, TEAM_KEY, parse, wait_for},
+    },
     persimmoncleat::{coordination::drain, state::pool::Kind},
     rouille::{Response, ResponseBody},
     std::{
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -1,4 +1,4 @@
-//! A host inside the test process and fake endpoints for it.
+//! A host inside the test process.
 
 use {
     persimmoncleat::{
@@ -16,7 +16,7 @@
             settings::Settings,
             tickets::Tickets,
         },
-        protocol::{call::Call, daemon_file::Limits, digest, secret::Secret},
+        protocol::{daemon_file::Limits, digest, secret::Secret},
         state::{
             clock::Time,
             endpoint::{Endpoint, Phase},
@@ -31,21 +31,19 @@
         transport::{
             boot_clock,
             client::Client,
-            head::Head,
             links::Links,
             metrics::Metrics,
             object_api::Calls,
-            server::{self, Fault, Handler, Server},
+            server::{self, Server},
         },
     },
-    rouille::{Request, Response, ResponseBody},
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
-        io::{self, Read, Write},
+        io::Write,
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{
-            Arc, Mutex,
+            Arc,
             mpsc::{self, Receiver},
         },
         thread,
@@ -58,129 +56,6 @@
 pub const FLEET_KEY: &[u8] = b"the key of the whole fleet";
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 
-type Answer = dyn Fn(usize, &Call) -> Response + Send + Sync;
-
-/// An endpoint whose answers a test writes. The closure gets the number of
-/// calls before this one.
-pub struct Fake {
-    pub address: SocketAddr,
-    pub calls: Arc<Mutex<Vec<Call>>>,
-    pub cancelled: Arc<Mutex<Vec<String>>>,
-}
-
-struct FakeRoutes {
-    answer: Box<Answer>,
-    calls: Arc<Mutex<Vec<Call>>>,
-    cancelled: Arc<Mutex<Vec<String>>>,
-}
-
-impl Handler for FakeRoutes {
-    fn handle(&self, request: &Request) -> Response {
-        if request.method() == "DELETE" {
-            let attempt = request.url().replace("/v1/calls/", "");
-            self.cancelled.lock().unwrap().push(attempt);
-            return Response::json(&json!({"cancelled": true}));
-        }
-
-        if request.url() != "/v1/calls" {
-            return Response::empty_404();
-        }
-
-        let call: Call = serde_json::from_reader(request.data().unwrap()).unwrap();
-        let before = {
-            let mut calls = self.calls.lock().unwrap();
-            calls.push(call.clone());
-            calls.len() - 1
-        };
-        (self.answer)(before, &call)
-    }
-
-    fn refuse(&self, _fault: &Fault, _head: Option<&Head>) -> Response {
-        Response::empty_400()
-    }
-}
-
-impl Fake {
-    pub fn start(answer: impl Fn(usize, &Call) -> Response + Send + Sync + 'static) -> Self {
-        let (calls, cancelled) = <(Arc<Mutex<_>>, Arc<Mutex<_>>)>::default();
-        let routes = FakeRoutes {
-            answer: Box::new(answer),
-            calls: Arc::clone(&calls),
-            cancelled: Arc::clone(&cancelled),
-        };
-        let server = Server::bind(
-            ([127, 0, 0, 1], 0).into(),
-            server_limits(&Limits::default()),
-        );
-        let server = server.unwrap();
-        let address = server.address().unwrap();
-        thread::spawn(move || server.run(Arc::new(routes)));
-
-        Self {
-            address,
-            calls,
-            cancelled,
-        }
-    }
-
-    pub fn count(&self) -> usize {
-        self.calls.lock().unwrap().len()
-    }
-}
-
-/// The whole answer of an endpoint that did its work.
-pub fn done(call: &Call, output: &str) -> Response {
-    Response::json(&json!({
-        "attempt": call.attempt, "request": call.request, "status": "done",
-        "output": output, "tokens": 1, "millis": 1,
-    }))
-}
-
-/// A refusal before anything ran.
-pub fn not_run(call: &Call, reason: &str) -> Response {
-    Response::json(&json!({
-        "attempt": call.attempt, "request": call.request,
-        "status": "not_run", "reason": reason,
-    }))
-    .with_status_code(503)
-}
-
-/// The line of one token.
-pub fn token(call: &Call, index: u32) -> Value {
-    json!({"attempt": call.attempt, "index": index, "token": format!("t{index} ")})
-}
-
-/// The last line of a stream.
-pub fn end(call: &Call, tokens: u32) -> Value {
-    json!({"attempt": call.attempt, "request": call.request, "end": true, "tokens": tokens})
-}
-
-/// A stream of lines. Without its end it breaks off.
-pub fn lines(lines: &[Value], whole: bool) -> Response {
-    let text: String = lines.iter().map(|line| format!("{line}\n")).collect();
-    let body = io::Cursor::new(text.into_bytes());
-    let data = if whole {
-        ResponseBody::from_reader(body)
-    } else {
-        ResponseBody::from_reader(body.chain(Broken))
-    };
-
-    Response {
-        status_code: 200,
-        headers: vec![],
-        data,
-        upgrade: None,
-    }
-}
-
-struct Broken;
-
-impl Read for Broken {
-    fn read(&mut self, _buffer: &mut [u8]) -> io::Result<usize> {
-        Err(io::ErrorKind::BrokenPipe.into())
-    }
-}
-
 /// A host that runs inside the test process.
 pub struct Host {
     pub address: SocketAddr,
