Test the parts of the scheduler that traces cannot see

Cause: the oracle of whole traces does not check affinity, the doubling of ejections, cache hints, team limits, shares and weights.

Change: seven cases in tests/scheduler_parts.rs.

Measured: seven cases pass.

--- /dev/null
+++ b/tests/scheduler_parts.rs
@@ -0,0 +1,155 @@
+//! Rules of the scheduler's parts that the oracle of whole traces cannot see.
+
+use {
+    persimmoncleat::state::{
+        affinity,
+        class::Class,
+        clock::Time,
+        ejection::Ejection,
+        endpoint::{Cache, Change},
+        event::Demand,
+        fair_queue::{FairQueue, Flow, Item},
+        hints::Hints,
+        limit::{Limits, Verdict},
+        tuning::Tuning,
+    },
+    std::time::Duration,
+};
+
+macro_rules! cases {
+  ($($name:ident: $test:expr,)*) => {
+    $(
+      #[test]
+      fn $name() {
+        $test();
+      }
+    )*
+  };
+}
+
+cases! {
+    // A removed endpoint must not move the prefixes of the others.
+    affinity_moves_only_what_was_removed: affinity_is_stable,
+    // An endpoint that keeps failing must be tried less and less often.
+    ejections_double: ejections,
+    // A stale hint must not survive a gap in the events.
+    gap_drops_hints: gap,
+    // An idle host must be able to start while peers use the whole limit.
+    limit_keeps_a_floor: floor,
+    // A lone host must be able to use the whole limit, and no more.
+    limit_is_reached_alone: alone,
+    // Urgent work must not starve a class with a share.
+    share_is_kept_beside_urgent_work: share,
+    // A large team must not starve a small one.
+    teams_are_served_by_weight: weights,
+}
+
+fn affinity_is_stable() {
+    let hashes: Vec<u64> = (0..20)
+        .map(|index| affinity::hash(&format!("e{index}")))
+        .collect();
+
+    for prefix in 0..200 {
+        let before = affinity::ranked(prefix, &hashes, 1)[0];
+        let after = affinity::ranked(prefix, &hashes[..19], 1)[0];
+        assert!(before == after || before == 19, "prefix {prefix}");
+    }
+}
+
+fn ejections() {
+    let tuning = Tuning::default();
+    let mut ejection = Ejection::default();
+    assert!(!ejection.fail(&tuning) && !ejection.fail(&tuning));
+    assert!(ejection.fail(&tuning));
+
+    for seconds in [5, 10, 20, 40, 60, 60] {
+        ejection.eject(Time::ZERO, &tuning);
+        assert!(ejection.ejected(Time::from_millis(seconds * 1000 - 1)));
+        assert!(!ejection.ejected(Time::from_millis(seconds * 1000)));
+    }
+}
+
+fn gap() {
+    let mut hints = Hints::default();
+    let stored = |prefix, sequence| Cache {
+        change: Change::Stored,
+        prefix,
+        sequence,
+    };
+    hints.apply(3, stored(1, 1), 64);
+    hints.apply(3, stored(2, 2), 64);
+    assert_eq!(hints.holders(1), [3]);
+    hints.apply(3, stored(5, 4), 64);
+    assert!(hints.holders(1).is_empty() && hints.holders(2).is_empty());
+    assert_eq!(hints.holders(5), [3]);
+}
+
+fn admitted(limits: &mut Limits, concurrency: u32) -> u32 {
+    let settings = Class {
+        concurrency,
+        ..Class::default()
+    };
+    let (team, class) = ("t".into(), "c".into());
+    let mut count = 0;
+
+    while limits.admit(&team, &class, &settings, None) == Verdict::Allowed {
+        limits.begin(Time::ZERO, &team, &class);
+        count += 1;
+    }
+
+    count
+}
+
+fn floor() {
+    let mut limits = Limits::default();
+    limits.report(vec![Demand::from([("t".into(), 1000)])]);
+    assert_eq!(admitted(&mut limits, 10), 1);
+}
+
+fn alone() {
+    assert_eq!(admitted(&mut Limits::default(), 10), 10);
+}
+
+/// Pushes 100 items of a class and team, each of 100 ms.
+fn push(queue: &mut FairQueue, class: &str, team: &str, priority: u8, share: u8, weight: u32) {
+    let flow = Flow {
+        class: class.into(),
+        priority,
+        share,
+        team: team.into(),
+        weight,
+    };
+
+    for number in 0..100 {
+        let item = Item {
+            cost: Duration::from_millis(100),
+            enqueued: Time::ZERO,
+            request: format!("{class}.{team}.{number}").into(),
+            stage: 0,
+        };
+        queue.push(&flow, (Time::ZERO, number), item);
+    }
+}
+
+fn served(queue: &mut FairQueue, prefix: &str) -> usize {
+    let taken = (0..100).filter_map(|_| queue.pop());
+    taken
+        .filter(|item| item.request.as_str().starts_with(prefix))
+        .count()
+}
+
+fn share() {
+    let mut queue = FairQueue::default();
+    push(&mut queue, "urgent", "a", 9, 0, 100);
+    push(&mut queue, "volume", "a", 1, 20, 100);
+    let count = served(&mut queue, "volume");
+    assert!((18..=22).contains(&count), "{count} of 100");
+}
+
+fn weights() {
+    let mut queue = FairQueue::default();
+    push(&mut queue, "c", "large", 5, 0, 300);
+    push(&mut queue, "c", "small", 5, 0, 100);
+    let count = served(&mut queue, "c.small");
+    assert!((24..=26).contains(&count), "{count} of 100");
+}
