Count on a class's share alone while more urgent work is refused

Cause: drafts accepted in the first seconds of a burst waited past their deadline of 20 s; their wait was estimated as if the calls beyond their share stayed theirs.

Change: while work of a higher priority is refused, a class with a share is estimated to get its share and no more.

--- a/src/state/admission.rs
+++ b/src/state/admission.rs
@@ -138,12 +138,14 @@
     pool: &mut PoolState,
     now: Time,
     request: &Request,
+    flow: &Flow,
     by: Duration,
     share: f64,
     lot: f64,
 ) -> Duration {
     let work = pool.estimates.mean(pool.size_of(request)).as_secs_f64();
     pool.refused.add(now, work);
+    pool.ledger.refuse(now, flow, work);
     let spare = pool.slots(share) * SPARE;
     let spread = pool.refused.amount(now) / spare * lot;
     let wait = by + Duration::from_secs_f64(spread.min(1e3));
--- a/src/state/arrival.rs
+++ b/src/state/arrival.rs
@@ -191,7 +191,7 @@
             admission::Verdict::Late { by } => {
                 let lot = self.rng.random_range(0.0..1.0);
                 let pool = &mut self.fleet.pools[finish.bottleneck];
-                let retry_after = admission::retry_after(pool, now, request, by, share, lot);
+                let retry_after = admission::retry_after(pool, now, request, flow, by, share, lot);
                 let name = &pool.name;
                 let detail = format!(
                     "estimated to be {} ms too late: {} ms in queues, longest before pool {name}, and {} ms of service",
--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -52,6 +52,8 @@
     /// Sum of the shares of classes with work, in percent.
     reserved: u32,
     rates: [Rate; PRIORITIES],
+    /// Refused work.
+    refused: [Rate; PRIORITIES],
     reserves: HashMap<id::Class, Reserve>,
     /// Calls in progress.
     running: [Account; PRIORITIES],
@@ -64,6 +66,7 @@
         Self {
             flows: HashMap::new(),
             rates: std::array::from_fn(|_| Rate::new(RATE_TIME)),
+            refused: std::array::from_fn(|_| Rate::new(RATE_TIME)),
             reserved: 0,
             reserves: HashMap::new(),
             running: Default::default(),
@@ -119,6 +122,11 @@
         rates.map(|rate| rate.at(now)).sum::<f64>() > CONTESTED
     }
 
+    /// Notes refused work.
+    pub fn refuse(&mut self, now: Time, flow: &Flow, work: f64) {
+        self.refused[level(flow)].add(now, work);
+    }
+
     /// Removes work that was added for the same flow.
     pub fn remove(&mut self, flow: &Flow, work: f64) {
         let priority = level(flow);
@@ -195,8 +203,15 @@
         }
 
         let share = f64::from(flow.share) / 100.0;
-        let reserved = reserve.map_or(0.0, |reserve| reserve.work);
-        wait.min(reserved / (slots * share))
+        let reserved = reserve.map_or(0.0, |reserve| reserve.work) / (slots * share);
+        let refused = self.refused[priority + 1..].iter();
+
+        // While more urgent work is refused, it takes all but the share.
+        if refused.map(|rate| rate.at(now)).sum::<f64>() > CONTESTED {
+            reserved
+        } else {
+            wait.min(reserved)
+        }
     }
 }
 
