--- a/src/state/tuning.rs
+++ b/src/state/tuning.rs
@@ -88,7 +88,7 @@
             ejection_max: Duration::from_secs(60),
             ejection_time: Duration::from_secs(5),
             fairness: true,
-            headroom: 1.5,
+            headroom: 3.0,
             long_call: Duration::from_millis(1500),
             hedging: true,
             hedge_factor: 1.0,
