Test the promises with daemons as processes

Cause: the promises were checked only inside one process, where nothing is killed, frozen or cut off.

Streams are tested with one disturbed engine after a warm-up: with all three disturbed at once the retry budget ends the request, as designed.

--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -9,6 +9,7 @@
         host_list, object_api,
         oracle::Row,
         orders::Fencing,
+        outcome::Outcome,
         relay::Relay,
         server::ANY_PORT,
     },
@@ -19,6 +20,7 @@
         fs,
         net::SocketAddr,
         path::{Path, PathBuf},
+        thread,
         time::Duration,
     },
     tempfile::TempDir,
@@ -33,6 +35,13 @@
 /// How long a deployment may take to become ready.
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Requests of a warm-up to each host. A retry budget earns a tenth of a
+/// token with each.
+pub const WARM_UP: usize = 60;
+
+/// Callers that share the warm-up of a host.
+const WARM_UP_CALLERS: usize = 6;
+
 /// The stages of the pipeline `almanac`.
 pub const ALMANAC: [&str; 5] = ["encode", "retrieve", "rerank", "draft", "check"];
 
@@ -271,6 +280,34 @@
             .with("Persimmon-Repeatable", true)
     }
 
+    /// Posts [`WARM_UP`] requests to every host, so that they have measured the
+    /// pipeline's stages and filled the retry budgets of its pools.
+    ///
+    /// # Panics
+    ///
+    /// Panics when one of them is not answered.
+    pub fn warm_up(&self, pipeline: &str, max_tokens: u32) {
+        let body = json!({ "prompt": "warm-up", "max_tokens": max_tokens }).to_string();
+
+        thread::scope(|scope| {
+            for host in self
+                .hosts
+                .iter()
+                .cycle()
+                .take(WARM_UP_CALLERS * self.hosts.len())
+            {
+                let (caller, body) = (self.team(host), &body);
+
+                scope.spawn(move || {
+                    for _ in 0..WARM_UP / WARM_UP_CALLERS {
+                        let outcome = Outcome::whole(&caller.post(pipeline, body));
+                        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+                    }
+                });
+            }
+        });
+    }
+
     /// Returns every call that began at any endpoint and meets a condition.
     pub fn ran(&self, mut condition: impl FnMut(&Row) -> bool) -> Vec<Row> {
         self.endpoints
--- /dev/null
+++ b/tests/resume_process.rs
@@ -0,0 +1,149 @@
+//! An answer survives the connection that it was meant for.
+
+use {
+    serde_json::json,
+    stand_ins::{daemon::wait, faults::Change, fleet::Fleet, oracle::Row, outcome::Outcome, work},
+    std::time::Duration,
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn start() -> Fleet {
+    Fleet::start(env!("CARGO_BIN_EXE_persimmoncleatd"), 3)
+}
+
+fn body(prompt: &str, tokens: u32) -> String {
+    json!({ "prompt": prompt, "max_tokens": tokens }).to_string()
+}
+
+/// Guards against an order that runs again, or whose answer is lost, because
+/// the caller's connection broke.
+#[test]
+fn lost_connection_is_fetched_through_another_host() {
+    let fleet = start();
+    fleet.faults(
+        "publish",
+        &Change {
+            slow_ms: Some(1500),
+            ..Change::default()
+        },
+    );
+    let body = body("mark-1 issue 7", 8);
+    let caller = fleet.team(fleet.named("h1"));
+    let (home, request) = caller.ticket("publish", &body, 15_000).expect("a ticket");
+
+    let lost = home
+        .clone()
+        .with_limit(Duration::from_millis(500))
+        .post("publish", &body);
+    assert!(lost.is_err(), "the connection was to break: {lost:?}");
+
+    let path = format!("/v1/requests/{request}");
+    let other = caller.at(fleet.named("h2").caller_address());
+    let fetched = Outcome::whole(&other.send("GET", &path, ""));
+    assert_eq!(
+        fetched,
+        Outcome::Answered(work::output("publish", "mark-1 issue 7", 8))
+    );
+    assert_eq!(Outcome::whole(&home.post("publish", &body)), fetched);
+    assert_eq!(fleet.ran(|row| row.request == request).len(), 1);
+}
+
+/// Guards against an idempotency key that does not join the run in progress.
+#[test]
+fn same_key_joins_the_run() {
+    let fleet = start();
+    fleet.faults(
+        "draft",
+        &Change {
+            slow_ms: Some(800),
+            ..Change::default()
+        },
+    );
+    let body = body("mark-1 entry", 8);
+    let caller = fleet.team(fleet.named("h1")).with("Idempotency-Key", "k-1");
+
+    let lost = caller
+        .clone()
+        .with_limit(Duration::from_millis(300))
+        .post("note", &body);
+    assert!(lost.is_err(), "the connection was to break: {lost:?}");
+
+    let answer = caller.post("note", &body).expect("an answer");
+    let request = answer.json()["request"]
+        .as_str()
+        .expect("a request id")
+        .to_string();
+    assert_eq!(
+        Outcome::whole(&Ok(answer)),
+        Outcome::Answered(work::output("draft", "mark-1 entry", 8))
+    );
+    assert!(
+        fleet
+            .ran(|row| row.marker == "mark-1")
+            .iter()
+            .all(|row| row.request == request)
+    );
+    let conflict = caller
+        .post("note", "{\"prompt\": \"another\"}")
+        .expect("a refusal");
+    assert_eq!(
+        (conflict.status, &conflict.json()["reason"]),
+        (409, &json!("conflict"))
+    );
+}
+
+/// Streams through a pool of three engines of which one is disturbed, until
+/// that one has left a call unfinished.
+fn disturbed_streams(change: Change) {
+    let fleet = start();
+    fleet.warm_up("note", 40);
+    fleet.endpoints["draft-1"].set(change);
+    let caller = fleet.team(fleet.named("h1"));
+    let expected = work::output("draft", "mark-1 letter", 40);
+
+    wait("a disturbed stream", LIMIT, || {
+        let path = "/v1/pipelines/note/requests?stream=true";
+        let outcome = Outcome::streamed(&caller.send("POST", path, &body("mark-1 letter", 40)));
+        assert_eq!(outcome, Outcome::Answered(expected.clone()));
+        let calls = fleet.endpoints["draft-1"].oracle().calls;
+        let unfinished = |row: &Row| row.marker == "mark-1" && row.effects == 0;
+        calls.iter().any(unfinished).then_some(())
+    });
+}
+
+macro_rules! streams {
+    ($($(#[$doc:meta])* $name:ident: $change:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                disturbed_streams($change);
+            }
+        )*
+    };
+}
+
+streams! {
+    /// Guards against tokens lost or repeated when an engine's stream breaks.
+    stream_broken_at_a_token_goes_on: Change { break_stream_at: Some(9), ..Change::default() };
+    /// Guards against a stream that ends early in the regular way and passes for whole.
+    stream_without_end_line_goes_on:
+        Change { truncate: Some(1), truncate_at: Some(9), ..Change::default() };
+    /// Guards against a stream that waits for an engine that fell silent.
+    stalled_stream_goes_on: Change { stall: Some(1), ..Change::default() };
+}
+
+/// Guards against an answer kept on one host only in the caller's eyes.
+#[test]
+fn unknown_requests_are_refused() {
+    let fleet = start();
+    let caller = fleet.team(fleet.named("h1"));
+    let incarnation = fleet.status(fleet.named("h2"))["incarnation"].to_string();
+    let path = format!("/v1/requests/h2.{incarnation}.none");
+    let missing = wait("an answer", LIMIT, || caller.send("GET", &path, "").ok());
+    assert_eq!(
+        (missing.status, &missing.json()["reason"]),
+        (404, &json!("missing"))
+    );
+}
--- /dev/null
+++ b/tests/stop_process.rs
@@ -0,0 +1,172 @@
+//! A planned stop cuts nothing off.
+
+use {
+    serde_json::json,
+    stand_ins::{
+        daemon::{Signal, wait},
+        faults::Change,
+        fleet::{ALMANAC, Fleet},
+        object_api,
+        outcome::Outcome,
+        work,
+    },
+    std::{thread, time::Duration},
+};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Tokens of a stream, at least 2 s of work.
+const STREAM_TOKENS: u32 = 1000;
+
+const ORDERS: usize = 3;
+const QUEUED: usize = 30;
+const STREAMS: usize = 6;
+
+/// What a caller got and what it should have got.
+type Pair = (Outcome, String);
+
+/// Keeps a host busy with streams, orders and more requests than its
+/// endpoints take at a time; returns what became of them.
+fn load<'scope, 'env>(
+    scope: &'scope thread::Scope<'scope, 'env>,
+    fleet: &'env Fleet,
+    host: &str,
+) -> Vec<thread::ScopedJoinHandle<'scope, Pair>> {
+    let caller = fleet.team(fleet.named(host));
+    let mut callers = Vec::new();
+
+    for number in 0..STREAMS {
+        let (caller, prompt) = (caller.clone(), format!("{host}-stream-{number} letter"));
+        callers.push(scope.spawn(move || {
+            let body = json!({ "prompt": prompt, "max_tokens": STREAM_TOKENS }).to_string();
+            let path = "/v1/pipelines/note/requests?stream=true";
+            let outcome = Outcome::streamed(&caller.send("POST", path, &body));
+            (outcome, work::output("draft", &prompt, STREAM_TOKENS))
+        }));
+    }
+
+    for number in 0..ORDERS {
+        let prompt = format!("{host}-order-{number} issue");
+        let body = json!({ "prompt": prompt, "max_tokens": 8 }).to_string();
+        let (home, _) = caller.ticket("publish", &body, 15_000).expect("a ticket");
+        callers.push(scope.spawn(move || {
+            let outcome = Outcome::whole(&home.post("publish", &body));
+            (outcome, work::output("publish", &prompt, 8))
+        }));
+    }
+
+    for number in 0..QUEUED {
+        let (caller, prompt) = (caller.clone(), format!("{host}-queued-{number} volume"));
+        callers.push(scope.spawn(move || {
+            let body = json!({ "prompt": prompt, "max_tokens": 30 }).to_string();
+            let outcome = Outcome::whole(&caller.post("almanac", &body));
+            (outcome, work::pipeline(&ALMANAC, &prompt, 30))
+        }));
+    }
+
+    callers
+}
+
+/// Stops `hosts` of three while all their requests are in progress.
+fn stop(hosts: &[&str], outage: bool) {
+    let mut fleet = Fleet::start(env!("CARGO_BIN_EXE_persimmoncleatd"), 3);
+    fleet.faults(
+        "publish",
+        &Change {
+            slow_ms: Some(2500),
+            ..Change::default()
+        },
+    );
+    fleet.faults(
+        "encode",
+        &Change {
+            slow_ms: Some(1000),
+            ..Change::default()
+        },
+    );
+
+    thread::scope(|scope| {
+        let fleet = &fleet;
+        let callers: Vec<_> = hosts
+            .iter()
+            .flat_map(|host| load(scope, fleet, host))
+            .collect();
+
+        for host in hosts {
+            wait("requests in progress", LIMIT, || {
+                let outstanding = fleet.status(fleet.named(host))["outstanding"].as_u64();
+                (outstanding == Some((STREAMS + ORDERS + QUEUED) as u64)).then_some(())
+            });
+        }
+
+        if outage {
+            let outage = object_api::Faults {
+                outage: Some(true),
+                ..Default::default()
+            };
+            fleet.objects.set(outage);
+        }
+
+        for host in hosts {
+            fleet.named(host).signal(Signal::Terminate);
+        }
+
+        for host in hosts {
+            refuses_new_work(fleet, host);
+        }
+
+        for caller in callers {
+            let (outcome, expected) = caller.join().expect("a caller");
+            assert_eq!(outcome, Outcome::Answered(expected));
+        }
+    });
+
+    for host in fleet
+        .hosts
+        .iter_mut()
+        .filter(|host| hosts.contains(&host.name.as_str()))
+    {
+        assert_eq!(host.ended(LIMIT).code(), Some(0));
+    }
+}
+
+/// A new request is refused with another address, or finds the host gone.
+fn refuses_new_work(fleet: &Fleet, host: &str) {
+    let caller = fleet.team(fleet.named(host));
+    let body = r#"{"prompt":"late request","max_tokens":4}"#;
+
+    wait("refusal of new work", LIMIT, || {
+        match caller.post("note", body) {
+            Ok(answer) if answer.status == 200 => None,
+            Ok(answer) => {
+                let problem = answer.json();
+                assert_eq!(problem["outcome"], "not_run", "{problem}");
+                assert_eq!(problem["reason"], "leaving", "{problem}");
+                assert!(problem["entrypoint"].is_string(), "{problem}");
+                Some(())
+            }
+            Err(_) => Some(()),
+        }
+    });
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident: $hosts:expr, outage $outage:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                stop(&$hosts, $outage);
+            }
+        )*
+    };
+}
+
+cases! {
+    /// Guards against streams, orders and queued requests cut off by a stop.
+    one_host_finishes_its_work: ["h1"], outage false;
+    /// Guards against two leaving hosts that send callers to each other.
+    two_hosts_at_once_finish_their_work: ["h1", "h2"], outage false;
+    /// Guards against a stop that waits for the object API or gives up on it.
+    stop_during_an_outage_finishes_its_work: ["h1"], outage true;
+}
