--- a/tests/at_most_once_process.rs
+++ b/tests/at_most_once_process.rs
@@ -23,6 +23,10 @@
 
 const LIMIT: Duration = Duration::from_secs(30);
 
+/// Times after a post that fall before the witness's grant, between the grant
+/// and the send, after the send and after the answer.
+const MOMENTS_MS: [u64; 9] = [0, 2, 3, 4, 6, 8, 12, 24, 48];
+
 fn start(hosts: usize) -> Fleet {
     Fleet::start(env!("CARGO_BIN_EXE_persimmoncleatd"), hosts)
 }
@@ -129,7 +133,7 @@
     let mut fleet = start(3);
     slow(&fleet, 30);
 
-    for delay in [0, 1, 2, 4, 8, 16] {
+    for delay in MOMENTS_MS {
         let (caller, request) = ticket(&fleet, "h1");
         let first = posting(&caller);
         thread::sleep(Duration::from_millis(delay));
@@ -192,6 +196,35 @@
     );
 }
 
+/// Guards against a home that is frozen at any moment around the record and
+/// the send, and goes on where it was after others have resolved the ticket.
+#[test]
+fn home_frozen_at_any_moment_runs_once() {
+    let frozen = |delay| {
+        let fleet = start(3);
+        slow(&fleet, 30);
+        let (caller, request) = ticket(&fleet, "h1");
+        let first = posting(&caller);
+        thread::sleep(Duration::from_millis(delay));
+        fleet.named("h1").signal(Signal::Stop);
+        let outcome = resolve(&fleet, &caller, "h2");
+        holds("one call", LONG_FREEZE, || calls(&fleet, &request) <= 1);
+        fleet.named("h1").signal(Signal::Continue);
+        let outcomes = [
+            outcome,
+            first.join().expect("a caller"),
+            resolve(&fleet, &caller, "h1"),
+        ];
+        check(&fleet, &request, &outcomes);
+    };
+
+    thread::scope(|scope| {
+        for delay in MOMENTS_MS.into_iter().step_by(2) {
+            scope.spawn(move || frozen(delay));
+        }
+    });
+}
+
 /// Guards against a request sent without a grant, and one whose refused ticket
 /// runs after all.
 #[test]
