Add an end-to-end benchmark of the daemon

The benches so far measured decisions on virtual time only; nothing showed what a request costs in a running daemon. The new bench starts daemons as processes among the stand-ins and prints latency, throughput, the cost of the witness, memory, bursts and idle traffic in one run.

A relay for the peer links was ruled out because hosts tell each other their own addresses; the kernel's counts of the accepted sockets are read instead.

--- /dev/null
+++ b/benches/path/burst.rs
@@ -0,0 +1,114 @@
+//! A burst of new connections.
+
+use {
+    crate::{
+        caller::{Caller, Outcome, body},
+        deployment,
+        sample::Sample,
+    },
+    stand_ins::fleet::Fleet,
+    std::{collections::BTreeMap, net::SocketAddr, sync::Barrier, thread, time::Duration},
+};
+
+const CONNECTIONS: usize = 500;
+const ROUNDS: usize = 4;
+
+/// Time between bursts, until the threads of the last have ended.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The requests of all bursts of one kind.
+#[derive(Default)]
+struct Tally {
+    answers: Sample,
+    broken: usize,
+    refused: usize,
+}
+
+/// Sends bursts to one host and to the hosts that the entry points name, in
+/// turn.
+pub fn run() {
+    println!("\n## 5. Burst of {CONNECTIONS} new connections\n");
+    println!(
+        "| connections go to | bursts | median ms | p99 ms | max ms | refused | broken | most connections to one host |"
+    );
+    println!("|---|--:|--:|--:|--:|--:|--:|--:|");
+    let fleet = deployment::start(3);
+    let (mut one, mut spread) = (Tally::default(), Tally::default());
+    let mut most = 0;
+
+    for host in &fleet.hosts {
+        deployment::warm_up(&Caller::new(host.caller_address()), "fast");
+    }
+
+    for _ in 0..ROUNDS {
+        let first = fleet.named("h1").caller_address();
+        burst(&vec![first; CONNECTIONS], &mut one);
+        let named = entrypoints(&fleet);
+        most = most.max(most_used(&named));
+        burst(&named, &mut spread);
+    }
+
+    print("one host", &one, CONNECTIONS);
+    print("three hosts", &spread, most);
+}
+
+fn entrypoints(fleet: &Fleet) -> Vec<SocketAddr> {
+    let caller = Caller::new(fleet.named("h1").caller_address());
+    (0..CONNECTIONS)
+        .map(|number| caller.entrypoint(number))
+        .collect()
+}
+
+fn most_used(addresses: &[SocketAddr]) -> usize {
+    let mut counts = BTreeMap::new();
+
+    for address in addresses {
+        *counts.entry(address).or_insert(0) += 1;
+    }
+
+    counts.into_values().max().unwrap_or(0)
+}
+
+fn burst(addresses: &[SocketAddr], tally: &mut Tally) {
+    let body = body();
+    let start = Barrier::new(addresses.len());
+    let ends: Vec<(Outcome, Sample)> = thread::scope(|scope| {
+        let callers: Vec<_> = addresses
+            .iter()
+            .map(|address| {
+                scope.spawn(|| {
+                    let caller = Caller::new(*address);
+                    let mut sample = Sample::default();
+                    start.wait();
+                    let outcome = sample.time(|| caller.post("fast", &body));
+                    (outcome, sample)
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().expect("callers do not panic"))
+            .collect()
+    });
+
+    for (outcome, sample) in ends {
+        match outcome {
+            Outcome::Answered => tally.answers.extend(sample),
+            Outcome::Broken => tally.broken += 1,
+            Outcome::Refused => tally.refused += 1,
+        }
+    }
+
+    thread::sleep(PAUSE);
+}
+
+fn print(target: &str, tally: &Tally, most: usize) {
+    println!(
+        "| {target} | {ROUNDS} | {:.1} | {:.1} | {:.1} | {} | {} | {most} |",
+        tally.answers.median(),
+        tally.answers.p99(),
+        tally.answers.max(),
+        tally.refused,
+        tally.broken,
+    );
+}
--- /dev/null
+++ b/benches/path/caller.rs
@@ -0,0 +1,171 @@
+//! A caller that keeps its connection, with the HTTP client that the daemon
+//! uses for endpoints, so that direct calls and calls through a host differ
+//! only in the path.
+
+use {
+    persimmoncleat::{
+        protocol::{
+            call::Call,
+            caller::{Entrypoints, TICKET_HEADER, TicketAnswer, TicketBody},
+            digest,
+        },
+        transport::client::{self, Client},
+    },
+    serde::de::DeserializeOwned,
+    serde_json::{Value, json},
+    stand_ins::fleet::{TEAM, TEAM_KEY},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for an answer, and the deadline of every request.
+pub const LIMIT: Duration = Duration::from_secs(60);
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    Answered,
+    Broken,
+    Refused,
+}
+
+/// A caller of one address.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Caller {
+    /// Builds a caller that connects with its first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::new(),
+        }
+    }
+
+    /// Posts a request that may be repeated.
+    pub fn post(&self, pipeline: &str, body: &str) -> Outcome {
+        self.request(pipeline, body, &[("Persimmon-Repeatable", "true")])
+    }
+
+    /// Posts a request that must not be repeated.
+    pub fn post_once(&self, pipeline: &str, body: &str, ticket: &TicketAnswer) -> Outcome {
+        let ticket = ticket.ticket.as_str();
+        let headers = [("Persimmon-Repeatable", "false"), (TICKET_HEADER, ticket)];
+        self.request(pipeline, body, &headers)
+    }
+
+    /// Asks for a ticket.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is none.
+    pub fn ticket(&self, pipeline: &str, body: &str) -> TicketAnswer {
+        let ask = client::json(&TicketBody {
+            body_sha256: digest::sha256_hex(body.as_bytes()),
+            class: "urgent".into(),
+            deadline: Some(LIMIT),
+            pipeline: pipeline.into(),
+            team: TEAM.into(),
+        });
+        let key = bearer();
+        let headers = [
+            ("Authorization", key.as_str()),
+            ("Content-Type", "application/json"),
+        ];
+        let answer = self
+            .client
+            .post(self.address, "/v1/tickets", &headers, &ask, LIMIT)
+            .and_then(|answer| client::body(self.address, LIMIT, answer));
+        read(&answer.expect("a ticket"))
+    }
+
+    /// Asks which host a caller should use and returns the first.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is none.
+    pub fn entrypoint(&self, caller: usize) -> SocketAddr {
+        let path = format!("/v1/entrypoints?caller=c{caller}");
+        let answer = self
+            .client
+            .get(self.address, &path, &[], LIMIT)
+            .and_then(|answer| client::body(self.address, LIMIT, answer));
+        let answer: Entrypoints = read(&answer.expect("entry points"));
+        answer.entrypoints[0].address
+    }
+
+    /// Makes the call of one stage at an endpoint and returns the output.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the call fails.
+    pub fn call(&self, stage: &str, attempt: &str, input: Option<Value>) -> Value {
+        let body = client::json(&Call {
+            attempt: attempt.into(),
+            class: "urgent".into(),
+            deadline: LIMIT,
+            input,
+            max_tokens: 1,
+            prefix: None,
+            priority: 5,
+            prompt: "m1 text".into(),
+            repeatable: true,
+            request: attempt.into(),
+            resume_from: 0,
+            stage: stage.into(),
+            stream: false,
+            team: TEAM.into(),
+        });
+        let headers = [("Content-Type", "application/json")];
+        let answer = self
+            .client
+            .post(self.address, "/v1/calls", &headers, &body, LIMIT)
+            .and_then(|answer| client::body(self.address, LIMIT, answer));
+        let mut answer: Value = read(&answer.expect("an answer"));
+        assert_eq!(answer["status"], "done", "{answer}");
+        answer["output"].take()
+    }
+
+    fn request(&self, pipeline: &str, body: &str, headers: &[(&str, &str)]) -> Outcome {
+        let key = bearer();
+        let limit = LIMIT.as_millis().to_string();
+        let mut all = vec![
+            ("Authorization", key.as_str()),
+            ("Content-Type", "application/json"),
+            ("Persimmon-Class", "urgent"),
+            ("Persimmon-Deadline-Ms", limit.as_str()),
+            ("Persimmon-Team", TEAM),
+        ];
+        all.extend(headers);
+        let path = format!("/v1/pipelines/{pipeline}/requests");
+        let answer = self
+            .client
+            .post(self.address, &path, &all, body.as_bytes(), LIMIT);
+
+        let Ok(answer) = answer else {
+            return Outcome::Broken;
+        };
+        let status = answer.status();
+
+        match client::body(self.address, LIMIT, answer) {
+            Ok(_) if status == 200 => Outcome::Answered,
+            Ok(_) => Outcome::Refused,
+            Err(_) => Outcome::Broken,
+        }
+    }
+}
+
+/// Returns the body of a small request.
+pub fn body() -> String {
+    json!({ "prompt": "m1 text", "max_tokens": 1 }).to_string()
+}
+
+fn bearer() -> String {
+    format!("Bearer {TEAM_KEY}")
+}
+
+fn read<T: DeserializeOwned>(bytes: &[u8]) -> T {
+    serde_json::from_slice(bytes).expect("JSON of the expected shape")
+}
--- /dev/null
+++ b/benches/path/memory.rs
@@ -0,0 +1,105 @@
+//! Memory of requests in progress.
+
+use {
+    crate::{
+        caller::{Caller, body},
+        deployment,
+        process::Usage,
+    },
+    stand_ins::{
+        daemon::{Daemon, wait},
+        endpoint::Kind,
+        faults::Change,
+        fleet::Fleet,
+        server::ANY_PORT,
+    },
+    std::{thread, time::Duration},
+};
+
+/// Calls that an engine of the stand-ins holds: 16 run and 64 wait.
+const ENGINE_CALLS: &str = "80";
+const ENGINES: usize = 14;
+const REQUESTS: [usize; 2] = [500, 1000];
+
+/// Longer than the measurement.
+const SLOW_MS: u64 = 30_000;
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Time after the last request arrived until the memory is read.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Holds requests at slow endpoints. They are cut off when the host is killed.
+pub fn run() {
+    println!("\n## 4. Memory of requests in progress\n");
+    println!(
+        "| requests in progress | at endpoints | resident MB | threads | resident MB per 1,000 requests |"
+    );
+    println!("|--:|--:|--:|--:|--:|");
+    let fleet = start();
+    let host = fleet.named("h1");
+    let caller = Caller::new(host.caller_address());
+    deployment::warm_up(&caller, "slow");
+    fleet.faults(
+        "slow",
+        &Change {
+            slow_ms: Some(SLOW_MS),
+            ..Change::default()
+        },
+    );
+    let idle = Usage::of(host.process()).resident_bytes;
+    row(&fleet, host, 0, idle);
+    let mut started = 0;
+
+    for requests in REQUESTS {
+        for _ in started..requests {
+            let caller = Caller::new(host.caller_address());
+            thread::spawn(move || caller.post("slow", &body()));
+        }
+
+        started = requests;
+        wait("requests in progress", LIMIT, || {
+            (at_endpoints(&fleet, host) >= started as u64).then_some(())
+        });
+        thread::sleep(SETTLE);
+        row(&fleet, host, started, idle);
+    }
+}
+
+fn start() -> Fleet {
+    let mut fleet = Fleet::platform(env!("CARGO_BIN_EXE_persimmoncleatd"));
+    fleet.change(&[
+        ("pipelines/slow", "stages", "slow"),
+        ("pools/slow", "concurrency_limit", ENGINE_CALLS),
+        ("pools/slow", "hedge", "off"),
+        ("pools/slow", "kind", "engine"),
+    ]);
+
+    for number in 1..=ENGINES {
+        fleet.endpoint(&format!("slow-{number}"), "slow", Kind::Engine, ANY_PORT);
+    }
+
+    deployment::add_hosts(&mut fleet, 1);
+    fleet
+}
+
+fn at_endpoints(fleet: &Fleet, host: &Daemon) -> u64 {
+    let answer = fleet.operator(host).get("/v1/admin/endpoints");
+    let answer = answer.unwrap_or_default();
+    let rows = answer["endpoints"].as_array().into_iter().flatten();
+    rows.filter_map(|row| row["outstanding"].as_u64()).sum()
+}
+
+fn row(fleet: &Fleet, host: &Daemon, requests: usize, idle: u64) {
+    let usage = Usage::of(host.process());
+    let bytes = usage.resident_bytes.saturating_sub(idle);
+    let each = match requests {
+        0 => "–".into(),
+        requests => format!("{:.1}", bytes as f64 / requests as f64 / 1e3),
+    };
+    println!(
+        "| {requests} | {} | {:.1} | {} | {each} |",
+        at_endpoints(fleet, host),
+        usage.resident_bytes as f64 / 1e6,
+        usage.threads,
+    );
+}
--- a/stand-ins/src/daemon.rs
+++ b/stand-ins/src/daemon.rs
@@ -138,6 +138,11 @@
         self.peer_address
     }
 
+    /// Returns the process id.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns a caller without a key.
     pub fn caller(&self) -> Caller {
         Caller::new(self.caller_address)
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -24,11 +24,13 @@
     tempfile::TempDir,
 };
 
-/// The team of every test, and its key.
-const TEAM: &str = "hvarfdal";
-const TEAM_KEY: &str = "team key of hvarfdal";
+/// The team of every test.
+pub const TEAM: &str = "hvarfdal";
+
+/// The key of the team.
+pub const TEAM_KEY: &str = "team key of hvarfdal";
 const OPERATOR_KEY: &str = "operator key of the fleet";
-const FLEET_KEY: &str = "fleet key that all hosts share";
+pub const FLEET_KEY: &str = "fleet key that all hosts share";
 
 /// How long a deployment may take to become ready.
 const LIMIT: Duration = Duration::from_secs(30);
