Let the path benchmark measure another build of the daemon

Two builds are best compared in turn on a shared machine, since times of runs apart differ with its load. PERSIMMONCLEATD names the other build.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -3,7 +3,8 @@
 //!
 //! `cargo bench --bench path` runs every part in less than 90 s and prints
 //! tables; `cargo bench --bench path -- NAME` runs the parts whose name
-//! contains NAME. Times depend on the machine and on what else runs there, so
+//! contains NAME. `PERSIMMONCLEATD=FILE` measures another build of the daemon.
+//! Times depend on the machine and on what else runs there, so
 //! compare figures of one run only.
 
 #[path = "path/burst.rs"]
--- a/benches/path/deployment.rs
+++ b/benches/path/deployment.rs
@@ -3,6 +3,7 @@
 use {
     crate::caller::{Caller, Outcome, body},
     stand_ins::{endpoint::Kind, fleet::Fleet, server::ANY_PORT},
+    std::env,
 };
 
 /// Endpoints of the pool `encode`. With 8 slots each they have a slot for
@@ -12,9 +13,17 @@
 /// Calls before a measurement.
 const WARM_UP: usize = 20;
 
+/// Names another daemon to measure, to compare two builds.
+const DAEMON: &str = "PERSIMMONCLEATD";
+
+/// Returns the path of the daemon.
+pub fn daemon() -> String {
+    env::var(DAEMON).unwrap_or_else(|_| env!("CARGO_BIN_EXE_persimmoncleatd").into())
+}
+
 /// Starts hosts whose pipeline `fast` has one stage that takes 5 ms.
 pub fn start(hosts: usize) -> Fleet {
-    let mut fleet = Fleet::platform(env!("CARGO_BIN_EXE_persimmoncleatd"));
+    let mut fleet = Fleet::platform(&daemon());
     fleet.change(&[("pipelines/fast", "stages", "encode")]);
 
     for number in 3..=ENCODERS {
--- a/benches/path/idle.rs
+++ b/benches/path/idle.rs
@@ -1,7 +1,7 @@
 //! Traffic and processor time of hosts without requests.
 
 use {
-    crate::process::Usage,
+    crate::{deployment, process::Usage},
     stand_ins::{fleet::Fleet, object_api::Counts},
     std::{
         process::Command,
@@ -40,7 +40,7 @@
 }
 
 fn measure(hosts: usize) {
-    let mut fleet = Fleet::platform(env!("CARGO_BIN_EXE_persimmoncleatd"));
+    let mut fleet = Fleet::platform(&deployment::daemon());
 
     // One region, whose name is what precedes the last `-` of a domain: each
     // region has two hosts that watch the store.
--- a/benches/path/memory.rs
+++ b/benches/path/memory.rs
@@ -66,7 +66,7 @@
 }
 
 fn start() -> Fleet {
-    let mut fleet = Fleet::platform(env!("CARGO_BIN_EXE_persimmoncleatd"));
+    let mut fleet = Fleet::platform(&deployment::daemon());
     fleet.change(&[
         ("pipelines/slow", "stages", "slow"),
         ("pools/slow", "concurrency_limit", ENGINE_CALLS),
