Buffer less for each call to an endpoint

With 1,000 requests in progress a daemon held 353 MB beyond its idle size. The HTTP client allocates and fills 128 KB for requests and as much for answers on every connection. Thread stacks were ruled out as the main part: they are touched for a few pages only.

The buffers now have 32 KB and 16 KB, which hold the longest heads.

--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -13,6 +13,14 @@
 /// Longest body read in one piece.
 const BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Bytes that a connection buffers of an answer; the answer's head must fit.
+const INPUT_BYTES: usize = 16 * 1024;
+
+/// Bytes that a connection buffers of a request; the head must fit, and that of
+/// a forwarded request has up to 16 KB. The client's default of 128 KB for each
+/// buffer took 256 KB of resident memory for each call in progress.
+const OUTPUT_BYTES: usize = 32 * 1024;
+
 /// How a call failed.
 #[derive(Debug)]
 pub enum Failure {
@@ -164,6 +172,8 @@
 fn agent(idle: usize) -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
+        .input_buffer_size(INPUT_BYTES)
+        .output_buffer_size(OUTPUT_BYTES)
         .max_idle_connections(idle * 64)
         .max_idle_connections_per_host(idle)
         .max_redirects(0)
