--- a/demo.sh
+++ b/demo.sh
@@ -112,7 +112,6 @@
 [host]
 id = $host
 domain = is-$number
-region = is-south
 caller_address = 127.0.0.1:0
 peer_address = 127.0.0.1:0
 ${peers:+peers = $peers}
--- a/src/bin/persimmoncleatctl/options.rs
+++ b/src/bin/persimmoncleatctl/options.rs
@@ -157,6 +157,7 @@
         command
     })
     .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
     .descr("Operates hosts of persimmoncleat")
     .footer(help::MAIN)
 }
--- a/src/bin/persimmoncleatd.rs
+++ b/src/bin/persimmoncleatd.rs
@@ -59,6 +59,7 @@
 
     construct!(Options { check, config })
         .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
         .descr("Serves multi-stage model pipelines between callers and endpoints")
         .run_inner(bpaf::Args::current_args())
         .map_err(|failure| {
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -17,6 +17,7 @@
 pub mod exchange;
 pub mod forward;
 pub mod gateway;
+pub mod gauges;
 pub mod incoming;
 pub mod intake;
 pub mod leases;
--- a/src/coordination/control.rs
+++ b/src/coordination/control.rs
@@ -82,7 +82,15 @@
         match event {
             Event::Claims(event) => self.claims.handle(now, event, view),
             Event::Leases(event) => self.leases.handle(now, event, view),
-            Event::Membership(event) => self.membership.handle(now, event, view),
+            Event::Membership(event) => {
+                let phase = view.local.phase;
+                self.membership.handle(now, event, view);
+
+                // No request is accepted after the phase has changed.
+                if view.local.phase != phase {
+                    self.published.set(view.clone());
+                }
+            }
             Event::Scheduling(event) => {
                 if Scheduling::observe(&event, view) {
                     self.published.set(view.clone());
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -9,6 +9,7 @@
             drain, engines,
             error::{Error, ListenSnafu, SignalsSnafu, ThreadSnafu},
             gateway::Gateway,
+            gauges,
             leases::Leases,
             membership::Membership,
             observer::Observer,
@@ -73,6 +74,7 @@
 
     handle_signals(&gateway)?;
     start_control(&file, view, &gateway, events)?;
+    gauges::start(Arc::clone(&gateway)).context(ThreadSnafu)?;
     start_discovery(&file, &gateway)?;
     log::info!(
         caller_address = caller_address.to_string().as_str(),
--- /dev/null
+++ b/src/coordination/gauges.rs
@@ -0,0 +1,106 @@
+//! Sends the backlog and the scheduler's counters as metrics.
+
+use {
+    crate::{
+        coordination::{control, gateway::Gateway, scheduling},
+        state::backlog::Row,
+    },
+    std::{
+        collections::BTreeSet,
+        io,
+        sync::{Arc, mpsc},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Time between two reports.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Starts the thread, which ends with the control thread.
+///
+/// # Errors
+///
+/// Fails if the thread cannot be started.
+pub fn start(gateway: Arc<Gateway>) -> io::Result<()> {
+    thread::Builder::new()
+        .name("gauges".into())
+        .spawn(move || {
+            let mut known = BTreeSet::new();
+
+            while let Some(rows) = ask(&gateway, scheduling::Event::Backlog) {
+                backlog(&gateway, &rows, &mut known);
+
+                let Some(report) = ask(&gateway, scheduling::Event::Endpoints) else {
+                    return;
+                };
+
+                for (name, value) in report.counters {
+                    gateway.observer.gauge(&format!("scheduler.{name}"), value);
+                }
+
+                let view = gateway.published.get();
+                let outstanding = u64::from(view.local.outstanding);
+                gateway.observer.gauge("outstanding", outstanding);
+                gateway
+                    .observer
+                    .gauge("settings.version", view.policy.version);
+                thread::sleep(PERIOD);
+            }
+        })?;
+
+    Ok(())
+}
+
+/// Reports every queue, and those that have become empty as empty.
+fn backlog(gateway: &Gateway, rows: &[Row], known: &mut BTreeSet<String>) {
+    let mut empty = std::mem::take(known);
+
+    for row in rows {
+        let queue = queue(row);
+        let gauges = [
+            ("depth", u64::try_from(row.depth).unwrap_or(u64::MAX)),
+            ("oldest_age_ms", millis(row.oldest)),
+            ("estimated_lateness_ms", millis(row.lateness)),
+        ];
+
+        for (name, value) in gauges {
+            gateway.observer.gauge(&format!("{queue}.{name}"), value);
+        }
+
+        empty.remove(&queue);
+        known.insert(queue);
+    }
+
+    for queue in empty {
+        for name in ["depth", "oldest_age_ms", "estimated_lateness_ms"] {
+            gateway.observer.gauge(&format!("{queue}.{name}"), 0);
+        }
+    }
+}
+
+/// Returns the metric path of a queue; dots separate its parts only.
+fn queue(row: &Row) -> String {
+    let part = |text: &str| text.replace('.', "_");
+
+    format!(
+        "backlog.{}.{}.{}",
+        part(row.stage.as_str()),
+        part(row.team.as_str()),
+        part(row.class.as_str())
+    )
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn ask<T>(
+    gateway: &Gateway,
+    event: impl FnOnce(mpsc::Sender<T>) -> scheduling::Event,
+) -> Option<T> {
+    let (reply, answer) = mpsc::channel();
+    let event = control::Event::Scheduling(event(reply));
+    gateway.control.send(event).ok()?;
+    answer.recv().ok()
+}
--- a/src/coordination/observer.rs
+++ b/src/coordination/observer.rs
@@ -40,6 +40,11 @@
         self.usage().count(name);
     }
 
+    /// Sets a gauge by name.
+    pub fn gauge(&self, name: &str, value: u64) {
+        self.metrics.gauge(name, value);
+    }
+
     /// Logs an event of a request and keeps it for operators.
     pub fn event(&self, request: &Request, entry: Entry) {
         let attempt = entry.attempt.map(|attempt| attempt.0);
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -8,7 +8,7 @@
             forward,
             gateway::Gateway,
             intake,
-            posted::{self, Posted},
+            posted::{self, MAX_DEADLINE_MS, Posted},
             problem,
             record::{Outcome, Record, Subject},
             records::Opened,
@@ -63,6 +63,15 @@
         )));
     }
 
+    if let Some(deadline) = body.deadline {
+        let millis = deadline.as_millis();
+
+        if !(1..=u128::from(MAX_DEADLINE_MS)).contains(&millis) {
+            let refusal = posted::invalid_deadline("deadline_ms", &millis.to_string());
+            return Err(refuse(refusal));
+        }
+    }
+
     let class = policy.class(&body.team, &body.class);
     let deadline = body
         .deadline
--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -16,8 +16,8 @@
     std::{io::Read, time::Duration},
 };
 
-/// Longest deadline that a caller may ask for.
-const MAX_DEADLINE_MS: u64 = 600_000;
+/// Longest deadline that a caller may ask for; a planned stop waits for it.
+pub(super) const MAX_DEADLINE_MS: u64 = 600_000;
 
 /// Longest name of a team or a class, in bytes.
 const NAME_BYTES: usize = 64;
@@ -149,7 +149,8 @@
 
 /// Returns whether a request names one that may have run before.
 pub fn ticketed(request: &Request) -> bool {
-    request.method() == "GET" || request.header(TICKET_HEADER).is_some()
+    let fetches = request.url().starts_with("/v1/requests/");
+    fetches || request.header(TICKET_HEADER).is_some()
 }
 
 /// Builds the refusal of a field.
@@ -189,9 +190,12 @@
         Ok(millis) if (1..=MAX_DEADLINE_MS).contains(&millis) => {
             Ok(Some(Duration::from_millis(millis)))
         }
-        _ => {
-            let expected = format!("milliseconds from 1 to {MAX_DEADLINE_MS}");
-            Err(invalid(NAME, value, &expected))
-        }
+        _ => Err(invalid_deadline(NAME, value)),
     }
 }
+
+/// Builds the refusal of a deadline.
+pub fn invalid_deadline(field: &str, value: &str) -> Refusal {
+    let expected = format!("milliseconds from 1 to {MAX_DEADLINE_MS}");
+    invalid(field, value, &expected)
+}
--- a/src/protocol/daemon_file.rs
+++ b/src/protocol/daemon_file.rs
@@ -16,14 +16,7 @@
 const KNOWN: &[(&str, &[&str])] = &[
     (
         "host",
-        &[
-            "caller_address",
-            "domain",
-            "id",
-            "peer_address",
-            "peers",
-            "region",
-        ],
+        &["caller_address", "domain", "id", "peer_address", "peers"],
     ),
     ("keys", &["fleet_file", "operator_file"]),
     (
@@ -51,7 +44,6 @@
     pub id: id::Host,
     pub peer_address: SocketAddr,
     pub peers: Vec<SocketAddr>,
-    pub region: String,
 }
 
 /// The keys that the file names.
@@ -163,7 +155,6 @@
         "peers",
         "IP addresses and ports separated by commas",
     );
-    let region = name(fields, "region");
 
     Some(Host {
         caller_address: caller_address?,
@@ -171,7 +162,6 @@
         id: id?.into(),
         peer_address: peer_address?,
         peers,
-        region: region?,
     })
 }
 
--- a/src/transport/error.rs
+++ b/src/transport/error.rs
@@ -9,6 +9,8 @@
 pub enum Error {
     #[snafu(display("cannot connect to {address}: {message}"))]
     Connect { address: String, message: String },
+    #[snafu(display("cannot listen on {address}: {message}"))]
+    Listen { address: String, message: String },
     #[snafu(display("connection to {address} broke: {message}"))]
     Broken { address: String, message: String },
     #[snafu(display("no answer from {address} within {millis} ms"))]
--- a/src/transport/head.rs
+++ b/src/transport/head.rs
@@ -86,8 +86,9 @@
     ///
     /// Returns a fault if the length is not given exactly once as a number.
     pub fn body_bytes(&self) -> Result<u64, Fault> {
-        if self.header("transfer-encoding").is_some() {
-            return Err(invalid("transfer-encoding, expected content-length,"));
+        if let Some(encoding) = self.header("transfer-encoding") {
+            let expected = "none, and a content-length";
+            return Err(unexpected("transfer-encoding", encoding, expected));
         }
 
         let mut lengths = self
@@ -96,12 +97,16 @@
             .filter(|(name, _)| name == "content-length")
             .map(|(_, value)| value);
 
+        const NAME: &str = "content-length";
+
         match (lengths.next(), lengths.next()) {
             (None, _) => Ok(0),
-            (Some(length), None) if length.bytes().all(|byte| byte.is_ascii_digit()) => {
-                length.parse().map_err(|_| invalid("content-length"))
-            }
-            _ => Err(invalid("content-length")),
+            // `parse` alone would take a sign too.
+            (Some(length), None) if length.bytes().all(|byte| byte.is_ascii_digit()) => length
+                .parse()
+                .map_err(|_| unexpected(NAME, length, "a whole number of bytes")),
+            (Some(length), None) => Err(unexpected(NAME, length, "a whole number of bytes")),
+            (Some(length), Some(_)) => Err(unexpected(NAME, length, "one header of this name")),
         }
     }
 
@@ -120,6 +125,12 @@
     }
 }
 
+fn unexpected(name: &str, value: &str, expected: &str) -> Fault {
+    Fault::Invalid {
+        detail: format!("{name} is {value:?}, expected {expected}"),
+    }
+}
+
 fn broken(error: &io::Error) -> Fault {
     Fault::Invalid {
         detail: format!("the request broke off: {error}"),
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::transport::error::Error,
-    cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink},
+    cadence::{
+        Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+    },
     std::{
         net::{SocketAddr, UdpSocket},
         time::Duration,
@@ -53,6 +55,11 @@
         let _ = self.0.count(name, 1);
     }
 
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.0.gauge(name, value);
+    }
+
     /// Records a time.
     pub fn time(&self, name: &str, elapsed: Duration) {
         let _ = self.0.time(name, elapsed);
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -238,7 +238,7 @@
 }
 
 fn listen(address: SocketAddr, error: &io::Error) -> Error {
-    Error::Connect {
+    Error::Listen {
         address: address.to_string(),
         message: error.to_string(),
     }
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -193,7 +193,7 @@
             .map(|host| host.peer_address().to_string())
             .collect();
         let mut text = format!(
-            "[host]\nid = {name}\ndomain = {domain}\nregion = r1\n\
+            "[host]\nid = {name}\ndomain = {domain}\n\
             caller_address = {ANY_PORT}\npeer_address = {ANY_PORT}\n",
         );
 
--- a/tests/daemon_file.rs
+++ b/tests/daemon_file.rs
@@ -10,7 +10,6 @@
 [host]
 id = h1
 domain = is-1
-region = is-south
 caller_address = 127.0.0.1:0
 peer_address = 127.0.0.1:7101
 peers = 127.0.0.1:7102, 127.0.0.1:7103
@@ -59,16 +58,16 @@
     let directory = directory();
     let text = GOOD
         .replace("id = h1", "id = h 1")
-        .replace("region", "regoin")
+        .replace("domain", "domian")
         .replace("http://127.0.0.1:7200", "https://store")
         .replace("read_timeout_ms = 250", "read_timeout_ms = 0");
 
     assert_eq!(
         faults(&text, directory.path()),
         [
-            "[host] regoin: \"is-south\", expected a known key, nearest is region",
+            "[host] domian: \"is-1\", expected a known key, nearest is domain",
+            "[host] domain: \"\", expected letters, digits, '-', '_' and '.'",
             "[host] id: \"h 1\", expected letters, digits, '-', '_' and '.'",
-            "[host] region: \"\", expected letters, digits, '-', '_' and '.'",
             "[limits] read_timeout_ms: \"0\", expected a whole number from 1 to 600000",
             "[platform] object_api: \"https://store\", expected http:// followed by an IP \
              address and port",
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -6,7 +6,7 @@
 };
 
 #[test]
-fn counts_and_times_are_sent() {
+fn counts_times_and_gauges_are_sent() {
     let statsd = UdpSocket::bind("127.0.0.1:0").unwrap();
     statsd
         .set_read_timeout(Some(Duration::from_secs(20)))
@@ -22,4 +22,9 @@
     assert_eq!(receive().trim(), "persimmoncleat.answered:1|c");
     metrics.time("request", Duration::from_millis(12));
     assert_eq!(receive().trim(), "persimmoncleat.request:12|ms");
+    metrics.gauge("backlog.draft.hvarfdal.volume.depth", 3);
+    assert_eq!(
+        receive().trim(),
+        "persimmoncleat.backlog.draft.hvarfdal.volume.depth:3|g"
+    );
 }
