Read the addresses of calls without a thread

A trace of system calls showed 515 threads started for 161 requests of one stage. Besides the runner and the attempt, the HTTP client's resolver starts a thread for every call with a time limit, even for an IP address on a kept connection. Leaving out the limit was ruled out, because it is what bounds a call; smaller thread stacks were tried and brought no gain.

UTC times in the log were tried against the reads of the time zone's file on every new thread; flexi_logger reads it all the same.

--- a/src/transport.rs
+++ b/src/transport.rs
@@ -16,6 +16,7 @@
 pub mod object_api;
 pub mod peer_capnp;
 pub mod peer_server;
+pub mod resolver;
 pub mod server;
 pub mod wire;
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,12 +1,13 @@
 //! The HTTP client.
 
 use {
-    crate::transport::error::Error,
+    crate::transport::{error::Error, resolver::Literal},
     serde::Serialize,
     std::{io, net::SocketAddr, time::Duration},
     ureq::{
         Agent, AsSendBody, Body,
         http::{Method, Request, Response, request},
+        unversioned::transport::DefaultConnector,
     },
 };
 
@@ -170,7 +171,7 @@
 /// Redirects are off because following one would send a request twice, and
 /// proxies because addresses are the platform's own.
 fn agent(idle: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .input_buffer_size(INPUT_BYTES)
         .output_buffer_size(OUTPUT_BYTES)
@@ -179,8 +180,8 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .proxy(None)
-        .build()
-        .new_agent()
+        .build();
+    Agent::with_parts(config, DefaultConnector::default(), Literal)
 }
 
 fn failure(address: SocketAddr, timeout: Duration, error: &ureq::Error) -> Failure {
