Name the modules of ticketed requests and unproven refusals for what they do

Cause: coordination::orders handled requests with tickets while orders are what engines get; doubt, honest and turn_away were figurative.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -23,7 +23,6 @@
 pub mod leases;
 pub mod membership;
 pub mod observer;
-pub mod orders;
 pub mod posted;
 pub mod problem;
 pub mod progress;
@@ -39,6 +38,7 @@
 pub mod settings_api;
 pub mod settings_log;
 pub mod settings_worker;
+pub mod ticketed;
 pub mod tickets;
 
 pub use error::Error;
--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -137,7 +137,7 @@
 /// Returns the refusal with an outcome that also holds for an earlier copy of
 /// the request. A ticket may have been posted before, here or at another host,
 /// and a caller that takes `not_run` for its order would order again.
-pub fn doubt(ticketed: bool, refusal: Refusal) -> Refusal {
+pub fn unproven(ticketed: bool, refusal: Refusal) -> Refusal {
     match refusal.outcome {
         Outcome::NotRun if ticketed => Refusal {
             outcome: Outcome::Unknown,
--- a/src/coordination/progress.rs
+++ b/src/coordination/progress.rs
@@ -122,7 +122,7 @@
     }
 
     /// Returns the refusal with the outcome that this host can prove.
-    pub fn honest(&self, refusal: Refusal, repeatable: bool) -> Refusal {
+    pub fn justified(&self, refusal: Refusal, repeatable: bool) -> Refusal {
         let outcome = if !repeatable && self.once.may_have_run() {
             Proof::Unknown
         } else if self.called || !self.live.is_empty() {
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -5,11 +5,12 @@
         coordination::{
             auth, body, claim, forward,
             gateway::Gateway,
-            intake, orders,
+            intake,
             posted::{self, Posted},
             problem,
             record::{Record, Subject},
             records::Opened,
+            ticketed,
         },
         protocol::{caller::TICKET_HEADER, ticket::Ticket},
         state::{
@@ -60,7 +61,7 @@
         .filter(|ticket| ticket.request == *id && !is_home(&view, ticket));
     let refusal = match ticket {
         Some(ticket) => match auth::team(gateway, request, &ticket.team) {
-            Ok(()) => claim::resolve(&ticket, &gateway.links, orders::WITNESS_TIMEOUT),
+            Ok(()) => claim::resolve(&ticket, &gateway.links, ticketed::WITNESS_TIMEOUT),
             Err(response) => return response,
         },
         None => Refusal::unknown(Reason::Missing, "no host holds a record of the request"),
@@ -79,26 +80,26 @@
     pipeline: &str,
 ) -> Result<Response, Box<Response>> {
     let refuse = |refusal| Box::new(problem::respond(gateway, None, &refusal));
-    let doubt = |refusal| refuse(posted::doubt(posted::ticketed(request), refusal));
-    let posted = Posted::read(request, pipeline).map_err(doubt)?;
+    let unproven = |refusal| refuse(posted::unproven(posted::ticketed(request), refusal));
+    let posted = Posted::read(request, pipeline).map_err(unproven)?;
 
     if gateway.published.get().policy.version == 0
         && let Some(refusal) = gateway.unready()
     {
-        return Err(doubt(refusal));
+        return Err(unproven(refusal));
     }
 
     auth::team(gateway, request, &posted.team).map_err(Box::new)?;
     let record = match &posted.ticket {
         None => repeatable(gateway, &posted).map_err(refuse)?,
         Some(text) => {
-            let ticket = orders::check_ticket(gateway, &posted, text).map_err(refuse)?;
+            let ticket = ticketed::check_ticket(gateway, &posted, text).map_err(refuse)?;
 
             if ticket.home.host != gateway.published.get().local.host {
-                return Ok(orders::foreign(gateway, request, &posted, &ticket));
+                return Ok(ticketed::foreign(gateway, request, &posted, &ticket));
             }
 
-            orders::once(gateway, &posted, ticket).map_err(refuse)?
+            ticketed::once(gateway, &posted, ticket).map_err(refuse)?
         }
     };
 
--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -129,7 +129,7 @@
     /// Ends the request with a refusal that claims no more than this host
     /// knows about it.
     pub fn refuse(&self, refusal: Refusal) {
-        let refusal = self.lock().honest(refusal, self.job.request.repeatable);
+        let refusal = self.lock().justified(refusal, self.job.request.repeatable);
         self.note(Entry::new(
             "refused",
             format!("{:?}: {}", refusal.outcome, refusal.detail),
--- a/src/transport/http_connection.rs
+++ b/src/transport/http_connection.rs
@@ -66,7 +66,7 @@
 
 /// Refuses a connection above the limit. The head is read first, because the
 /// answer depends on whether the request names a ticket.
-pub fn turn_away(stream: TcpStream, limits: &Limits, handler: &impl Handler) {
+pub fn refuse_connection(stream: TcpStream, limits: &Limits, handler: &impl Handler) {
     let due = boot_clock::now() + LINGER;
     let mut reader = BufReader::new(Source { due, stream });
     let head = Head::read(&mut reader, limits.header_bytes).ok().flatten();
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -120,7 +120,7 @@
                 Ok((stream, _)) => {
                     let started = match Slot::below(&served, self.limits.connections) {
                         Some(slot) => self.serve(stream, &handler, slot),
-                        None => self.turn_away(stream, &handler, &refused),
+                        None => self.refuse_connection(stream, &handler, &refused),
                     };
 
                     if let Err(error) = started {
@@ -148,7 +148,7 @@
 
     /// Refuses a connection above the limit. These have a count of their own,
     /// so that they never take the place of one that can be served.
-    fn turn_away(
+    fn refuse_connection(
         &self,
         stream: TcpStream,
         handler: &Arc<impl Handler>,
@@ -161,7 +161,7 @@
         let limits = self.limits.clone();
 
         spawn(move || {
-            http_connection::turn_away(stream, &limits, &*handler);
+            http_connection::refuse_connection(stream, &limits, &*handler);
             drop(slot);
         })
     }
