Name the scheduler's endpoints, counters and rows by the usual terms

Cause: state::fleet held endpoints while fleet means the entry hosts everywhere else; tally and roster hid counters and rows. Change: state::{inventory, counters, endpoint_row}. Result: clippy is clean; scheduler_fuzz, scheduler_traces, scheduler_parts and gateway pass.

--- a/src/coordination/scheduling.rs
+++ b/src/coordination/scheduling.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::state::{
-        action::Action, backlog, clock::Time, event, id, member::Member, roster,
+        action::Action, backlog, clock::Time, endpoint_row, event, id, member::Member,
         scheduler::Scheduler, view::View,
     },
     std::{
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug)]
 pub struct Report {
     pub counters: BTreeMap<&'static str, u64>,
-    pub endpoints: Vec<roster::Row>,
+    pub endpoints: Vec<endpoint_row::Row>,
 }
 
 /// The scheduler and the channels of the requests in progress.
--- a/src/state/admission.rs
+++ b/src/state/admission.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::state::{
-        clock::Time, fair_queue::Flow, fleet::Fleet, pool_state::PoolState, request::Request,
-        tuning::Tuning,
+        clock::Time, fair_queue::Flow, inventory::Inventory, pool_state::PoolState,
+        request::Request, tuning::Tuning,
     },
     std::time::Duration,
 };
@@ -47,7 +47,7 @@
 /// so waits overlap and only the longest counts. Deviations of the stages are
 /// taken as independent.
 pub fn finish(
-    fleet: &Fleet,
+    inventory: &Inventory,
     pools: &[usize],
     now: Time,
     request: &Request,
@@ -62,7 +62,7 @@
     let mut variance = 0.0;
 
     for index in pools {
-        let pool = &fleet.pools[*index];
+        let pool = &inventory.pools[*index];
         let size = pool.size_of(request);
         let median = pool.estimates.median(size).as_secs_f64();
         let high = pool.estimates.high(size).as_secs_f64();
@@ -94,7 +94,7 @@
 
 /// Judges a request by its estimated finish and its longest time in a queue.
 pub fn judge(
-    fleet: &Fleet,
+    inventory: &Inventory,
     pools: &[usize],
     finish: Finish,
     now: Time,
@@ -114,10 +114,10 @@
     if finish.wait.is_zero() {
         let probe = pools
             .iter()
-            .max_by_key(|index| fleet.pools[**index].estimates.overall());
+            .max_by_key(|index| inventory.pools[**index].estimates.overall());
 
         if let Some(pool) = probe
-            && fleet.pools[*pool]
+            && inventory.pools[*pool]
                 .probed
                 .is_none_or(|last| now.since(last) >= PROBE_INTERVAL)
         {
--- a/src/state/arrival.rs
+++ b/src/state/arrival.rs
@@ -35,7 +35,7 @@
                 actions.push(Action::Admitted { request: id });
             }
             Err(refusal) => {
-                self.tally.refuse(refusal.reason);
+                self.counters.refuse(refusal.reason);
                 actions.push(Action::Refused {
                     refusal,
                     request: request.request,
@@ -60,7 +60,7 @@
                 self.timers.remove(&(queued.expires, timer));
 
                 if let Some(pool) = self.pool_of(&work, current.stage) {
-                    let queue = &mut self.fleet.pools[pool].queue;
+                    let queue = &mut self.inventory.pools[pool].queue;
                     queue.remove(&work.flow, queued.position);
                 }
             }
@@ -94,7 +94,7 @@
             (true, true) => Refusal::failed(reason, detail),
         };
 
-        self.tally.refuse(reason);
+        self.counters.refuse(reason);
         actions.push(Action::Failed {
             refusal: refusal.retry_after(RETRY_AFTER),
             request: request.clone(),
@@ -106,7 +106,7 @@
     /// Returns the pool of a stage, if any endpoint of it was ever seen.
     pub(super) fn pool_of(&self, work: &Work, stage: usize) -> Option<usize> {
         let stage = work.request.stages.get(stage)?;
-        self.fleet.find_pool(&stage.pool)
+        self.inventory.find_pool(&stage.pool)
     }
 
     /// Takes a stage's work out of the ledger.
@@ -120,7 +120,7 @@
         if committed > 0.0
             && let Some(pool) = self.pool_of(work, stage)
         {
-            let ledger = &mut self.fleet.pools[pool].ledger;
+            let ledger = &mut self.inventory.pools[pool].ledger;
             ledger.remove(&work.flow, committed);
         }
     }
@@ -146,7 +146,7 @@
         let mut committed = Vec::with_capacity(pools.len());
 
         for index in &pools {
-            let pool = &mut self.fleet.pools[*index];
+            let pool = &mut self.inventory.pools[*index];
             let work = pool.estimates.mean(pool.size_of(request)).as_secs_f64();
             pool.ledger.add(now, &flow, work);
             committed.push(work);
@@ -174,7 +174,15 @@
         pools: &[usize],
     ) -> Result<admission::Finish, Refusal> {
         let share = self.limits.share(now);
-        let finish = admission::finish(&self.fleet, pools, now, request, flow, share, &self.tuning);
+        let finish = admission::finish(
+            &self.inventory,
+            pools,
+            now,
+            request,
+            flow,
+            share,
+            &self.tuning,
+        );
 
         if !self.tuning.admission {
             return Ok(finish);
@@ -182,15 +190,15 @@
 
         let deadline = request.deadline;
 
-        match admission::judge(&self.fleet, pools, finish, now, deadline, queue_time) {
+        match admission::judge(&self.inventory, pools, finish, now, deadline, queue_time) {
             admission::Verdict::Accepted => Ok(finish),
             admission::Verdict::Probe { pool } => {
-                self.fleet.pools[pool].probed = Some(now);
+                self.inventory.pools[pool].probed = Some(now);
                 Ok(finish)
             }
             admission::Verdict::Late { by } => {
                 let lot = self.rng.random_range(0.0..1.0);
-                let pool = &mut self.fleet.pools[finish.bottleneck];
+                let pool = &mut self.inventory.pools[finish.bottleneck];
                 let retry_after = admission::retry_after(pool, now, request, flow, by, share, lot);
                 let name = &pool.name;
                 let detail = format!(
@@ -263,9 +271,9 @@
             .stages
             .iter()
             .map(|stage| {
-                self.fleet
+                self.inventory
                     .find_pool(&stage.pool)
-                    .filter(|pool| !self.fleet.pools[*pool].members.is_empty())
+                    .filter(|pool| !self.inventory.pools[*pool].members.is_empty())
                     .ok_or_else(|| {
                         let detail = format!("pool {} has no live endpoint", stage.pool);
                         Refusal::not_run(Reason::NoEndpoint, detail).retry_after(RETRY_AFTER)
--- a/src/state/completion.rs
+++ b/src/state/completion.rs
@@ -49,9 +49,9 @@
             return;
         };
 
-        let ledger = &mut self.fleet.pools[running.pool].ledger;
+        let ledger = &mut self.inventory.pools[running.pool].ledger;
         ledger.end(running.priority, running.service);
-        self.fleet.end(now, running.endpoint, running.pool);
+        self.inventory.end(now, running.endpoint, running.pool);
         self.learn(now, &running, report);
 
         if !running.cancelled {
@@ -105,12 +105,12 @@
         let tuning = &self.tuning;
 
         match report.end {
-            End::Cancelled => self.fleet.outlast(now, node, size, elapsed, tuning),
-            End::Done { .. } => self.fleet.succeed(now, node, size, elapsed, tuning),
-            End::Failed | End::TimedOut => self.fleet.fail(now, node, tuning),
-            End::NotRun { leaving: true } => self.fleet.leave(now, node),
+            End::Cancelled => self.inventory.outlast(now, node, size, elapsed, tuning),
+            End::Done { .. } => self.inventory.succeed(now, node, size, elapsed, tuning),
+            End::Failed | End::TimedOut => self.inventory.fail(now, node, tuning),
+            End::NotRun { leaving: true } => self.inventory.leave(now, node),
             End::NotRun { leaving: false } => {
-                self.fleet.nodes[node].ejection.refuse(now, tuning);
+                self.inventory.nodes[node].ejection.refuse(now, tuning);
             }
         }
     }
@@ -145,11 +145,11 @@
             return Next::Queue;
         }
 
-        if !self.fleet.pools[running.pool].budget.take(&self.tuning) {
+        if !self.inventory.pools[running.pool].budget.take(&self.tuning) {
             return Next::GiveUp(Reason::Stage, "the pool's retry budget is spent");
         }
 
-        self.tally.retries += 1;
+        self.counters.retries += 1;
         Next::Queue
     }
 }
--- a/src/state/tally.rs
+++ b/src/state/counters.rs
@@ -4,14 +4,14 @@
 
 /// The counters of a scheduler.
 #[derive(Clone, Debug, Default)]
-pub struct Tally {
+pub struct Counters {
     pub dispatched: u64,
     pub hedges: u64,
     refused: BTreeMap<&'static str, u64>,
     pub retries: u64,
 }
 
-impl Tally {
+impl Counters {
     /// Returns every counter by name.
     pub fn named(&self) -> BTreeMap<&'static str, u64> {
         let mut counters = self.refused.clone();
--- a/src/state/dispatch.rs
+++ b/src/state/dispatch.rs
@@ -65,14 +65,14 @@
         let left = work.queue_time.saturating_sub(current.waited);
         let expires = (now + left).min(work.request.deadline);
         let urgency = self.urgency(work, stage);
-        let cost = self.fleet.pools[pool]
+        let cost = self.inventory.pools[pool]
             .estimates
-            .mean(self.fleet.pools[pool].size_of(&work.request));
+            .mean(self.inventory.pools[pool].size_of(&work.request));
         self.sequence += 1;
         let position = (urgency, self.sequence);
 
         if let Some(work) = self.works.get_mut(id) {
-            let pool = &mut self.fleet.pools[pool];
+            let pool = &mut self.inventory.pools[pool];
             let item = Item {
                 cost,
                 enqueued: now,
@@ -100,7 +100,7 @@
         self.timers.insert((expires, Timer::Expiry(id.clone())));
 
         // Whatever waits ahead of it could not be sent either.
-        let first = self.fleet.pools[pool].queue.peek();
+        let first = self.inventory.pools[pool].queue.peek();
 
         if first.is_some_and(|item| item.request == *id) {
             self.pump(now, pool, None, actions);
@@ -147,20 +147,20 @@
         freed: Option<usize>,
         actions: &mut Vec<Action>,
     ) {
-        while let Some(item) = self.fleet.pools[pool].queue.peek() {
+        while let Some(item) = self.inventory.pools[pool].queue.peek() {
             let (id, stage, cost) = (item.request.clone(), item.stage, item.cost);
             let Some(work) = self.works.get(&id) else {
                 return;
             };
 
             if self.hopeless(now, work, stage) {
-                let name = &self.fleet.pools[pool].name;
+                let name = &self.inventory.pools[pool].name;
                 let detail = format!("cannot finish in time after the queue before pool {name}");
                 self.give_up(now, &id, stage, Reason::Overload, detail, actions);
                 continue;
             }
 
-            let state = &self.fleet.pools[pool];
+            let state = &self.inventory.pools[pool];
             let (share, headroom) = (self.limits.share(now), self.tuning.headroom);
 
             if cost >= self.tuning.long_call
@@ -181,7 +181,7 @@
                 return;
             };
 
-            self.fleet.pools[pool].queue.pop();
+            self.inventory.pools[pool].queue.pop();
             self.dequeue(now, &id);
             self.start(now, &id, stage, endpoint, false, actions);
         }
@@ -189,7 +189,7 @@
 
     /// Sends what can be sent of every queue.
     pub(super) fn pump_all(&mut self, now: Time, actions: &mut Vec<Action>) {
-        for pool in 0..self.fleet.pools.len() {
+        for pool in 0..self.inventory.pools.len() {
             self.pump(now, pool, None, actions);
         }
     }
@@ -198,7 +198,7 @@
     fn compare(&mut self, now: Time, work: &Work, stage: usize) {
         if self.pool_of(work, stage) == Some(work.bottleneck) {
             let measured = now.since(work.admitted);
-            let forecast = &mut self.fleet.pools[work.bottleneck].forecast;
+            let forecast = &mut self.inventory.pools[work.bottleneck].forecast;
             forecast.record(work.flow.priority, work.estimated, measured);
         }
     }
--- a/src/state/fleet.rs
+++ b/src/state/inventory.rs
@@ -19,7 +19,7 @@
 
 /// The endpoints and pools, addressed by index.
 #[derive(Debug)]
-pub struct Fleet {
+pub struct Inventory {
     by_endpoint: HashMap<id::Endpoint, usize>,
     by_pool: HashMap<id::Pool, usize>,
     domain: id::Domain,
@@ -29,8 +29,8 @@
     pub pools: Vec<PoolState>,
 }
 
-impl Fleet {
-    /// Builds an empty fleet as seen from `domain`.
+impl Inventory {
+    /// Builds an empty inventory as seen from `domain`.
     pub fn new(domain: id::Domain) -> Self {
         Self {
             by_endpoint: HashMap::new(),
--- a/src/state/launch.rs
+++ b/src/state/launch.rs
@@ -29,7 +29,7 @@
             return;
         };
 
-        let pool = &self.fleet.pools[running.pool];
+        let pool = &self.inventory.pools[running.pool];
         let size = running.size;
         let late = now + pool.estimates.median(size) >= work.request.deadline;
 
@@ -46,9 +46,9 @@
             .flatten();
 
         if let Some(endpoint) = chosen
-            && self.fleet.pools[index].budget.take(&self.tuning)
+            && self.inventory.pools[index].budget.take(&self.tuning)
         {
-            self.tally.hedges += 1;
+            self.counters.hedges += 1;
             self.start(now, &id, stage, endpoint, true, actions);
         } else {
             self.timers.insert((retry, Timer::Hedge(attempt)));
@@ -71,7 +71,15 @@
         };
         let share = self.limits.share(now);
 
-        Placement::new(&self.fleet, now, pool, &mut self.rng, share, &self.tuning).choose(wish)
+        Placement::new(
+            &self.inventory,
+            now,
+            pool,
+            &mut self.rng,
+            share,
+            &self.tuning,
+        )
+        .choose(wish)
     }
 
     /// Sends one attempt.
@@ -91,8 +99,8 @@
         let left = work.request.deadline.since(now);
         let later = self.remaining(work, stage + 1);
         let timeout = left.saturating_sub(later).max(left / 2);
-        let index = self.fleet.nodes[endpoint].pool;
-        let pool = &self.fleet.pools[index];
+        let index = self.inventory.nodes[endpoint].pool;
+        let pool = &self.inventory.pools[index];
         let size = pool.size_of(&work.request);
         let hedged = work.request.repeatable
             && self.tuning.hedging
@@ -106,9 +114,9 @@
         let attempt = id::Attempt(self.next_attempt);
         let service = pool.estimates.mean(size).as_secs_f64();
         let (flow, priority) = (work.flow.clone(), work.flow.priority);
-        self.fleet.pools[index].ledger.begin(&flow, service);
-        self.fleet.begin(now, endpoint);
-        self.tally.dispatched += 1;
+        self.inventory.pools[index].ledger.begin(&flow, service);
+        self.inventory.begin(now, endpoint);
+        self.counters.dispatched += 1;
         self.attempts.insert(
             attempt,
             Running {
@@ -138,7 +146,7 @@
 
         actions.push(Action::Dispatched {
             attempt,
-            endpoint: self.fleet.nodes[endpoint].endpoint.endpoint.clone(),
+            endpoint: self.inventory.nodes[endpoint].endpoint.endpoint.clone(),
             hedge,
             request: id.clone(),
             stage,
--- a/src/state/placement.rs
+++ b/src/state/placement.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::state::{
-        affinity, clock::Time, endpoint_state::EndpointState, fleet::Fleet, pool::Kind,
+        affinity, clock::Time, endpoint_state::EndpointState, inventory::Inventory, pool::Kind,
         pool_state::PoolState, tuning::Tuning,
     },
     rand::{Rng, rngs::StdRng},
@@ -26,7 +26,7 @@
 /// One choice.
 #[derive(Debug)]
 pub struct Placement<'a> {
-    fleet: &'a Fleet,
+    inventory: &'a Inventory,
     now: Time,
     pool: &'a PoolState,
     rng: &'a mut StdRng,
@@ -40,17 +40,17 @@
 impl<'a> Placement<'a> {
     /// Builds a choice in a pool; `share` is this host's part of all demand.
     pub fn new(
-        fleet: &'a Fleet,
+        inventory: &'a Inventory,
         now: Time,
         pool: usize,
         rng: &'a mut StdRng,
         share: f64,
         tuning: &'a Tuning,
     ) -> Self {
-        let pool = &fleet.pools[pool];
+        let pool = &inventory.pools[pool];
 
         Self {
-            fleet,
+            inventory,
             now,
             pool,
             rng,
@@ -104,7 +104,7 @@
             .map(|position| self.pool.members[position])
             .filter(fits)
             .collect();
-        let holders = self.fleet.hints.holders(prefix);
+        let holders = self.inventory.hints.holders(prefix);
 
         ranked
             .iter()
@@ -196,6 +196,6 @@
     }
 
     fn state(&self, node: usize) -> &'a EndpointState {
-        &self.fleet.nodes[node]
+        &self.inventory.nodes[node]
     }
 }
--- a/src/state/scheduler.rs
+++ b/src/state/scheduler.rs
@@ -8,13 +8,13 @@
         action::Action,
         backlog,
         clock::Time,
+        counters::Counters,
+        endpoint_row,
         event::{Demand, Event},
-        fleet::Fleet,
         id,
+        inventory::Inventory,
         limit::Limits,
         policy::Policy,
-        roster,
-        tally::Tally,
         tuning::Tuning,
         work::{Running, Timer, Work},
     },
@@ -32,14 +32,14 @@
 #[derive(Debug)]
 pub struct Scheduler {
     pub(super) attempts: HashMap<id::Attempt, Running>,
-    pub(super) fleet: Fleet,
+    pub(super) inventory: Inventory,
     pub(super) limits: Limits,
     pub(super) next_attempt: u64,
     pub(super) policy: Arc<Policy>,
     pub(super) rng: StdRng,
     /// Order of arrival in queues.
     pub(super) sequence: u64,
-    pub(super) tally: Tally,
+    pub(super) counters: Counters,
     pub(super) timers: BTreeSet<(Time, Timer)>,
     pub(super) tuning: Tuning,
     warned: Time,
@@ -57,13 +57,13 @@
     pub fn with_tuning(domain: id::Domain, seed: u64, tuning: Tuning) -> Self {
         Self {
             attempts: HashMap::new(),
-            fleet: Fleet::new(domain),
+            inventory: Inventory::new(domain),
             limits: Limits::default(),
             next_attempt: 0,
             policy: Arc::default(),
             rng: StdRng::seed_from_u64(seed),
             sequence: 0,
-            tally: Tally::default(),
+            counters: Counters::default(),
             timers: BTreeSet::new(),
             tuning,
             warned: Time::ZERO,
@@ -75,7 +75,7 @@
     pub fn backlog(&self, now: Time) -> Vec<backlog::Row> {
         let mut rows = Vec::new();
 
-        for pool in &self.fleet.pools {
+        for pool in &self.inventory.pools {
             let mut by_flow: BTreeMap<_, backlog::Row> = BTreeMap::new();
             let slots = pool.slots(self.limits.share(now));
 
@@ -115,7 +115,7 @@
 
     /// Returns every counter by name.
     pub fn counters(&self) -> BTreeMap<&'static str, u64> {
-        self.tally.named()
+        self.counters.named()
     }
 
     /// Returns the requests in progress by team.
@@ -124,11 +124,11 @@
     }
 
     /// Returns every endpoint of the host list.
-    pub fn endpoints(&self, now: Time) -> Vec<roster::Row> {
-        let nodes = self.fleet.nodes.iter().filter(|node| node.listed);
+    pub fn endpoints(&self, now: Time) -> Vec<endpoint_row::Row> {
+        let nodes = self.inventory.nodes.iter().filter(|node| node.listed);
 
         nodes
-            .map(|node| roster::Row {
+            .map(|node| endpoint_row::Row {
                 address: node.endpoint.address,
                 domain: node.endpoint.domain.clone(),
                 ejected: node.ejection.ejected(now),
@@ -150,24 +150,25 @@
         match event {
             Event::Arrived(request) => self.arrive(now, request, actions),
             Event::Cache { endpoint, event } => {
-                if let Some(node) = self.fleet.find(&endpoint) {
+                if let Some(node) = self.inventory.find(&endpoint) {
                     let limit = self.tuning.hints_per_endpoint;
-                    self.fleet.hints.apply(node, event, limit);
+                    self.inventory.hints.apply(node, event, limit);
                 }
             }
             Event::Endpoints(endpoints) => {
-                self.fleet.show(now, endpoints, &self.policy, &self.tuning);
+                self.inventory
+                    .show(now, endpoints, &self.policy, &self.tuning);
                 self.pump_all(now, actions);
             }
             Event::Finished { attempt, report } => {
                 self.complete(now, attempt, &report, actions);
             }
             Event::Load { endpoint, load } => {
-                if let Some(node) = self.fleet.find(&endpoint) {
+                if let Some(node) = self.inventory.find(&endpoint) {
                     let lot = self.rng.random_range(0.0..1.0);
                     let share = self.limits.share(now);
-                    self.fleet.report(now, node, &load, share, lot);
-                    self.pump(now, self.fleet.nodes[node].pool, Some(node), actions);
+                    self.inventory.report(now, node, &load, share, lot);
+                    self.pump(now, self.inventory.nodes[node].pool, Some(node), actions);
                 }
             }
             // Done in `prepare`.
@@ -193,9 +194,9 @@
 
         stages
             .iter()
-            .filter_map(|stage| self.fleet.find_pool(&stage.pool))
+            .filter_map(|stage| self.inventory.find_pool(&stage.pool))
             .map(|pool| {
-                let pool = &self.fleet.pools[pool];
+                let pool = &self.inventory.pools[pool];
                 pool.estimates.median(pool.size_of(&work.request))
             })
             .sum()
@@ -229,7 +230,7 @@
     }
 
     fn set_policy(&mut self, now: Time, policy: Arc<Policy>, actions: &mut Vec<Action>) {
-        self.fleet.set_policy(&policy);
+        self.inventory.set_policy(&policy);
         self.limits.retain(|team, class| {
             policy
                 .teams
