Hedge the calls of a pool without measured times

Cause: on a cold host one stalled call used the whole deadline, because a pool without measured times never hedged and the attempt's timeout is all the time left (found by the process tests). Ruled out: a shorter timeout for the first attempt, which would break off long drafts on a cold host; a hedge leaves the first call running. Change: an untrained pool hedges after half of an equal share of the time left, within the same budget. Failing first: cold_stall_is_hedged sees one dispatch without the change.

--- a/src/state/launch.rs
+++ b/src/state/launch.rs
@@ -102,13 +102,17 @@
         let index = self.inventory.nodes[endpoint].pool;
         let pool = &self.inventory.pools[index];
         let size = pool.size_of(&work.request);
-        let hedged = work.request.repeatable
-            && self.tuning.hedging
-            && pool.settings.hedge
-            && pool.estimates.trained(size);
-        let high = pool.estimates.high(size);
-        let slack = left.saturating_sub(later + high);
-        let delay = high.mul_f64(self.tuning.hedge_factor) + slack.mul_f64(self.tuning.hedge_slack);
+        let hedged = work.request.repeatable && self.tuning.hedging && pool.settings.hedge;
+        let delay = if pool.estimates.trained(size) {
+            let high = pool.estimates.high(size);
+            let slack = left.saturating_sub(later + high);
+            high.mul_f64(self.tuning.hedge_factor) + slack.mul_f64(self.tuning.hedge_slack)
+        } else {
+            // Nothing is known of the pool yet: half of an equal share of the
+            // time left, so that a stalled first call leaves time for another.
+            let stages = work.request.stages.len().saturating_sub(stage).max(1);
+            left.div_f64(float(stages) * 2.0)
+        };
 
         self.next_attempt += 1;
         let attempt = id::Attempt(self.next_attempt);
@@ -154,3 +158,7 @@
         });
     }
 }
+
+fn float(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/tests/scheduler_parts.rs
+++ b/tests/scheduler_parts.rs
@@ -2,15 +2,19 @@
 
 use {
     persimmoncleat::state::{
+        action::Action,
         affinity,
         class::Class,
         clock::Time,
         ejection::Ejection,
-        endpoint::{Cache, Change},
-        event::Demand,
+        endpoint::{Cache, Change, Endpoint, Phase},
+        event::{Demand, Event},
         fair_queue::{FairQueue, Flow, Item},
         hints::Hints,
         limit::{Limits, Verdict},
+        pipeline::Stage,
+        request::Request,
+        scheduler::Scheduler,
         tuning::Tuning,
     },
     std::time::Duration,
@@ -28,6 +32,8 @@
 }
 
 cases! {
+    // A stalled first call of a cold pool must not use up the whole deadline.
+    cold_stall_is_hedged: cold_stall,
     // A removed endpoint must not move the prefixes of the others.
     affinity_moves_only_what_was_removed: affinity_is_stable,
     // An endpoint that keeps failing must be tried less and less often.
@@ -56,6 +62,59 @@
     }
 }
 
+fn cold_stall() {
+    let mut scheduler = Scheduler::new("is-1".into(), 1);
+    let mut actions = Vec::new();
+    let endpoints = ["e1", "e2"].map(|endpoint| Endpoint {
+        address: "127.0.0.1:9".parse().expect("the address is valid"),
+        domain: "is-1".into(),
+        endpoint: endpoint.into(),
+        phase: Phase::Live,
+        pool: "encode".into(),
+    });
+    let request = Request {
+        arrived: Time::ZERO,
+        class: "urgent".into(),
+        deadline: Time::from_millis(8000),
+        max_tokens: 0,
+        pipeline: "note".into(),
+        prefix: None,
+        repeatable: true,
+        request: "h1.1.1".into(),
+        stages: vec![Stage {
+            name: "encode".into(),
+            pool: "encode".into(),
+        }],
+        team: "hvarfdal".into(),
+    };
+    let ready = Event::Ready {
+        request: request.request.clone(),
+        stage: 0,
+    };
+
+    for event in [
+        Event::Endpoints(endpoints.to_vec()),
+        Event::Arrived(request),
+        ready,
+    ] {
+        scheduler.handle(Time::ZERO, event, &mut actions);
+    }
+
+    // Half of the time must be left for the second call.
+    scheduler.handle(Time::from_millis(4000), Event::Tick, &mut actions);
+    let sent: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Dispatched {
+                endpoint, hedge, ..
+            } => Some((endpoint, *hedge)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent.len(), 2, "{actions:?}");
+    assert!(sent[1].1 && sent[0].0 != sent[1].0, "{actions:?}");
+}
+
 fn ejections() {
     let tuning = Tuning::default();
     let mut ejection = Ejection::default();
