Print the faults of a refused question line by line

Cause: config get and config history printed the host's raw JSON when a path or a limit was wrong. Change: the tool prints field, value and expectation of each fault, as it does for a refused change.

--- a/src/bin/persimmoncleatctl/config.rs
+++ b/src/bin/persimmoncleatctl/config.rs
@@ -35,7 +35,7 @@
         println!("{}", json!({ "errors": errors }));
     }
 
-    let tree = checked.map_err(|faults| Failure::file(&faults))?;
+    let tree = checked.map_err(|faults| Failure::faults(&faults))?;
 
     if !json {
         println!(
@@ -61,7 +61,7 @@
     remove: bool,
     json: bool,
 ) -> Result<(), Failure> {
-    let target = tree_file::parse(&read(file)?).map_err(|faults| Failure::file(&faults))?;
+    let target = tree_file::parse(&read(file)?).map_err(|faults| Failure::faults(&faults))?;
     let edits = tree(operator)?.difference(&target);
 
     if json && (dry_run || edits.is_empty()) {
--- a/src/bin/persimmoncleatctl/failure.rs
+++ b/src/bin/persimmoncleatctl/failure.rs
@@ -35,8 +35,8 @@
         Self::new(UNREACHABLE, text)
     }
 
-    /// Lists everything that is wrong with a file.
-    pub fn file(faults: &[Fault]) -> Self {
+    /// Lists everything that is wrong with a file or a call.
+    pub fn faults(faults: &[Fault]) -> Self {
         Self::usage(lines(faults))
     }
 
--- a/src/bin/persimmoncleatctl/operator.rs
+++ b/src/bin/persimmoncleatctl/operator.rs
@@ -4,6 +4,7 @@
     crate::failure::Failure,
     persimmoncleat::{
         protocol::secret::Secret,
+        state::fault::Fault,
         transport::client::{self, Client},
     },
     serde_json::Value,
@@ -103,6 +104,10 @@
             return Ok(self.body);
         }
 
+        if let Ok(faults) = serde_json::from_value::<Vec<Fault>>(self.body["errors"].clone()) {
+            return Err(Failure::faults(&faults));
+        }
+
         let text = self.body["detail"]
             .as_str()
             .map_or_else(|| self.body.to_string(), Into::into);
