--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -159,11 +159,13 @@
     let line = "teams/hvarfdal/volume  rate         40     requests/s     teams/hvarfdal";
     assert!(stdout(&get).contains(line), "{}", stdout(&get));
 
-    let wrong = ctl(&["config", "get", "team s"]);
+    assert_eq!(ctl(&["config", "get", "team s"]).status.code(), Some(2));
+
+    let wrong = ctl(&["config", "history", "--limit", "0"]);
     assert_eq!(wrong.status.code(), Some(2));
     let text = stderr(&wrong);
     assert!(
-        text.starts_with("error: ") && text.contains("\"team s\", expected"),
+        text.starts_with("error: ") && text.contains("\"0\", expected"),
         "{text}"
     );
 
