--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -57,6 +57,59 @@
   stamp @3 :UInt64;
 }
 
+struct Job {
+  # The pieces of one stage of one request, for the dispatcher of a pool.
+
+  id @0 :UInt64;
+  # Unique within the home's incarnation.
+  home @1 :Text;
+  service @2 :Text;
+  request @3 :Text;
+  stage @4 :UInt16;
+  pieces @5 :List(UInt16);
+  key @6 :Text;
+  inputs @7 :List(Text);
+  remainingMs @8 :UInt32;
+  # Time until the request's deadline.
+  urgencyMs @9 :UInt32;
+  # Time until the stage has to start for the request to meet its goal.
+  priority @10 :UInt8;
+  first @11 :Bool;
+  # No stage of the request has run, so that it may still be refused.
+  domain @12 :Text;
+  # Where the outputs will be used; empty if it is not known.
+}
+
+struct Output {
+  piece @0 :UInt16;
+  handle @1 :Text;
+  endpoint @2 :Text;
+}
+
+struct Outcome {
+  outputs @0 :List(Output);
+  failure @1 :Text;
+  # Empty when every piece has an output.
+  retryAfterMs @2 :UInt32;
+  backlogMs @3 :UInt32;
+}
+
+struct Object {
+  name @0 :Text;
+  revision @1 :UInt64;
+  removed @2 :Bool;
+  value @3 :Data;
+}
+
+struct Changes {
+  # The objects of one kind of the platform's store that changed.
+
+  whole @0 :Bool;
+  # `objects` replaces everything known of the kind.
+  revision @1 :UInt64;
+  objects @2 :List(Object);
+}
+
 interface Gate {
   # The first interface of a connection. Both sides prove that they have the
   # fleet's key: a proof is the HMAC-SHA-256 of the role and both nonces.
@@ -72,4 +125,9 @@
   void @3 (subject :Subject) -> (verdict :Verdict);
   changesAfter @4 (version :UInt64) -> (changes :Text);
   # Settings changes as JSON text.
+  runJob @5 (job :Job) -> (outcome :Outcome);
+  cancelJob @6 (home :Text, id :UInt64);
+  releaseOutputs @7 (service :Text, outputs :List(Output));
+  ping @8 ();
+  objectChanges @9 (kind :Text, revision :UInt64) -> (changes :Changes);
 }
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -34,6 +34,7 @@
 pub mod run;
 pub mod runner;
 pub mod scheduling;
+pub mod serving;
 pub mod settings;
 pub mod settings_api;
 pub mod settings_log;
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -94,8 +94,10 @@
     control: Sender<control::Event>,
 ) -> Result<Links, Error> {
     let links = Links::start(listener, file.keys.fleet.as_bytes(), move |call| {
-        // A send fails only after the control thread has stopped.
-        let _ = control.send(call.into());
+        if let Some(event) = control::Event::from_call(call) {
+            // A send fails only after the control thread has stopped.
+            let _ = control.send(event);
+        }
     });
     Ok(links.map_err(protocol::Error::from)?)
 }
@@ -137,7 +139,10 @@
     let parts = Control {
         claims: Claims::new(&view, file.limits.witness_records),
         leases: Leases::new(&view, lease_jobs),
-        membership: Membership::new(file.host.peers.iter().copied(), links(), control()),
+        membership: Membership::new(file.host.peers.iter().copied(), links(), {
+            let control = control();
+            Arc::new(move |event| drop(control.send(control::Event::Membership(event))))
+        }),
         published: gateway.published.clone(),
         scheduling: Scheduling::new(Scheduler::new(file.host.domain.clone(), seed)),
         settings: Settings::new(&view, settings_jobs),
--- a/src/coordination/incoming.rs
+++ b/src/coordination/incoming.rs
@@ -5,9 +5,15 @@
     transport::incoming::Incoming,
 };
 
-impl From<Incoming> for Event {
-    fn from(call: Incoming) -> Self {
-        match call {
+impl Event {
+    /// Returns the event for a call, or `None` for one that this daemon does
+    /// not serve. Dropping its channel refuses it.
+    pub fn from_call(call: Incoming) -> Option<Self> {
+        Some(match call {
+            Incoming::CancelJob(_)
+            | Incoming::ObjectChanges { .. }
+            | Incoming::ReleaseOutputs { .. }
+            | Incoming::RunJob { .. } => return None,
             Incoming::ChangesAfter { reply, version } => {
                 Self::Settings(settings::Event::ChangesAfter { reply, version })
             }
@@ -29,6 +35,6 @@
             Incoming::Void { reply, subject } => {
                 Self::Claims(claims::Event::Void { reply, subject })
             }
-        }
+        })
     }
 }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        coordination::control,
         protocol::hosts::{ENTRY_POOL, Host},
         state::{
             clock::Time, endpoint, gossip::Message, membership::Membership as Machine,
@@ -10,12 +9,7 @@
         },
         transport::{self, links::Links},
     },
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::{Arc, mpsc},
-        time::Duration,
-    },
+    std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc, time::Duration},
     tokio::sync::oneshot::Sender,
 };
 
@@ -41,6 +35,8 @@
     Hosts(Vec<Host>),
     /// This host takes no new work from now on.
     Leave,
+    /// The peer addresses of the hosts in the store.
+    Listed(Vec<SocketAddr>),
     /// A peer probes this host.
     Probed {
         message: Message,
@@ -55,13 +51,21 @@
     Relayed { probe: u64, reached: bool },
 }
 
+/// Takes the events that answers to probes cause.
+pub type Deliver = Arc<dyn Fn(Event) + Send + Sync>;
+
 /// How probes are sent and their answers come back.
-#[derive(Debug)]
 struct Outlet {
-    events: mpsc::Sender<control::Event>,
+    deliver: Deliver,
     links: Links,
 }
 
+impl fmt::Debug for Outlet {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("Outlet")
+    }
+}
+
 /// The state of this part. The default is that of a host without links, which
 /// knows no peers.
 #[derive(Debug, Default)]
@@ -77,15 +81,15 @@
 
 impl Membership {
     /// Builds the part. `seeds` are the peer addresses in the settings;
-    /// answers to probes come back through `events`.
+    /// answers to probes come back through `deliver`.
     pub fn new(
         seeds: impl IntoIterator<Item = SocketAddr>,
         links: Links,
-        events: mpsc::Sender<control::Event>,
+        deliver: Deliver,
     ) -> Self {
         Self {
             machine: Machine::new(seeds, rand::random()),
-            outlet: Some(Outlet { events, links }),
+            outlet: Some(Outlet { deliver, links }),
             ..Self::default()
         }
     }
@@ -101,6 +105,7 @@
                 let addresses = entry_addresses(&hosts);
                 self.step(now, MachineEvent::Listed(addresses), view);
             }
+            Event::Listed(addresses) => self.step(now, MachineEvent::Listed(addresses), view),
             Event::Leave => self.step(now, MachineEvent::Leave, view),
             Event::Probed { message, reply } => {
                 let answer = self.machine.probed(now, &mut view.local, message);
@@ -159,12 +164,11 @@
                     message,
                     probe,
                 },
-                Some(Outlet { events, links }),
+                Some(Outlet { deliver, links }),
             ) => {
-                let events = events.clone();
+                let deliver = Arc::clone(deliver);
                 links.probe(address, message, PROBE_TIMEOUT, move |answer| {
-                    let event = answered(probe, answer);
-                    let _ = events.send(control::Event::Membership(event));
+                    deliver(answered(probe, answer));
                 });
             }
             (
@@ -173,13 +177,12 @@
                     probe,
                     target,
                 },
-                Some(Outlet { events, links }),
+                Some(Outlet { deliver, links }),
             ) => {
-                let events = events.clone();
+                let deliver = Arc::clone(deliver);
                 links.probe_for(address, target, RELAY_TIMEOUT, move |answer| {
                     let reached = answer.unwrap_or(false);
-                    let event = Event::Relayed { probe, reached };
-                    let _ = events.send(control::Event::Membership(event));
+                    deliver(Event::Relayed { probe, reached });
                 });
             }
         }
--- /dev/null
+++ b/src/coordination/serving.rs
@@ -0,0 +1,17 @@
+//! Serves callers' requests by the routes in force: the control thread with
+//! its followers of the store, and the traffic thread with the requests.
+
+pub mod answer;
+pub mod control;
+pub mod dispatch;
+pub mod exchange;
+pub mod follower;
+pub mod host;
+pub mod ingress;
+pub mod pools;
+pub mod relay;
+pub mod request;
+pub mod retries;
+pub mod stages;
+pub mod stream;
+pub mod traffic;
--- /dev/null
+++ b/src/coordination/serving/answer.rs
@@ -0,0 +1,106 @@
+//! This host's own answers to callers.
+
+use {
+    crate::transport::http::body::Body,
+    hyper::{
+        Response, StatusCode,
+        header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    },
+    std::time::Duration,
+};
+
+/// Why a request has no answer of an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    Body,
+    Configuration,
+    Deadline,
+    EndpointFailed,
+    Full,
+    Header,
+    Key,
+    Leaving,
+    NoEndpoint,
+    Overload,
+    Route,
+    StageFailed,
+    TooLarge,
+    Unreachable,
+}
+
+impl Reason {
+    /// Returns the reason's name in logs, metrics and answers.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Body => "body_unreadable",
+            Self::Configuration => "no_configuration",
+            Self::Deadline => "deadline",
+            Self::EndpointFailed => "endpoint_failed",
+            Self::Full => "endpoints_full",
+            Self::Header => "header_unreadable",
+            Self::Key => "unknown_key",
+            Self::Leaving => "host_leaving",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Overload => "overload",
+            Self::Route => "no_route",
+            Self::StageFailed => "stage_failed",
+            Self::TooLarge => "too_large",
+            Self::Unreachable => "endpoints_unreachable",
+        }
+    }
+}
+
+/// An answer that no endpoint gave.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The request has not run and never will; the caller may come back.
+    NotRun {
+        reason: Reason,
+        retry_after: Duration,
+    },
+    /// The request is not one that this host serves.
+    Rejected(Reason),
+    /// The request may have run.
+    Unknown(Reason),
+}
+
+impl Refusal {
+    /// Returns the reason.
+    pub const fn reason(self) -> Reason {
+        match self {
+            Self::NotRun { reason, .. } | Self::Rejected(reason) | Self::Unknown(reason) => reason,
+        }
+    }
+
+    /// Returns the status that promises no more than is known.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Rejected(Reason::Key) => StatusCode::UNAUTHORIZED,
+            Self::Rejected(Reason::Route) => StatusCode::NOT_FOUND,
+            Self::Rejected(Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Rejected(_) => StatusCode::BAD_REQUEST,
+            Self::Unknown(Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown(_) => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Builds the answer.
+    pub fn response(self) -> Response<Body> {
+        let text = format!("{}\n", self.reason().name());
+        let mut response = Response::new(Body::whole(text));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+
+        if let Self::NotRun { retry_after, .. } = self {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+
+        response
+    }
+}
--- /dev/null
+++ b/src/coordination/serving/dispatch.rs
@@ -0,0 +1,173 @@
+//! Passes jobs to the dispatcher of their pool.
+//!
+//! Every host finds the dispatcher by rendezvous hashing over the hosts that
+//! it takes to be alive. Two hosts that disagree for a moment use two
+//! dispatchers, which costs full calls and nothing else: a piece may be made
+//! again. A dispatcher that does not answer pings is passed over.
+
+use {
+    crate::{
+        coordination::serving::{host::Host, pools},
+        state::{
+            id,
+            member::Member,
+            rendezvous,
+            serving::piece::{Failure, Job, JobId, Outcome, Output},
+        },
+        transport::boot_clock,
+    },
+    std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Dispatchers that are tried for one job.
+const DISPATCHERS: usize = 3;
+
+/// Time between two pings of a dispatcher that works on a job.
+const PING_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest time for the answer to a ping. Two failure domains are a few
+/// milliseconds apart.
+const PING_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest time for a message that needs no answer.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Runs a job at the dispatcher of its pool.
+pub async fn run(host: &Rc<Host>, mut job: Job) -> Outcome {
+    let started = boot_clock::now();
+    let remaining = job.remaining;
+    let urgency = job.urgency;
+    let dispatchers = dispatchers(host, &job.service);
+
+    for dispatcher in dispatchers.iter().take(DISPATCHERS) {
+        let age = boot_clock::now().since(started);
+        job.remaining = remaining.saturating_sub(age);
+        job.urgency = urgency.saturating_sub(age);
+        let result = match dispatcher {
+            None => run_here(host, &job).await,
+            Some(address) => run_there(host, *address, &job).await,
+        };
+
+        match result {
+            Ok(outcome) => return outcome,
+            Err(message) => log::warn!(
+                request = job.request.as_str(),
+                service = job.service.as_str(),
+                dispatcher = dispatcher.map_or_else(|| "local".into(), |a| a.to_string()).as_str(),
+                age_ms = boot_clock::now().since(started).as_millis();
+                "dispatcher lost: {message}"
+            ),
+        }
+    }
+
+    Outcome {
+        backlog: Duration::ZERO,
+        failure: Some(Failure::Unreachable),
+        outputs: Vec::new(),
+        retry_after: PING_TIMEOUT,
+    }
+}
+
+/// Releases outputs through the dispatcher of their pool, which frees those
+/// of many requests in one call.
+pub fn release(host: &Rc<Host>, service: &id::Pool, outputs: Vec<Output>) {
+    match dispatchers(host, service).first() {
+        Some(Some(address)) => {
+            host.links
+                .release_outputs(*address, service, outputs, NOTICE_TIMEOUT);
+        }
+        _ => pools::release(host, outputs),
+    }
+}
+
+/// Returns the peer addresses of the hosts that may dispatch to a service, in
+/// order; `None` stands for this host.
+fn dispatchers(host: &Host, service: &id::Pool) -> Vec<Option<SocketAddr>> {
+    let view = host.view();
+    let mut members = view.alive().collect::<Vec<&Member>>();
+    members.sort_by_cached_key(|member| {
+        Reverse(rendezvous::weight(&service.as_str(), &member.host.as_str()))
+    });
+    let local = &view.local.host;
+    let mut order = members
+        .iter()
+        .map(|member| (member.host != *local).then_some(member.peer_address))
+        .collect::<Vec<Option<SocketAddr>>>();
+
+    if !order.contains(&None) {
+        order.push(None);
+    }
+
+    order
+}
+
+async fn run_here(host: &Rc<Host>, job: &Job) -> Result<Outcome, String> {
+    let guard = Cancel {
+        address: None,
+        host,
+        id: Some(job.id.clone()),
+    };
+    let answer = pools::add(host, job.clone());
+    let outcome = answer.await;
+    guard.release();
+    outcome.map_err(|_| "this host does not dispatch to the service".into())
+}
+
+async fn run_there(host: &Rc<Host>, address: SocketAddr, job: &Job) -> Result<Outcome, String> {
+    let guard = Cancel {
+        address: Some(address),
+        host,
+        id: Some(job.id.clone()),
+    };
+    let answer = host
+        .links
+        .run_job(address, job, job.remaining + PING_TIMEOUT);
+
+    let result = tokio::select! {
+        answer = answer => answer.map_err(|error| error.to_string()),
+        message = watch(host, address) => Err(message),
+    };
+
+    if result.is_ok() {
+        guard.release();
+    }
+
+    result
+}
+
+/// Pings a dispatcher until it does not answer.
+async fn watch(host: &Host, address: SocketAddr) -> String {
+    loop {
+        sleep(PING_INTERVAL).await;
+
+        if let Err(error) = host.links.ping(address, PING_TIMEOUT).await {
+            return error.to_string();
+        }
+    }
+}
+
+/// Gives a job up when it is dropped before the job ended.
+struct Cancel<'a> {
+    address: Option<SocketAddr>,
+    host: &'a Rc<Host>,
+    id: Option<JobId>,
+}
+
+impl Cancel<'_> {
+    fn release(mut self) {
+        self.id = None;
+    }
+}
+
+impl Drop for Cancel<'_> {
+    fn drop(&mut self) {
+        match (&self.id, self.address) {
+            (Some(id), Some(address)) => {
+                self.host.links.cancel_job(address, id, NOTICE_TIMEOUT);
+            }
+            (Some(id), None) => pools::cancel(self.host, id),
+            (None, _) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/serving/ingress.rs
@@ -0,0 +1,233 @@
+//! Takes callers' requests: finds the route, the team and the service, and
+//! passes the request on.
+
+use {
+    crate::{
+        coordination::serving::{
+            answer::{Reason, Refusal},
+            host::Host,
+            relay,
+            request::Request,
+            stages::{self, Prepared},
+            stream::{self, Active},
+        },
+        state::{
+            id,
+            serving::config::{Config, Route, Team},
+        },
+        transport::{boot_clock, http::body::Body},
+    },
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{
+        Response,
+        body::{Bytes, Incoming},
+        header::HOST,
+        http::request::Parts,
+    },
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// When a caller may come back to a host that has no configuration yet.
+const STARTING_RETRY: Duration = Duration::from_millis(300);
+
+/// When a caller may come back from a host that stops, to another one.
+const LEAVING_RETRY: Duration = Duration::from_millis(20);
+
+/// Time before the end of the grace from which on a stopping host takes no
+/// request: the longest goal and the time of a stream.
+const LAST_REQUESTS: Duration = Duration::from_millis(4500);
+
+/// Time by which the host's answer goes out before the caller gives up.
+const CALLER_MARGIN: Duration = Duration::from_millis(15);
+
+/// Serves one request.
+pub async fn handle(host: Rc<Host>, message: hyper::Request<Incoming>) -> Response<Body> {
+    let started = boot_clock::now();
+    let active = Active::new(&host);
+    let (head, body) = message.into_parts();
+    let result = serve(&host, &head, body, started).await;
+    drop(active);
+
+    match result {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn serve(
+    host: &Rc<Host>,
+    head: &Parts,
+    body: Incoming,
+    started: crate::state::clock::Time,
+) -> Result<Response<Body>, Refusal> {
+    let view = host.view();
+    let Some(config) = view.config.clone().filter(|_| view.roster_known) else {
+        return Err(refused_early(
+            host,
+            head,
+            Refusal::NotRun {
+                reason: Reason::Configuration,
+                retry_after: STARTING_RETRY,
+            },
+        ));
+    };
+
+    if host
+        .leaving_for()
+        .is_some_and(|time| time > host.settings.grace.saturating_sub(LAST_REQUESTS))
+    {
+        return Err(refused_early(
+            host,
+            head,
+            Refusal::NotRun {
+                reason: Reason::Leaving,
+                retry_after: LEAVING_RETRY,
+            },
+        ));
+    }
+
+    let body = read(&config, body)
+        .await
+        .map_err(|refusal| refused_early(host, head, refusal))?;
+    let request = accept(host, &config, head, body, started)
+        .map_err(|refusal| refused_early(host, head, refusal))?;
+    let request = Rc::new(request);
+    host.retries.request(&request.service);
+    let patience = request.remaining().saturating_sub(CALLER_MARGIN);
+    let result = timeout(patience, run(host, &config, &request)).await;
+    let result = result.unwrap_or_else(|_| Err(relay::justified(&request, Reason::Deadline)));
+    note(host, &config, &request, &result);
+    result
+}
+
+async fn run(
+    host: &Rc<Host>,
+    config: &Arc<Config>,
+    request: &Rc<Request>,
+) -> Result<Response<Body>, Refusal> {
+    let prepared = if request.route.stages.is_empty() {
+        Prepared::none(host)
+    } else {
+        stages::run(host, config, request).await?
+    };
+
+    if request.route.stream {
+        stream::serve(host, Rc::clone(request), prepared).await
+    } else {
+        relay::whole(host, request).await
+    }
+}
+
+async fn read(config: &Config, body: Incoming) -> Result<Bytes, Refusal> {
+    let body = Limited::new(body, config.limits.body_bytes);
+
+    match timeout(config.limits.idle_timeout, body.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Refusal::Rejected(Reason::TooLarge))
+        }
+        Ok(Err(_)) | Err(_) => Err(Refusal::Rejected(Reason::Body)),
+    }
+}
+
+fn accept(
+    host: &Host,
+    config: &Config,
+    head: &Parts,
+    body: Bytes,
+    started: crate::state::clock::Time,
+) -> Result<Request, Refusal> {
+    let name = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let route = config
+        .route(name.unwrap_or(""), head.uri.path())
+        .ok_or(Refusal::Rejected(Reason::Route))?;
+    let call = host.edge.call(head).map_err(|fault| {
+        log::info!("request refused: {fault}");
+        Refusal::Rejected(Reason::Header)
+    })?;
+    let team = team(config, route, call.key.as_deref())?;
+    let service = route
+        .target(rand::random_range(0.0..1.0))
+        .ok_or(Refusal::Rejected(Reason::Route))?;
+    let wait = call.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let priority = team
+        .and_then(|team| team.priority)
+        .unwrap_or(route.priority);
+
+    Ok(Request {
+        attempts: Default::default(),
+        body,
+        deadline: started + wait,
+        endpoint: Default::default(),
+        headers: head.headers.clone(),
+        may_have_run: Default::default(),
+        method: head.method.clone(),
+        priority,
+        route: Arc::clone(route),
+        service: service.clone(),
+        started,
+        team: team.map(|team| team.name.clone()),
+        uri: head.uri.clone(),
+        call,
+    })
+}
+
+fn team<'a>(
+    config: &'a Config,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a Team>, Refusal> {
+    let Some(keys) = &config.keys else {
+        return Ok(None);
+    };
+
+    match key.and_then(|key| keys.get(key)) {
+        Some(team) => Ok(Some(team)),
+        None if route.public => Ok(None),
+        None => Err(Refusal::Rejected(Reason::Key)),
+    }
+}
+
+fn refused_early(host: &Host, head: &Parts, refusal: Refusal) -> Refusal {
+    let reason = refusal.reason().name();
+    let call = host.edge.call(head).ok();
+    let id = call.and_then(|call| call.attempt);
+    let config = host.config();
+    host.tally.count("refused", &[("reason", reason)]);
+    log::info!(
+        request = id.as_deref(),
+        path = head.uri.path(),
+        reason = reason,
+        status = refusal.status().as_u16(),
+        config = config.map(|config| config.version);
+        "refused"
+    );
+    refusal
+}
+
+fn note(host: &Host, config: &Config, request: &Request, result: &Result<Response<Body>, Refusal>) {
+    let (outcome, status) = match result {
+        Ok(response) => ("answered", response.status()),
+        Err(refusal) => (refusal.reason().name(), refusal.status()),
+    };
+    let age = request.age();
+    let route = request.route.name.as_str();
+    let team = request.team.as_ref().map_or("-", id::Team::as_str);
+    host.tally.count("requests", &[("outcome", outcome)]);
+    host.tally
+        .time("answer_ms", age, &[("route", route), ("team", team)]);
+    log::info!(
+        request = request.id(),
+        route = route,
+        team = team,
+        service = request.service.as_str(),
+        endpoint = request.endpoint.borrow().as_ref().map(id::Endpoint::as_str),
+        attempts = request.attempts.get(),
+        outcome = outcome,
+        status = status.as_u16(),
+        ms = age.as_millis(),
+        config = config.version;
+        "request"
+    );
+}
--- /dev/null
+++ b/src/coordination/serving/pools.rs
@@ -0,0 +1,366 @@
+//! Drives the dispatchers of stage pools: makes their calls and passes the
+//! outcomes on.
+
+use {
+    crate::{
+        coordination::serving::host::Host,
+        state::{
+            id,
+            serving::{
+                batch::{Action, CallId, Dispatcher, Ending, Item},
+                piece::{Job, JobId, Outcome, Output},
+                roster::Entry,
+            },
+        },
+        transport::{
+            boot_clock,
+            http::client::{Exchange, Failure},
+        },
+    },
+    http_body_util::Full,
+    hyper::Method,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::oneshot::{self, Receiver, Sender},
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Time in which outputs to be freed are gathered into one call.
+const RELEASE_DELAY: Duration = Duration::from_millis(80);
+
+/// Longest time for a call that frees outputs.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest answer to a call with pieces.
+const ANSWER_BYTES: usize = 1024 * 1024;
+
+/// Longest time for a call with pieces. An endpoint that is five times slower
+/// than listed answers a full call within it.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// The dispatchers of one host.
+#[derive(Default)]
+pub struct Pools {
+    dispatchers: RefCell<HashMap<id::Pool, Dispatcher>>,
+    releases: RefCell<BTreeMap<id::Endpoint, Vec<String>>>,
+    releasing: Cell<bool>,
+    replies: RefCell<HashMap<JobId, Sender<Outcome>>>,
+    ticking: Cell<bool>,
+}
+
+impl Pools {
+    /// Gives the dispatchers the pools and endpoints in force.
+    pub fn update(&self, host: &Host) {
+        let view = host.view();
+        let Some(config) = &view.config else {
+            return;
+        };
+
+        for (service, dispatcher) in self.dispatchers.borrow_mut().iter_mut() {
+            let pool = config.services.get(service);
+
+            if let Some(pool) = pool.and_then(|service| service.pool.as_ref()) {
+                let entries = view.roster.service(service).iter();
+                dispatcher.update(pool, entries, view.hosts());
+            }
+        }
+    }
+
+    /// Returns the number of jobs in progress.
+    pub fn jobs(&self) -> usize {
+        self.replies.borrow().len()
+    }
+
+    /// Returns the pieces that wait, by service.
+    pub fn queued(&self) -> Vec<(id::Pool, usize)> {
+        let dispatchers = self.dispatchers.borrow();
+        dispatchers
+            .iter()
+            .map(|(service, dispatcher)| (service.clone(), dispatcher.queued()))
+            .collect()
+    }
+}
+
+/// Takes a job and returns where its outcome will arrive.
+pub fn add(host: &Rc<Host>, job: Job) -> Receiver<Outcome> {
+    let (sender, receiver) = oneshot::channel();
+    submit(host, job, sender);
+    receiver
+}
+
+/// Takes a job whose outcome goes to `reply`. A job for a service that is not
+/// known here drops the reply, so that its home asks another host.
+pub fn submit(host: &Rc<Host>, job: Job, reply: Sender<Outcome>) {
+    let service = job.service.clone();
+    let mut actions = Vec::new();
+    let known = with(host, &service, |dispatcher| {
+        dispatcher.add(boot_clock::now(), job.clone(), &mut actions);
+    });
+
+    if known {
+        host.pools.replies.borrow_mut().insert(job.id, reply);
+        act(host, &service, actions);
+        start_ticking(host);
+    }
+}
+
+/// Gives a job up.
+pub fn cancel(host: &Rc<Host>, id: &JobId) {
+    host.pools.replies.borrow_mut().remove(id);
+    let mut actions = Vec::new();
+
+    for dispatcher in host.pools.dispatchers.borrow_mut().values_mut() {
+        dispatcher.cancel(id, &mut actions);
+    }
+
+    for action in actions {
+        if let Action::Release { outputs } = action {
+            release(host, outputs);
+        }
+    }
+}
+
+/// Frees outputs at their endpoints, those of a short time in one call.
+pub fn release(host: &Rc<Host>, outputs: Vec<Output>) {
+    {
+        let mut releases = host.pools.releases.borrow_mut();
+
+        for output in outputs {
+            releases
+                .entry(output.endpoint)
+                .or_default()
+                .push(output.handle);
+        }
+    }
+
+    if !host.pools.releasing.replace(true) {
+        let host = Rc::clone(host);
+        spawn_local(async move {
+            sleep(RELEASE_DELAY).await;
+            host.pools.releasing.set(false);
+            let releases = std::mem::take(&mut *host.pools.releases.borrow_mut());
+
+            for (endpoint, handles) in releases {
+                spawn_local(free(Rc::clone(&host), endpoint, handles));
+            }
+        });
+    }
+}
+
+async fn free(host: Rc<Host>, endpoint: id::Endpoint, handles: Vec<String>) {
+    let Some(entry) = host.view().roster.get(&endpoint).map(Arc::clone) else {
+        // The outputs have gone with their endpoint.
+        return;
+    };
+    let body = host.edge.release(&handles);
+    let headers = host
+        .edge
+        .piece_headers(entry.endpoint.as_str(), RELEASE_TIMEOUT);
+    let mut request = hyper::Request::new(Full::new(body.body.into()));
+    *request.method_mut() = Method::POST;
+    *request.headers_mut() = headers;
+    *request.uri_mut() = hyper::Uri::from_static(body.path);
+
+    let call = async {
+        let mut exchange = host.client.send(&entry, request).await?;
+        exchange.collect(ANSWER_BYTES).await?;
+        keep(&host, exchange);
+        Ok::<(), Failure>(())
+    };
+
+    match timeout(RELEASE_TIMEOUT, call).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!(
+            endpoint = endpoint.as_str();
+            "outputs not freed, they expire on their own: {error:?}"
+        ),
+        Err(_) => log::debug!(
+            endpoint = endpoint.as_str();
+            "outputs not freed in time, they expire on their own"
+        ),
+    }
+}
+
+fn keep(host: &Host, exchange: Exchange) {
+    let response = &exchange.response;
+    let answer = host.edge.answer(response.status(), response.headers());
+    exchange.finish(answer.keep_alive, answer.closing);
+}
+
+/// Gives the dispatcher of a service to `run`, building it if the service has
+/// a pool. Returns whether it has.
+fn with(host: &Host, service: &id::Pool, run: impl FnOnce(&mut Dispatcher)) -> bool {
+    let view = host.view();
+    let Some(config) = &view.config else {
+        return false;
+    };
+    let Some(pool) = config.services.get(service).and_then(|s| s.pool.as_ref()) else {
+        return false;
+    };
+    let mut dispatchers = host.pools.dispatchers.borrow_mut();
+    let dispatcher = dispatchers.entry(service.clone()).or_insert_with(|| {
+        let mut dispatcher = Dispatcher::new(pool.clone(), host.settings.budget);
+        let entries = view.roster.service(service).iter();
+        dispatcher.update(pool, entries, view.hosts());
+        dispatcher
+    });
+    run(dispatcher);
+    true
+}
+
+fn act(host: &Rc<Host>, service: &id::Pool, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Finish { job, outcome } => {
+                let reply = host.pools.replies.borrow_mut().remove(&job);
+
+                if let Some(reply) = reply
+                    && let Err(outcome) = reply.send(outcome)
+                {
+                    release(host, outcome.outputs);
+                }
+            }
+            Action::Release { outputs } => release(host, outputs),
+            Action::Send {
+                call,
+                entry,
+                items,
+                timeout,
+            } => {
+                let host = Rc::clone(host);
+                let service = service.clone();
+                spawn_local(async move {
+                    let ending = send(&host, &entry, &items, timeout).await;
+                    finish(&host, &service, &entry, &items, call, ending);
+                });
+            }
+        }
+    }
+}
+
+fn finish(
+    host: &Rc<Host>,
+    service: &id::Pool,
+    entry: &Entry,
+    items: &[Item],
+    call: CallId,
+    ending: Ending,
+) {
+    let name = ending_name(&ending);
+    host.tally.count(
+        "piece_calls",
+        &[("service", service.as_str()), ("outcome", name)],
+    );
+
+    if !matches!(ending, Ending::Answered(_)) {
+        log::info!(
+            endpoint = entry.endpoint.as_str(),
+            service = service.as_str(),
+            pieces = items.len(),
+            request = items.first().map(|item| item.request.as_str()),
+            outcome = name;
+            "call with pieces failed"
+        );
+    }
+
+    let mut actions = Vec::new();
+    with(host, service, |dispatcher| {
+        dispatcher.finish(boot_clock::now(), call, ending, &mut actions);
+    });
+    act(host, service, actions);
+}
+
+async fn send(host: &Host, entry: &Entry, items: &[Item], limit: Duration) -> Ending {
+    let body = host.edge.pieces(items);
+    let headers = host.edge.piece_headers(entry.endpoint.as_str(), limit);
+    let mut request = hyper::Request::new(Full::new(body.body.into()));
+    *request.method_mut() = Method::POST;
+    *request.headers_mut() = headers;
+    *request.uri_mut() = hyper::Uri::from_static(body.path);
+
+    let call = async {
+        let mut exchange = match host.client.send(entry, request).await {
+            Ok(exchange) => exchange,
+            Err(Failure::Unreachable(_)) => return Ending::Unreachable,
+            Err(Failure::Broken(_)) => return Ending::Broken,
+        };
+        let response = &exchange.response;
+        let answer = host.edge.answer(response.status(), response.headers());
+        let success = response.status().is_success();
+        let Ok(body) = exchange.collect(ANSWER_BYTES).await else {
+            return Ending::Broken;
+        };
+        exchange.finish(answer.keep_alive, answer.closing);
+
+        if answer.replaced {
+            return Ending::Replaced;
+        }
+
+        if answer.not_run {
+            return Ending::Full;
+        }
+
+        if !success {
+            return Ending::Broken;
+        }
+
+        match host.edge.piece_results(&body, items.len()) {
+            Ok(results) => Ending::Answered(results),
+            Err(fault) => {
+                log::warn!(
+                    endpoint = entry.endpoint.as_str();
+                    "answer to a call with pieces refused: {fault}"
+                );
+                Ending::Broken
+            }
+        }
+    };
+
+    timeout(CALL_TIMEOUT, call).await.unwrap_or(Ending::Broken)
+}
+
+/// Ticks the dispatchers while there are jobs.
+fn start_ticking(host: &Rc<Host>) {
+    if host.pools.ticking.replace(true) {
+        return;
+    }
+
+    let host = Rc::clone(host);
+    spawn_local(async move {
+        while host.pools.jobs() > 0 {
+            sleep(TICK).await;
+            let services = host.pools.queued().into_iter().map(|(service, _)| service);
+
+            for service in services.collect::<Vec<id::Pool>>() {
+                let mut actions = Vec::new();
+                with(&host, &service, |dispatcher| {
+                    dispatcher.tick(boot_clock::now(), &mut actions);
+                });
+                act(&host, &service, actions);
+            }
+        }
+
+        host.pools.ticking.set(false);
+    });
+}
+
+const fn ending_name(ending: &Ending) -> &'static str {
+    match ending {
+        Ending::Answered(_) => "answered",
+        Ending::Broken => "broken",
+        Ending::Full => "full",
+        Ending::Replaced => "replaced",
+        Ending::Unreachable => "unreachable",
+    }
+}
--- /dev/null
+++ b/src/coordination/serving/request.rs
@@ -0,0 +1,89 @@
+//! One request of a caller.
+
+use {
+    crate::{
+        protocol::edge::Call,
+        state::{
+            clock::Time,
+            id,
+            serving::{config::Route, piece::Output},
+        },
+        transport::boot_clock,
+    },
+    hyper::{HeaderMap, Method, Uri, body::Bytes},
+    std::{
+        cell::{Cell, RefCell},
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Time for the caller's connection that is taken off what an endpoint is
+/// given, so that its answer arrives before the caller leaves.
+const RETURN_MARGIN: Duration = Duration::from_millis(5);
+
+/// A request and how far it got.
+#[derive(Debug)]
+pub struct Request {
+    /// Requests that were sent to endpoints.
+    pub attempts: Cell<u32>,
+    pub body: Bytes,
+    pub call: Call,
+    pub deadline: Time,
+    /// The endpoint that had the request last.
+    pub endpoint: RefCell<Option<id::Endpoint>>,
+    pub headers: HeaderMap,
+    /// Whether an endpoint may have run the request.
+    pub may_have_run: Cell<bool>,
+    pub method: Method,
+    pub priority: u8,
+    pub route: Arc<Route>,
+    pub service: id::Pool,
+    pub started: Time,
+    pub team: Option<id::Team>,
+    pub uri: Uri,
+}
+
+impl Request {
+    /// Returns the caller's id of the request, for logs.
+    pub fn id(&self) -> &str {
+        self.call.attempt.as_deref().unwrap_or("-")
+    }
+
+    /// Returns the time until the deadline.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.since(boot_clock::now())
+    }
+
+    /// Returns the time that an endpoint is given.
+    pub fn allowance(&self) -> Duration {
+        self.remaining().saturating_sub(RETURN_MARGIN)
+    }
+
+    /// Returns the time until the goal.
+    pub fn until_goal(&self) -> Duration {
+        (self.started + self.route.goal).since(boot_clock::now())
+    }
+
+    /// Returns the time since the request arrived.
+    pub fn age(&self) -> Duration {
+        boot_clock::now().since(self.started)
+    }
+
+    /// Returns the hash of the shared part of the prompt, by which requests
+    /// find the engine that has it.
+    pub fn session(&self) -> Option<u64> {
+        let parts = &self.call.prompt.as_ref()?.parts;
+        let shared = parts.len().checked_sub(2).unwrap_or(0);
+        let part = parts.get(shared)?;
+        let mut hasher = DefaultHasher::new();
+        part.id.hash(&mut hasher);
+        Some(hasher.finish())
+    }
+}
+
+/// Returns the handles of outputs, in order.
+pub fn handles(outputs: &[Output]) -> Vec<String> {
+    outputs.iter().map(|output| output.handle.clone()).collect()
+}
--- /dev/null
+++ b/src/coordination/serving/retries.rs
@@ -0,0 +1,54 @@
+//! The retry budgets of this host, one a service.
+
+use {
+    crate::{
+        state::{
+            id,
+            serving::budget::{Bounds, Budget},
+        },
+        transport::boot_clock,
+    },
+    std::{cell::RefCell, collections::HashMap},
+};
+
+/// The budgets by service.
+pub struct Retries {
+    bounds: Bounds,
+    budgets: RefCell<HashMap<id::Pool, Budget>>,
+}
+
+impl Retries {
+    /// Builds full budgets.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            budgets: RefCell::default(),
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn request(&self, service: &id::Pool) {
+        self.budget(service, |budget, bounds| {
+            budget.request(boot_clock::now(), bounds, 1);
+        });
+    }
+
+    /// Takes one retry if the budget of one of `hosts` hosts covers it.
+    pub fn take(&self, service: &id::Pool, hosts: usize) -> bool {
+        self.budget(service, |budget, bounds| {
+            budget.take(boot_clock::now(), bounds, hosts, 1)
+        })
+    }
+
+    /// Returns whether the budget covers a retry, without taking it.
+    pub fn covers(&self, service: &id::Pool, hosts: usize) -> bool {
+        self.budget(service, |budget, bounds| {
+            budget.covers(boot_clock::now(), bounds, hosts, 1)
+        })
+    }
+
+    fn budget<T>(&self, service: &id::Pool, act: impl FnOnce(&mut Budget, &Bounds) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        act(budgets.entry(service.clone()).or_default(), &self.bounds)
+    }
+}
--- /dev/null
+++ b/src/coordination/serving/stages.rs
@@ -0,0 +1,292 @@
+//! Runs the stages of a request through the dispatchers of their pools.
+
+use {
+    crate::{
+        coordination::serving::{
+            answer::{Reason, Refusal},
+            dispatch,
+            host::Host,
+            request::{Request, handles},
+        },
+        state::{
+            id,
+            serving::{
+                config::Config,
+                graph::{Graph, Start},
+                piece::{Failure, Input, Job, JobId, Outcome, Output},
+                placement::Demand,
+            },
+        },
+        transport::boot_clock,
+    },
+    futures::stream::{FuturesUnordered, StreamExt},
+    std::{rc::Rc, sync::Arc, time::Duration},
+};
+
+/// Time from the end of the stages to a model engine's first event under
+/// normal load.
+const FIRST_EVENT: Duration = Duration::from_millis(300);
+
+/// Time of a call to a dispatcher and back, between failure domains.
+const HOP: Duration = Duration::from_millis(15);
+
+/// Times that all stages run again because outputs are gone.
+const RESTARTS: u32 = 1;
+
+/// Outputs of the stages, which are released when this is dropped.
+pub struct Prepared {
+    /// Failure domain in which most of the outputs are.
+    pub domain: Option<id::Domain>,
+    pub handles: Vec<String>,
+    held: Held,
+}
+
+/// Outputs that exist and jobs that run.
+struct Held {
+    graph: Graph,
+    host: Rc<Host>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        for (service, outputs) in self.graph.all_outputs() {
+            dispatch::release(&self.host, &service, outputs);
+        }
+    }
+}
+
+impl Prepared {
+    /// Returns the preparation of a request without stages.
+    pub fn none(host: &Rc<Host>) -> Self {
+        Self {
+            domain: None,
+            handles: Vec::new(),
+            held: Held {
+                graph: Graph::new(&[], &[]),
+                host: Rc::clone(host),
+            },
+        }
+    }
+}
+
+/// Runs every stage of a request.
+///
+/// # Errors
+///
+/// Returns the refusal if a stage failed.
+pub async fn run(
+    host: &Rc<Host>,
+    config: &Arc<Config>,
+    request: &Rc<Request>,
+) -> Result<Prepared, Refusal> {
+    let stages = &request.route.stages;
+    let mut held = Held {
+        graph: Graph::new(stages, &request.call.pieces),
+        host: Rc::clone(host),
+    };
+    let domain = target_domain(host, request);
+    let mut restarts = 0;
+
+    while !held.graph.is_done() {
+        let result = run_once(host, config, request, &mut held, domain.as_ref()).await;
+
+        match result {
+            Ok(()) => {}
+            Err(failed) if failed.failure == Failure::InputGone && restarts < RESTARTS => {
+                restarts += 1;
+                held.graph.restart();
+            }
+            Err(failed) => {
+                log::info!(
+                    request = request.id(),
+                    stage = failed.stage,
+                    failure = failed.failure.name(),
+                    backlog_ms = failed.backlog.as_millis(),
+                    retry_after_ms = failed.retry_after.as_millis(),
+                    left_ms = request.remaining().as_millis();
+                    "stage failed"
+                );
+                return Err(failed.refusal());
+            }
+        }
+    }
+
+    let outputs = held.graph.outputs();
+    let domain = outputs_domain(host, &outputs).or(domain);
+
+    Ok(Prepared {
+        domain,
+        handles: handles(&outputs),
+        held,
+    })
+}
+
+impl Prepared {
+    /// Returns the number of outputs that are held.
+    pub fn len(&self) -> usize {
+        self.held.graph.outputs().len()
+    }
+
+    /// Returns whether there are no outputs.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// A stage that failed.
+struct Failed {
+    backlog: Duration,
+    failure: Failure,
+    retry_after: Duration,
+    stage: usize,
+}
+
+impl Failed {
+    fn refusal(&self) -> Refusal {
+        let reason = match self.failure {
+            Failure::Overloaded => Reason::Overload,
+            Failure::Late => Reason::Deadline,
+            Failure::Unreachable => Reason::Unreachable,
+            Failure::Cancelled | Failure::Failed | Failure::InputGone => Reason::StageFailed,
+        };
+        Refusal::NotRun {
+            reason,
+            retry_after: self.retry_after,
+        }
+    }
+}
+
+async fn run_once(
+    host: &Rc<Host>,
+    config: &Arc<Config>,
+    request: &Rc<Request>,
+    held: &mut Held,
+    domain: Option<&id::Domain>,
+) -> Result<(), Failed> {
+    let mut running = FuturesUnordered::new();
+    let mut first = true;
+
+    loop {
+        for start in held.graph.start() {
+            let job = job(host, config, request, &held.graph, &start, first, domain);
+            let stage = start.stage;
+            let host = Rc::clone(host);
+            running.push(async move { (stage, dispatch::run(&host, job).await) });
+        }
+
+        first = false;
+        let Some((stage, outcome)) = running.next().await else {
+            return Ok(());
+        };
+        finish(host, request, held, stage, outcome)?;
+    }
+}
+
+fn finish(
+    host: &Rc<Host>,
+    request: &Request,
+    held: &mut Held,
+    stage: usize,
+    outcome: Outcome,
+) -> Result<(), Failed> {
+    if let Some(failure) = outcome.failure {
+        return Err(Failed {
+            backlog: outcome.backlog,
+            failure,
+            retry_after: outcome.retry_after,
+            stage,
+        });
+    }
+
+    let service = request.route.stages[stage].service.as_str();
+    host.tally.count("stages", &[("service", service)]);
+    held.graph.finish(stage, outcome.outputs);
+
+    for (service, outputs) in held.graph.take_consumed() {
+        dispatch::release(host, &service, outputs);
+    }
+
+    Ok(())
+}
+
+fn job(
+    host: &Host,
+    config: &Config,
+    request: &Request,
+    graph: &Graph,
+    start: &Start,
+    first: bool,
+    domain: Option<&id::Domain>,
+) -> Job {
+    let input = if start.inputs.is_empty() {
+        Input::Key(request.call.piece_key.clone().unwrap_or_default())
+    } else {
+        Input::Outputs(handles(&start.inputs))
+    };
+    let after = graph
+        .rest(start.stage)
+        .iter()
+        .map(|(service, pieces)| call_time(config, service, *pieces) + HOP)
+        .sum::<Duration>();
+
+    Job {
+        domain: domain.cloned(),
+        first: first && !request.may_have_run.get(),
+        id: JobId {
+            home: host.settings.host.clone(),
+            number: host.next_job(),
+        },
+        input,
+        pieces: (0..).take(start.pieces).collect(),
+        priority: request.priority,
+        remaining: request.remaining(),
+        request: request.id().to_owned(),
+        service: start.service.clone(),
+        stage: u16::try_from(start.stage).unwrap_or(u16::MAX),
+        urgency: request.until_goal().saturating_sub(after + FIRST_EVENT),
+    }
+}
+
+/// Returns the time of a well-filled call of a stage's service.
+fn call_time(config: &Config, service: &id::Pool, pieces: usize) -> Duration {
+    let pool = config.services.get(service);
+    let pool = pool.and_then(|service| service.pool.as_ref());
+
+    pool.map_or(Duration::ZERO, |pool| {
+        let calls = pieces.div_ceil(pool.batch.max(1)).max(1);
+        let batch = u32::try_from(pool.batch).unwrap_or(u32::MAX);
+        (pool.call + pool.item * batch) * u32::try_from(calls).unwrap_or(1)
+    })
+}
+
+/// Returns the domain of the engine that will probably get the request.
+fn target_domain(host: &Host, request: &Request) -> Option<id::Domain> {
+    let view = host.view();
+    let demand = Demand {
+        domain: None,
+        exclude: &[],
+        session: request.session(),
+    };
+    let open = view.roster.open(&request.service);
+    let entry = host
+        .placement
+        .borrow()
+        .choose(boot_clock::now(), open, demand)?
+        .clone();
+    Some(entry.domain.clone())
+}
+
+/// Returns the domain in which most of the outputs are.
+fn outputs_domain(host: &Host, outputs: &[Output]) -> Option<id::Domain> {
+    let view = host.view();
+    let mut domains = std::collections::BTreeMap::<&id::Domain, usize>::new();
+
+    for output in outputs {
+        if let Some(entry) = view.roster.get(&output.endpoint) {
+            *domains.entry(&entry.domain).or_default() += 1;
+        }
+    }
+
+    let (domain, _) = domains.into_iter().max_by_key(|(_, count)| *count)?;
+    Some(domain.clone())
+}
--- /dev/null
+++ b/src/coordination/serving/traffic.rs
@@ -0,0 +1,366 @@
+//! Starts a host on the platform: the control thread, and the traffic thread
+//! with its listeners.
+
+use {
+    crate::{
+        coordination::{
+            error::{Error, ListenSnafu, SignalsSnafu, ThreadSnafu},
+            membership::Membership,
+            serving::{
+                control::{self, Control, Event},
+                host::{self, Host},
+                ingress, pools,
+            },
+        },
+        protocol::{
+            edge::{Edge, Store},
+            serving_file::File,
+        },
+        state::{
+            clock::Time,
+            id,
+            member::{Member, Phase},
+            serving::{directory, view::View},
+        },
+        transport::{
+            boot_clock,
+            http::{
+                body::Body,
+                server::{self, Limits, Open},
+            },
+            incoming::Incoming,
+            links::Links,
+            tally::Tally,
+        },
+    },
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming as RequestBody,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    signal_hook::{
+        consts::{SIGHUP, SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    snafu::ResultExt,
+    std::{
+        collections::BTreeMap,
+        net::TcpListener,
+        rc::Rc,
+        sync::{
+            Arc,
+            mpsc::{self, Sender},
+        },
+        thread,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        runtime::Builder,
+        sync::watch,
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+/// Threads of the runtime that wait for blocking calls.
+const BLOCKING_THREADS: usize = 1;
+
+/// Bounds of connections to the directory, the metrics and the readiness
+/// check, which are short.
+const SMALL: Limits = Limits {
+    connections: 256,
+    header_bytes: 16 * 1024,
+    idle_timeout: Duration::from_secs(5),
+};
+
+/// Longest time between two requests on a caller's connection before the
+/// configuration names one.
+const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest head of a caller's request.
+const HEADER_BYTES: usize = 64 * 1024;
+
+/// Time before the end of the grace at which the process ends in any case.
+const END_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time for which callers may still use the address of a stopping host:
+/// they learn of it when their answer of the directory expires.
+const STALE_ADDRESSES: Duration = Duration::from_millis(2500);
+
+/// Time between two looks at whether a stopping host is done.
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+
+struct Listeners {
+    callers: TcpListener,
+    directory: TcpListener,
+    metrics: Option<TcpListener>,
+    peers: TcpListener,
+    ready: TcpListener,
+}
+
+/// Runs a host until its planned stop is over.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound or a thread not be started.
+pub fn run(settings: File, edge: Arc<dyn Edge>, store: Arc<dyn Store>) -> Result<(), Error> {
+    let listeners = listen(&settings)?;
+    let local = local(&settings);
+    let (sender, events) = mpsc::channel();
+    let (published, views) = watch::channel(Arc::new(Control::first_view(local.clone())));
+    let (leave, leaving) = watch::channel(false);
+    handle_signals(sender.clone(), leave)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(BLOCKING_THREADS)
+        .build()
+        .context(ThreadSnafu)?;
+    log::info!(
+        host = settings.host.as_str(),
+        incarnation = local.incarnation.0,
+        callers = settings.addresses.callers.to_string().as_str(),
+        peers = settings.addresses.peers.to_string().as_str();
+        "started"
+    );
+
+    LocalSet::new().block_on(&runtime, async move {
+        let (calls, receiver) = tokio::sync::mpsc::unbounded_channel();
+        let control_events = sender.clone();
+        let (links, connections) = Links::attach(
+            listeners.peers,
+            &settings.fleet_key,
+            move |call| match control::event(call) {
+                // Both fail only when the process ends.
+                Ok(event) => drop(control_events.send(event)),
+                Err(call) => drop(calls.send(call)),
+            },
+        );
+        spawn_local(connections);
+        let control = build_control(&settings, local, links.clone(), store, published, sender);
+        thread::Builder::new()
+            .name("control".into())
+            .spawn(move || control.run(&events))
+            .context(ThreadSnafu)?;
+        let tally = Tally::default();
+        let view = Arc::clone(&views.borrow());
+        let host = Host::new(settings, edge, links, view, tally);
+        spawn_local(host::follow(Rc::clone(&host), views));
+        spawn_local(take_calls(Rc::clone(&host), receiver));
+        let open = Open::default();
+        serve_callers(&host, listeners.callers, leaving.clone(), open);
+        serve_questions(
+            &host,
+            listeners.directory,
+            listeners.ready,
+            listeners.metrics,
+        );
+        drain(&host, leaving).await;
+        Ok(())
+    })
+}
+
+fn build_control(
+    settings: &File,
+    local: Member,
+    links: Links,
+    store: Arc<dyn Store>,
+    published: watch::Sender<Arc<View>>,
+    sender: Sender<Event>,
+) -> Control {
+    let events = sender.clone();
+    let peers = settings.peers.iter().copied();
+    let own = settings.addresses.peers;
+    let membership = Membership::new(
+        peers.filter(|peer| *peer != own),
+        links.clone(),
+        Arc::new(move |event| drop(events.send(Event::Membership(event)))),
+    );
+    Control::new(local, membership, links, store, published, sender)
+}
+
+fn listen(settings: &File) -> Result<Listeners, Error> {
+    let addresses = &settings.addresses;
+    let bind = |address| server::bind(address).map_err(crate::protocol::Error::from);
+
+    Ok(Listeners {
+        callers: bind(addresses.callers)?,
+        directory: bind(addresses.directory)?,
+        metrics: addresses.metrics.map(bind).transpose()?,
+        peers: TcpListener::bind(addresses.peers).context(ListenSnafu)?,
+        ready: bind(addresses.ready)?,
+    })
+}
+
+fn local(settings: &File) -> Member {
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+
+    Member {
+        caller_address: settings.addresses.callers,
+        clock: Time::ZERO,
+        demand: BTreeMap::new(),
+        domain: settings.domain.clone(),
+        host: settings.host.clone(),
+        incarnation: id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
+        outstanding: 0,
+        peer_address: settings.addresses.peers,
+        phase: Phase::Alive,
+        settings: 0,
+    }
+}
+
+fn handle_signals(control: Sender<Event>, leave: watch::Sender<bool>) -> Result<(), Error> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).context(SignalsSnafu)?;
+
+    thread::spawn(move || {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                // Every setting that may change is read at the next start.
+                log::info!("settings changed; kept until the next start");
+                continue;
+            }
+
+            log::info!(signal = signal; "leaving");
+            // Both fail only when the process ends.
+            drop(control.send(Event::Leave));
+            leave.send_replace(true);
+        }
+    });
+
+    Ok(())
+}
+
+/// Serves the calls of other hosts that concern jobs.
+async fn take_calls(host: Rc<Host>, mut calls: tokio::sync::mpsc::UnboundedReceiver<Incoming>) {
+    while let Some(call) = calls.recv().await {
+        match call {
+            Incoming::CancelJob(id) => pools::cancel(&host, &id),
+            Incoming::ReleaseOutputs { outputs, .. } => pools::release(&host, outputs),
+            Incoming::RunJob { job, reply } => pools::submit(&host, job, reply),
+            // Dropping the channel refuses the call.
+            _ => {}
+        }
+    }
+}
+
+fn serve_callers(
+    host: &Rc<Host>,
+    listener: TcpListener,
+    leaving: watch::Receiver<bool>,
+    open: Open,
+) {
+    let limits = Limits {
+        connections: host.settings.connections,
+        header_bytes: HEADER_BYTES,
+        idle_timeout: FIRST_IDLE_TIMEOUT,
+    };
+    let host = Rc::clone(host);
+    spawn_local(server::run(
+        listener,
+        limits,
+        leaving,
+        open,
+        move |request, _| ingress::handle(Rc::clone(&host), request),
+    ));
+}
+
+fn serve_questions(
+    host: &Rc<Host>,
+    directory: TcpListener,
+    ready: TcpListener,
+    metrics: Option<TcpListener>,
+) {
+    let (_, never) = watch::channel(false);
+    let serve = |listener, answer: fn(&Host, &Request<RequestBody>) -> Response<Body>| {
+        let host = Rc::clone(host);
+        let handler = move |request: Request<RequestBody>, _| {
+            let response = answer(&host, &request);
+            async move { response }
+        };
+        spawn_local(server::run(
+            listener,
+            SMALL,
+            never.clone(),
+            Open::default(),
+            handler,
+        ));
+    };
+
+    serve(directory, answer_directory);
+    serve(ready, answer_ready);
+
+    if let Some(metrics) = metrics {
+        serve(metrics, |host, _| text(StatusCode::OK, host.tally.page()));
+    }
+}
+
+fn answer_directory(host: &Host, request: &Request<RequestBody>) -> Response<Body> {
+    let uri = request.uri();
+    let Some(question) = host.edge.question(uri.path(), uri.query().unwrap_or("")) else {
+        return text(StatusCode::NOT_FOUND, "no such path\n".into());
+    };
+    let view = host.view();
+    let domain = question.domain.as_deref().map(id::Domain::from);
+    let ready = view.is_ready().then_some(&view.local);
+    let others = view.members.iter();
+    let addresses = directory::addresses(others.chain(ready), domain.as_ref());
+
+    if addresses.is_empty() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no host is ready\n".into());
+    }
+
+    let body = host
+        .edge
+        .addresses(&addresses, host.settings.keep_addresses);
+    let mut response = Response::new(Body::whole(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn answer_ready(host: &Host, request: &Request<RequestBody>) -> Response<Body> {
+    let known = request.uri().path() == host.edge.ready_path();
+    let ready = host.view().is_ready() && host.leaving_for().is_none();
+
+    match (known, ready) {
+        (false, _) => text(StatusCode::NOT_FOUND, "no such path\n".into()),
+        (true, true) => text(StatusCode::OK, "ready\n".into()),
+        (true, false) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::whole(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Waits for the stop signal, and then until nothing is in progress.
+async fn drain(host: &Rc<Host>, mut leaving: watch::Receiver<bool>) {
+    if leaving.wait_for(|leaving| *leaving).await.is_err() {
+        // The signal thread has ended; nothing can stop the host any more.
+        std::future::pending::<()>().await;
+    }
+
+    host.leave();
+    let started = boot_clock::now();
+    let most = host.settings.grace.saturating_sub(END_MARGIN);
+
+    loop {
+        let elapsed = boot_clock::now().since(started);
+        let idle = host.active.get() == 0 && host.pools.jobs() == 0;
+
+        if elapsed >= most || (idle && elapsed >= STALE_ADDRESSES) {
+            log::info!(
+                active = host.active.get(),
+                jobs = host.pools.jobs(),
+                ms = elapsed.as_millis();
+                "stopped"
+            );
+            return;
+        }
+
+        sleep(DRAIN_TICK).await;
+    }
+}
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -4,7 +4,9 @@
 pub mod caller;
 pub mod daemon_file;
 pub mod digest;
+pub mod edge;
 pub mod error;
+pub mod event_stream;
 pub mod fields;
 pub mod hex;
 pub mod hosts;
@@ -12,6 +14,7 @@
 pub mod object_api;
 pub mod order;
 pub mod secret;
+pub mod serving_file;
 pub mod ticket;
 pub mod tree_file;
 
--- /dev/null
+++ b/src/protocol/serving_file.rs
@@ -0,0 +1,176 @@
+//! The settings file of a host that serves routes.
+
+use {
+    crate::{
+        protocol::fields::Fields,
+        state::{fault::Fault, id, serving::budget::Bounds},
+    },
+    log::LevelFilter,
+    std::{fs, net::SocketAddr, path::Path, time::Duration},
+};
+
+/// Sections and keys of the file, sorted.
+const KNOWN: &[(&str, &[&str])] = &[
+    (
+        "host",
+        &[
+            "caller_address",
+            "directory_address",
+            "domain",
+            "fleet_key",
+            "id",
+            "metrics_address",
+            "peer_address",
+            "peers",
+            "ready_address",
+        ],
+    ),
+    ("limits", &["connections", "grace_s", "keep_addresses_ms"]),
+    ("log", &["level"]),
+    ("retries", &["ratio", "slack", "window_s"]),
+    ("store", &["address", "kind", "wait_ms"]),
+];
+
+/// Where a host listens.
+#[derive(Clone, Debug)]
+pub struct Addresses {
+    pub callers: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: Option<SocketAddr>,
+    pub peers: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+/// How the platform's store is reached.
+#[derive(Clone, Debug)]
+pub struct Store {
+    pub address: SocketAddr,
+    /// Kind of the objects by which hosts make themselves known.
+    pub kind: String,
+    /// How long a watch waits for a change.
+    pub wait: Duration,
+}
+
+/// The whole file, checked.
+#[derive(Clone, Debug)]
+pub struct File {
+    pub addresses: Addresses,
+    /// The retry budget of the whole fleet.
+    pub budget: Bounds,
+    /// Most connections of callers.
+    pub connections: usize,
+    pub domain: id::Domain,
+    pub fleet_key: Vec<u8>,
+    /// Time from the stop signal until the process is ended by force.
+    pub grace: Duration,
+    pub host: id::Host,
+    /// Time for which callers may keep the addresses.
+    pub keep_addresses: Duration,
+    pub level: LevelFilter,
+    pub peers: Vec<SocketAddr>,
+    pub store: Store,
+}
+
+impl File {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that the file has.
+    pub fn read(path: &Path) -> Result<Self, Vec<Fault>> {
+        let text = fs::read_to_string(path).map_err(|error| {
+            vec![Fault {
+                field: "file".into(),
+                value: path.display().to_string(),
+                expected: format!("a readable file ({error})"),
+            }]
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that the text has.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let mut fields = Fields::parse(text, KNOWN)?;
+        let file = read(&mut fields);
+
+        match (file, fields.faults()) {
+            (Some(file), faults) if faults.is_empty() => Ok(file),
+            (_, faults) => Err(faults),
+        }
+    }
+}
+
+fn read(fields: &mut Fields) -> Option<File> {
+    const ADDRESS: &str = "an IP address and port";
+    const MAX_MILLIS: u64 = 600_000;
+    const MAX_SECONDS: u64 = 86_400;
+
+    let callers = fields.required("host", "caller_address", ADDRESS);
+    let directory = fields.required("host", "directory_address", ADDRESS);
+    let metrics = fields.optional("host", "metrics_address", ADDRESS);
+    let own = fields.required("host", "peer_address", ADDRESS);
+    let ready = fields.required("host", "ready_address", ADDRESS);
+    let peers = fields.list("host", "peers", ADDRESS);
+    let domain = text(fields, "host", "domain");
+    let host = text(fields, "host", "id");
+    let fleet_key = text(fields, "host", "fleet_key");
+    let address = fields.required("store", "address", ADDRESS);
+    let kind = text(fields, "store", "kind");
+    let wait = fields.number("store", "wait_ms", 100, 30_000);
+    let ratio = fields.required::<f64>("retries", "ratio", "a number");
+    let slack = fields.required::<f64>("retries", "slack", "a number");
+    let window = fields.required::<f64>("retries", "window_s", "a number");
+    let connections = fields.number("limits", "connections", 1, 1_000_000);
+    let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
+    let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
+    let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
+
+    Some(File {
+        addresses: Addresses {
+            callers: callers?,
+            directory: directory?,
+            metrics,
+            peers: own?,
+            ready: ready?,
+        },
+        budget: Bounds {
+            ratio: ratio?,
+            slack: slack?,
+            window: seconds(window?, MAX_SECONDS),
+        },
+        connections: usize::try_from(connections?).ok()?,
+        domain: domain?.into(),
+        fleet_key: fleet_key?.into_bytes(),
+        grace: seconds(grace?, MAX_SECONDS),
+        host: host?.into(),
+        keep_addresses: Duration::from_millis(keep?),
+        level: level.unwrap_or(LevelFilter::Info),
+        peers,
+        store: Store {
+            address: address?,
+            kind: kind?,
+            wait: Duration::from_millis(wait?),
+        },
+    })
+}
+
+fn text(fields: &mut Fields, section: &str, key: &str) -> Option<String> {
+    let value: String = fields.required(section, key, "a text")?;
+
+    if value.is_empty() {
+        fields.fault(section, key, "", "a text");
+        return None;
+    }
+
+    Some(value)
+}
+
+fn seconds(seconds: f64, most: u64) -> Duration {
+    Duration::try_from_secs_f64(seconds)
+        .unwrap_or_default()
+        .min(Duration::from_secs(most))
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,7 @@
 pub mod scheduler;
 pub mod scheduler_oracle;
 pub mod scheduler_trace;
+pub mod serving;
 pub mod settings_call;
 mod settings_oracle;
 pub mod settings_step;
--- /dev/null
+++ b/src/state/serving/graph.rs
@@ -0,0 +1,208 @@
+//! The stages of one request: which may start, and which outputs they take.
+
+use crate::state::{
+    id,
+    serving::{config::Stage, piece::Output},
+};
+
+#[derive(Clone, Debug)]
+struct Node {
+    after: Vec<usize>,
+    /// Outputs in the order of pieces; empty until the stage is done.
+    outputs: Vec<Output>,
+    pieces: usize,
+    /// Whether the outputs were given up.
+    released: bool,
+    service: id::Pool,
+    started: bool,
+}
+
+/// What a stage needs to start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    pub inputs: Vec<Output>,
+    pub pieces: usize,
+    pub service: id::Pool,
+    pub stage: usize,
+}
+
+/// The stages of one request and their outputs.
+#[derive(Clone, Debug)]
+pub struct Graph(Vec<Node>);
+
+impl Graph {
+    /// Builds the graph of a request with `pieces` pieces a stage. A stage
+    /// without pieces is left out: what comes after it takes the outputs of
+    /// the stages before it.
+    pub fn new(stages: &[Stage], pieces: &[usize]) -> Self {
+        let nodes = stages.iter().enumerate().map(|(index, stage)| Node {
+            after: stage.after.clone(),
+            outputs: Vec::new(),
+            pieces: pieces.get(index).copied().unwrap_or(0),
+            released: false,
+            service: stage.service.clone(),
+            started: false,
+        });
+
+        Self(nodes.collect())
+    }
+
+    /// Returns whether every stage is done.
+    pub fn is_done(&self) -> bool {
+        self.0.iter().all(|node| node.outputs.len() == node.pieces)
+    }
+
+    /// Returns the stages that can start now and marks them as started.
+    pub fn start(&mut self) -> Vec<Start> {
+        let ready = (0..self.0.len())
+            .filter(|&stage| self.can_start(stage))
+            .collect::<Vec<usize>>();
+
+        ready
+            .into_iter()
+            .map(|stage| {
+                self.0[stage].started = true;
+                let mut inputs = Vec::new();
+                self.inputs(stage, &mut inputs);
+                Start {
+                    inputs,
+                    pieces: self.0[stage].pieces,
+                    service: self.0[stage].service.clone(),
+                    stage,
+                }
+            })
+            .collect()
+    }
+
+    /// Takes the outputs of a stage.
+    pub fn finish(&mut self, stage: usize, outputs: Vec<Output>) {
+        if let Some(node) = self.0.get_mut(stage) {
+            node.outputs = outputs;
+        }
+    }
+
+    /// Forgets every output, because some of them are gone. The stages run
+    /// again.
+    pub fn restart(&mut self) {
+        for node in &mut self.0 {
+            node.outputs.clear();
+            node.released = false;
+            node.started = false;
+        }
+    }
+
+    /// Returns the outputs that the request itself takes: those of the stages
+    /// that no other one follows.
+    pub fn outputs(&self) -> Vec<Output> {
+        let last = |stage: usize| {
+            let mut followers = Vec::new();
+            self.followers(stage, &mut followers);
+            followers.is_empty()
+        };
+
+        self.0
+            .iter()
+            .enumerate()
+            .filter(|(stage, _)| last(*stage))
+            .flat_map(|(_, node)| node.outputs.iter().cloned())
+            .collect()
+    }
+
+    /// Takes the outputs that every stage after them has read.
+    pub fn take_consumed(&mut self) -> Vec<(id::Pool, Vec<Output>)> {
+        let consumed = (0..self.0.len())
+            .filter(|&stage| !self.0[stage].released && self.is_consumed(stage))
+            .collect::<Vec<usize>>();
+
+        consumed
+            .into_iter()
+            .map(|stage| {
+                let node = &mut self.0[stage];
+                node.released = true;
+                (node.service.clone(), node.outputs.clone())
+            })
+            .collect()
+    }
+
+    /// Returns every output that exists and was not taken.
+    pub fn all_outputs(&self) -> Vec<(id::Pool, Vec<Output>)> {
+        self.0
+            .iter()
+            .filter(|node| !node.outputs.is_empty() && !node.released)
+            .map(|node| (node.service.clone(), node.outputs.clone()))
+            .collect()
+    }
+
+    /// Returns the stages from this one to the end on the longest way, this
+    /// one included, as services with their pieces.
+    pub fn rest(&self, stage: usize) -> Vec<(id::Pool, usize)> {
+        let mut longest = Vec::new();
+
+        for (next, node) in self.0.iter().enumerate() {
+            if next > stage && node.after.contains(&stage) {
+                let rest = self.rest(next);
+
+                if rest.len() > longest.len() {
+                    longest = rest;
+                }
+            }
+        }
+
+        if let Some(node) = self.0.get(stage)
+            && node.pieces > 0
+        {
+            longest.insert(0, (node.service.clone(), node.pieces));
+        }
+
+        longest
+    }
+
+    fn can_start(&self, stage: usize) -> bool {
+        let node = &self.0[stage];
+        node.pieces > 0 && !node.started && node.after.iter().all(|&before| self.done(before))
+    }
+
+    /// Returns whether stages follow this one and all of them are done. A
+    /// stage without pieces in between passes the outputs on.
+    fn is_consumed(&self, stage: usize) -> bool {
+        let mut followers = Vec::new();
+        self.followers(stage, &mut followers);
+        !self.0[stage].outputs.is_empty()
+            && !followers.is_empty()
+            && followers.iter().all(|&next| self.done(next))
+    }
+
+    fn followers(&self, stage: usize, followers: &mut Vec<usize>) {
+        for (next, node) in self.0.iter().enumerate() {
+            if next > stage && node.after.contains(&stage) {
+                if node.pieces > 0 {
+                    followers.push(next);
+                } else {
+                    self.followers(next, followers);
+                }
+            }
+        }
+    }
+
+    fn done(&self, stage: usize) -> bool {
+        let Some(node) = self.0.get(stage) else {
+            return true;
+        };
+
+        if node.pieces > 0 {
+            node.outputs.len() == node.pieces
+        } else {
+            node.after.iter().all(|&before| self.done(before))
+        }
+    }
+
+    fn inputs(&self, stage: usize, inputs: &mut Vec<Output>) {
+        for &before in &self.0[stage].after {
+            match self.0.get(before) {
+                Some(node) if node.pieces > 0 => inputs.extend(node.outputs.iter().cloned()),
+                Some(_) => self.inputs(before, inputs),
+                None => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/serving/mirror.rs
@@ -0,0 +1,143 @@
+//! A copy of one kind of the store's objects.
+//!
+//! Hosts that the store turns away follow a peer's copy. Only rising
+//! revisions are applied, so a copy never goes back.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes kept for peers that follow this copy.
+const HISTORY: usize = 1024;
+
+/// One object, or the news that it was removed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Object {
+    pub name: String,
+    pub removed: bool,
+    pub revision: u64,
+    pub value: Vec<u8>,
+}
+
+/// Objects that changed, as of `revision`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    pub objects: Vec<Object>,
+    pub revision: u64,
+    /// Whether `objects` is the whole kind.
+    pub whole: bool,
+}
+
+/// The copy of one kind.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    /// Revision from which on `history` is complete.
+    floor: u64,
+    history: VecDeque<Object>,
+    objects: BTreeMap<String, Object>,
+    revision: Option<u64>,
+}
+
+impl Mirror {
+    /// Returns the revision of the copy, or `None` before the first listing.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Returns the objects.
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values()
+    }
+
+    /// Applies changes and returns whether any object is different now.
+    /// Changes older than the copy are passed over.
+    pub fn apply(&mut self, changes: &Changes) -> bool {
+        if self.revision.is_some_and(|own| changes.revision < own) {
+            return false;
+        }
+
+        if self.revision.is_none() && !changes.whole {
+            return false;
+        }
+
+        let mut changed = self.revision.is_none();
+        self.revision = Some(changes.revision);
+
+        if changes.whole {
+            changed |= self.remove_missing(changes);
+        }
+
+        for object in &changes.objects {
+            changed |= self.put(object);
+        }
+
+        changed
+    }
+
+    /// Returns what changed after a revision, or the whole kind if the
+    /// history does not reach back that far.
+    pub fn since(&self, revision: u64) -> Changes {
+        let own = self.revision.unwrap_or(0);
+
+        if revision >= self.floor && revision > 0 {
+            let objects = self.history.iter();
+            return Changes {
+                objects: objects
+                    .filter(|object| object.revision > revision)
+                    .cloned()
+                    .collect(),
+                revision: own,
+                whole: false,
+            };
+        }
+
+        Changes {
+            objects: self.objects.values().cloned().collect(),
+            revision: own,
+            whole: self.revision.is_some(),
+        }
+    }
+
+    fn remove_missing(&mut self, changes: &Changes) -> bool {
+        let missing = self
+            .objects
+            .keys()
+            .filter(|name| !changes.objects.iter().any(|object| object.name == **name))
+            .cloned()
+            .collect::<Vec<String>>();
+
+        for name in &missing {
+            self.objects.remove(name);
+        }
+
+        // The revision of a removal that was not seen is unknown, so the
+        // history starts anew.
+        self.history.clear();
+        self.floor = changes.revision;
+        !missing.is_empty()
+    }
+
+    fn put(&mut self, object: &Object) -> bool {
+        let known = self.objects.get(&object.name);
+
+        if known.is_some_and(|known| known.revision >= object.revision) {
+            return false;
+        }
+
+        if object.removed {
+            if self.objects.remove(&object.name).is_none() {
+                return false;
+            }
+        } else {
+            self.objects.insert(object.name.clone(), object.clone());
+        }
+
+        self.history.push_back(object.clone());
+
+        if self.history.len() > HISTORY
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.floor = oldest.revision;
+        }
+
+        true
+    }
+}
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod fleet_key;
 pub mod head;
+pub mod http;
 pub mod http_connection;
 pub mod incoming;
 pub mod json_log;
@@ -18,6 +19,7 @@
 pub mod peer_server;
 pub mod resolver;
 pub mod server;
+pub mod tally;
 pub mod wire;
 
 pub use error::Error;
--- /dev/null
+++ b/src/transport/http/body.rs
@@ -0,0 +1,64 @@
+//! The body of an answer to a caller.
+
+use {
+    hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint},
+    std::{
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::sync::mpsc::Receiver,
+};
+
+/// A whole body, or a stream that ends when its sender is dropped. An error
+/// breaks the connection, so that a cut answer does not look complete.
+#[derive(Debug)]
+pub enum Body {
+    Stream(Receiver<io::Result<Bytes>>),
+    Whole(Option<Bytes>),
+}
+
+impl Body {
+    /// Returns a body with these bytes.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.get_mut() {
+            Self::Stream(receiver) => receiver
+                .poll_recv(context)
+                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Whole(bytes) => Poll::Ready(
+                bytes
+                    .take()
+                    .filter(|bytes| !bytes.is_empty())
+                    .map(|bytes| Ok(Frame::data(bytes))),
+            ),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Stream(_) => false,
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Stream(_) => SizeHint::default(),
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/http/client.rs
@@ -0,0 +1,302 @@
+//! Connections to endpoints.
+//!
+//! An endpoint serves one request at a time on a connection. A connection is
+//! used again only after a complete answer and a moment of silence, since
+//! bytes after an answer belong to no request. Dropping an exchange closes
+//! its connection, which tells the endpoint to stop the work.
+
+use {
+    crate::{
+        state::{clock::Time, id, serving::roster::Entry},
+        transport::boot_clock,
+    },
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request, Response,
+        body::{Bytes, Incoming},
+        client::conn::http1::{self, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        cell::RefCell,
+        collections::{HashMap, VecDeque},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        task::{JoinHandle, spawn_local},
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest time for a new connection. The slowest path between two failure
+/// domains of a region takes a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without acknowledgement after which a connection is given up.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time in silence until the first keep-alive probe, and between two.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Keep-alive probes without an answer that end a connection.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Idle time of a connection whose endpoint names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+
+/// Time before the endpoint's idle limit from which on a connection is not
+/// used, so that a request does not cross the endpoint's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(750);
+
+/// Silence after an answer before the connection is used again. A late second
+/// answer arrives within it and ends the connection.
+const QUIET: Duration = Duration::from_millis(10);
+
+/// Idle connections kept to one endpoint.
+const IDLE_CONNECTIONS: usize = 16;
+
+/// Time after which a body that did not end is given up.
+const TAIL_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// The request was sent, or a part of it, and may have run.
+    Broken(String),
+    /// Nothing was sent.
+    Unreachable(String),
+}
+
+struct Idle {
+    address: SocketAddr,
+    connection: Connection,
+    keep: Duration,
+    since: Time,
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Keeps the connection open while it is held.
+    _task: Task,
+}
+
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The connections of one host to all endpoints.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<id::Endpoint, VecDeque<Idle>>>>,
+}
+
+/// An answer whose body is still to be read.
+pub struct Exchange {
+    client: Client,
+    connection: Option<Connection>,
+    entry: Entry,
+    pub response: Response<Incoming>,
+}
+
+impl Client {
+    /// Sends a request to an endpoint and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no answer; it says whether the request
+    /// may have run.
+    pub async fn send(
+        &self,
+        entry: &Entry,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Failure> {
+        loop {
+            let (mut connection, used) = match self.take(entry) {
+                Some(connection) => (connection, true),
+                None => (connect(entry.address).await?, false),
+            };
+
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    return Ok(Exchange {
+                        client: self.clone(),
+                        connection: Some(connection),
+                        entry: entry.clone(),
+                        response,
+                    });
+                }
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if used => request = unsent,
+                    Some(_) => return Err(Failure::Unreachable(error.into_error().to_string())),
+                    None => return Err(Failure::Broken(describe(&error.into_error()))),
+                },
+            }
+        }
+    }
+
+    /// Closes the idle connections to endpoints that are not listed any more,
+    /// and those that were idle for too long.
+    pub fn sweep(&self, listed: impl Fn(&id::Endpoint) -> bool) {
+        let now = boot_clock::now();
+
+        self.idle.borrow_mut().retain(|endpoint, idle| {
+            idle.retain(|idle| idle.is_usable(now));
+            listed(endpoint) && !idle.is_empty()
+        });
+    }
+
+    fn take(&self, entry: &Entry) -> Option<Connection> {
+        let now = boot_clock::now();
+        let mut pools = self.idle.borrow_mut();
+        let pool = pools.get_mut(&entry.endpoint)?;
+        pool.retain(|idle| idle.address == entry.address && idle.is_usable(now));
+        let oldest = pool.front()?;
+
+        if now.since(oldest.since) < QUIET {
+            return None;
+        }
+
+        pool.pop_front().map(|idle| idle.connection)
+    }
+
+    fn put(&self, entry: &Entry, connection: Connection, keep: Duration) {
+        let mut pools = self.idle.borrow_mut();
+        let pool = pools.entry(entry.endpoint.clone()).or_default();
+
+        if pool.len() < IDLE_CONNECTIONS {
+            pool.push_back(Idle {
+                address: entry.address,
+                connection,
+                keep,
+                since: boot_clock::now(),
+            });
+        }
+    }
+}
+
+impl Idle {
+    fn is_usable(&self, now: Time) -> bool {
+        let bound = self.keep.saturating_sub(IDLE_MARGIN);
+        !self.connection.sender.is_closed() && now.since(self.since) < bound
+    }
+}
+
+impl Exchange {
+    /// Reads the whole body, at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body broke off or is too long.
+    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Failure> {
+        let body = http_body_util::Limited::new(self.response.body_mut(), limit);
+
+        match body.collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) => Err(Failure::Broken(error.to_string())),
+        }
+    }
+
+    /// Returns the next bytes of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body broke off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        loop {
+            match self.response.body_mut().frame().await {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(Failure::Broken(describe(&error))),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps the connection for another request, once its body was read to
+    /// the end.
+    pub fn finish(mut self, keep_alive: Option<Duration>, closing: bool) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+
+        if closing {
+            return;
+        }
+
+        let keep = keep_alive.unwrap_or(DEFAULT_IDLE);
+        let client = self.client.clone();
+        let entry = self.entry.clone();
+        drop(self);
+
+        spawn_local(async move {
+            let ready = timeout(TAIL_TIMEOUT, connection.sender.ready()).await;
+
+            if matches!(ready, Ok(Ok(()))) {
+                client.put(&entry, connection, keep);
+            } else {
+                // An endpoint may still read a long body after its answer.
+                sleep(TAIL_TIMEOUT).await;
+            }
+        });
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
+    let unreachable = |message: String| Failure::Unreachable(message);
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| {
+            unreachable(format!(
+                "no connection in {} ms",
+                CONNECT_TIMEOUT.as_millis()
+            ))
+        })?
+        .map_err(|error| unreachable(error.to_string()))?;
+    set_up(&stream).map_err(|error| unreachable(error.to_string()))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| unreachable(error.to_string()))?;
+    let task = Task(spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(endpoint = address.to_string().as_str(); "connection ended: {error}");
+        }
+    }));
+
+    Ok(Connection {
+        sender,
+        _task: task,
+    })
+}
+
+fn set_up(stream: &TcpStream) -> std::io::Result<()> {
+    use rustix::net::sockopt;
+
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE)?;
+    sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
+    let millis = u32::try_from(USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    sockopt::set_tcp_user_timeout(stream, millis)?;
+    Ok(())
+}
+
+/// Returns an error with its cause, which hyper leaves out.
+fn describe(error: &hyper::Error) -> String {
+    use std::error::Error;
+
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- a/src/transport/incoming.rs
+++ b/src/transport/incoming.rs
@@ -3,6 +3,11 @@
 use {
     crate::state::{
         gossip::Message,
+        id,
+        serving::{
+            mirror::Changes,
+            piece::{Job, JobId, Outcome, Output},
+        },
         witness::{Subject, Verdict},
     },
     std::{net::SocketAddr, sync::mpsc},
@@ -12,11 +17,19 @@
 /// A call from another host. Dropping the channel refuses the call.
 #[derive(Debug)]
 pub enum Incoming {
+    /// Gives a job up.
+    CancelJob(JobId),
     /// Asks for the settings changes after a version, as JSON text.
     ChangesAfter {
         reply: mpsc::Sender<String>,
         version: u64,
     },
+    /// Asks for the objects of a kind that changed after a revision.
+    ObjectChanges {
+        kind: String,
+        reply: oneshot::Sender<Changes>,
+        revision: u64,
+    },
     /// Asks whether the request may be sent.
     Permit {
         nonce: u64,
@@ -33,6 +46,16 @@
         reply: oneshot::Sender<bool>,
         target: SocketAddr,
     },
+    /// Frees outputs that are not needed any more.
+    ReleaseOutputs {
+        outputs: Vec<Output>,
+        service: id::Pool,
+    },
+    /// Asks the dispatcher of a pool to run pieces.
+    RunJob {
+        job: Job,
+        reply: oneshot::Sender<Outcome>,
+    },
     /// Asks to rule out that the request runs.
     Void {
         reply: oneshot::Sender<Verdict>,
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -5,6 +5,11 @@
         protocol::ticket::Ticket,
         state::{
             gossip::Message,
+            id,
+            serving::{
+                mirror::Changes,
+                piece::{Job, JobId, Outcome, Output},
+            },
             witness::{Subject, Verdict},
         },
         transport::{
@@ -27,7 +32,7 @@
     },
     tokio::{
         runtime::Builder,
-        sync::mpsc,
+        sync::{mpsc, oneshot},
         task::{LocalSet, spawn_local},
         time::Instant,
     },
@@ -93,6 +98,118 @@
         Ok(Self(sender))
     }
 
+    /// Builds the links and the task that keeps their connections, for a
+    /// local set that runs already. The task ends when the last handle is
+    /// dropped.
+    pub fn attach<F: Fn(Incoming) + 'static>(
+        listener: TcpListener,
+        fleet_key: &[u8],
+        deliver: F,
+    ) -> (Self, impl Future<Output = ()> + use<F>) {
+        let key = FleetKey::new(fleet_key);
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        (Self(sender), serve(listener, key, receiver, deliver))
+    }
+
+    /// Asks the dispatcher at `address` to run a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived in time, or the connection broke.
+    pub async fn run_job(
+        &self,
+        address: SocketAddr,
+        job: &Job,
+        timeout: Duration,
+    ) -> Result<Outcome, Error> {
+        let job = job.clone();
+
+        self.ask(address, timeout, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.run_job_request();
+                wire::write_job(request.get().init_job(), &job);
+                let response = request.send().promise.await?;
+                wire::read_outcome(response.get()?.get_outcome()?)
+            })
+        })
+        .await
+    }
+
+    /// Tells the dispatcher at `address` that a job is not needed any more.
+    pub fn cancel_job(&self, address: SocketAddr, id: &JobId, timeout: Duration) {
+        let id = id.clone();
+        let done = move |result| log_failure("cancel_job", address, result);
+
+        self.submit(address, timeout, done, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.cancel_job_request();
+                request.get().set_home(id.home.as_str());
+                request.get().set_id(id.number);
+                request.send().promise.await?;
+                Ok(())
+            })
+        });
+    }
+
+    /// Tells the dispatcher at `address` that outputs are not needed any more.
+    pub fn release_outputs(
+        &self,
+        address: SocketAddr,
+        service: &id::Pool,
+        outputs: Vec<Output>,
+        timeout: Duration,
+    ) {
+        let service = service.clone();
+        let done = move |result| log_failure("release_outputs", address, result);
+
+        self.submit(address, timeout, done, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.release_outputs_request();
+                request.get().set_service(service.as_str());
+                let length = u32::try_from(outputs.len()).unwrap_or(u32::MAX);
+                wire::write_outputs(request.get().init_outputs(length), &outputs);
+                request.send().promise.await?;
+                Ok(())
+            })
+        });
+    }
+
+    /// Checks that the host at `address` answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived in time, or the connection broke.
+    pub async fn ping(&self, address: SocketAddr, timeout: Duration) -> Result<(), Error> {
+        self.ask(address, timeout, |peer| {
+            Box::pin(async move {
+                peer.ping_request().send().promise.await?;
+                Ok(())
+            })
+        })
+        .await
+    }
+
+    /// Fetches the objects of a kind that changed after a revision, and
+    /// passes them to `done` without blocking the caller.
+    pub fn object_changes(
+        &self,
+        address: SocketAddr,
+        kind: &'static str,
+        revision: u64,
+        timeout: Duration,
+        done: impl FnOnce(Result<Changes, Error>) + Send + 'static,
+    ) {
+        self.submit(address, timeout, done, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.object_changes_request();
+                request.get().set_kind(kind);
+                request.get().set_revision(revision);
+                let response = request.send().promise.await?;
+                wire::read_changes(response.get()?.get_changes()?)
+            })
+        });
+    }
+
     /// Asks the witness at `address` whether the ticket's request may be sent.
     ///
     /// # Errors
@@ -202,6 +319,22 @@
         });
     }
 
+    async fn ask<T: Send + 'static>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        send: impl FnOnce(
+            crate::transport::peer_capnp::peer::Client,
+        ) -> LocalBoxFuture<'static, capnp::Result<T>>
+        + Send
+        + 'static,
+    ) -> Result<T, Error> {
+        let (sender, receiver) = oneshot::channel();
+        let done = move |result| drop(sender.send(result));
+        self.submit(address, timeout, done, send);
+        receiver.await.unwrap_or_else(|_| stopped(address))
+    }
+
     fn wait<T: Send + 'static>(
         &self,
         address: SocketAddr,
@@ -257,7 +390,7 @@
 fn run(
     listener: TcpListener,
     key: &FleetKey,
-    mut commands: mpsc::Receiver<Command>,
+    commands: mpsc::Receiver<Command>,
     deliver: impl Fn(Incoming) + 'static,
 ) {
     let runtime = Builder::new_current_thread()
@@ -269,23 +402,37 @@
         Err(error) => return log::error!("the links' thread cannot start: {error}"),
     };
 
-    LocalSet::new().block_on(&runtime, async {
-        spawn_local(link_server::run(listener, key.clone(), Rc::new(deliver)));
-        let mut links = HashMap::new();
+    let links = serve(listener, key.clone(), commands, deliver);
+    LocalSet::new().block_on(&runtime, links);
+    runtime.shutdown_background();
+}
 
-        while let Some(Command { address, run }) = commands.recv().await {
-            if links.len() >= LINKS && !links.contains_key(&address) {
-                links.retain(|_, link: &mut Rc<Link>| !link.is_unused());
-            }
+/// Keeps the connections to other hosts until every handle is dropped.
+async fn serve(
+    listener: TcpListener,
+    key: FleetKey,
+    mut commands: mpsc::Receiver<Command>,
+    deliver: impl Fn(Incoming) + 'static,
+) {
+    spawn_local(link_server::run(listener, key.clone(), Rc::new(deliver)));
+    let mut links = HashMap::new();
 
-            let link = links
-                .entry(address)
-                .or_insert_with(|| Rc::new(Link::new(address, key.clone())));
-            spawn_local(run(Rc::clone(link)));
+    while let Some(Command { address, run }) = commands.recv().await {
+        if links.len() >= LINKS && !links.contains_key(&address) {
+            links.retain(|_, link: &mut Rc<Link>| !link.is_unused());
         }
-    });
 
-    runtime.shutdown_background();
+        let link = links
+            .entry(address)
+            .or_insert_with(|| Rc::new(Link::new(address, key.clone())));
+        spawn_local(run(Rc::clone(link)));
+    }
+}
+
+fn log_failure(call: &str, address: SocketAddr, result: Result<(), Error>) {
+    if let Err(error) = result {
+        log::debug!(call = call, peer = address.to_string().as_str(); "call failed: {error}");
+    }
 }
 
 fn subject(address: SocketAddr, ticket: &Ticket) -> Result<Subject, Error> {
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -1,11 +1,14 @@
 //! Passes the calls of one authenticated host on and sends the answers back.
 
 use {
-    crate::transport::{
-        incoming::Incoming,
-        link_server::{Activity, Deliver},
-        peer_capnp::peer,
-        wire,
+    crate::{
+        state::serving::piece::JobId,
+        transport::{
+            incoming::Incoming,
+            link_server::{Activity, Deliver},
+            peer_capnp::peer,
+            wire,
+        },
     },
     std::{rc::Rc, sync::mpsc, time::Duration},
     tokio::{sync::oneshot, task::spawn_blocking, time::Instant},
@@ -93,6 +96,69 @@
         Ok(())
     }
 
+    async fn run_job(
+        self: Rc<Self>,
+        params: peer::RunJobParams,
+        mut results: peer::RunJobResults,
+    ) -> capnp::Result<()> {
+        let job = wire::read_job(params.get()?.get_job()?)?;
+        let outcome = self.ask(|reply| Incoming::RunJob { job, reply }).await?;
+        wire::write_outcome(results.get().init_outcome(), &outcome);
+        Ok(())
+    }
+
+    async fn cancel_job(
+        self: Rc<Self>,
+        params: peer::CancelJobParams,
+        _results: peer::CancelJobResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let home = params.get_home()?.to_str()?.into();
+        let number = params.get_id();
+        self.pass_on(Incoming::CancelJob(JobId { home, number }));
+        Ok(())
+    }
+
+    async fn release_outputs(
+        self: Rc<Self>,
+        params: peer::ReleaseOutputsParams,
+        _results: peer::ReleaseOutputsResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let outputs = wire::read_outputs(params.get_outputs()?)?;
+        let service = params.get_service()?.to_str()?.into();
+        self.pass_on(Incoming::ReleaseOutputs { outputs, service });
+        Ok(())
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: peer::PingParams,
+        _results: peer::PingResults,
+    ) -> capnp::Result<()> {
+        self.activity.set(Some(Instant::now()));
+        Ok(())
+    }
+
+    async fn object_changes(
+        self: Rc<Self>,
+        params: peer::ObjectChangesParams,
+        mut results: peer::ObjectChangesResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let kind = params.get_kind()?.to_string()?;
+        let revision = params.get_revision();
+        let changes = self
+            .ask(|reply| Incoming::ObjectChanges {
+                kind,
+                reply,
+                revision,
+            })
+            .await?;
+        wire::write_changes(results.get().init_changes(), &changes);
+        Ok(())
+    }
+
     async fn changes_after(
         self: Rc<Self>,
         params: peer::ChangesAfterParams,
--- /dev/null
+++ b/src/transport/tally.rs
@@ -0,0 +1,157 @@
+//! Counters and latency histograms, served as text.
+//!
+//! cadence formats and validates the metrics; its sink adds them up here.
+
+use {
+    cadence::{Counted, MetricSink, StatsdClient, Timed},
+    hdrhistogram::Histogram,
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Write},
+        io,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Prefix of every metric.
+const PREFIX: &str = "persimmoncleat";
+
+/// Metrics with different tags that are kept. Teams and routes come from the
+/// configuration, so their number has no bound of its own.
+const SERIES: usize = 4096;
+
+/// Significant digits of a histogram.
+const DIGITS: u8 = 2;
+
+/// Quantiles on the page.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+#[derive(Debug, Default)]
+struct Sums {
+    counters: BTreeMap<String, u64>,
+    dropped: u64,
+    histograms: BTreeMap<String, Histogram<u64>>,
+}
+
+/// The metrics of one host.
+#[derive(Clone)]
+pub struct Tally {
+    client: Arc<StatsdClient>,
+    sums: Arc<Mutex<Sums>>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let sums = Arc::new(Mutex::new(Sums::default()));
+        let sink = Sink(Arc::clone(&sums));
+        let client = StatsdClient::from_sink(PREFIX, sink);
+
+        Self {
+            client: Arc::new(client),
+            sums,
+        }
+    }
+}
+
+impl fmt::Debug for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("Tally")
+    }
+}
+
+impl Tally {
+    /// Adds one to a counter.
+    pub fn count(&self, name: &str, tags: &[(&str, &str)]) {
+        let mut builder = self.client.count_with_tags(name, 1);
+
+        for (key, value) in tags {
+            builder = builder.with_tag(key, value);
+        }
+
+        builder.send();
+    }
+
+    /// Adds a time to a histogram, in milliseconds.
+    pub fn time(&self, name: &str, elapsed: Duration, tags: &[(&str, &str)]) {
+        let mut builder = self.client.time_with_tags(name, elapsed);
+
+        for (key, value) in tags {
+            builder = builder.with_tag(key, value);
+        }
+
+        builder.send();
+    }
+
+    /// Returns every metric as a line of text.
+    pub fn page(&self) -> String {
+        let sums = self.sums.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut page = String::new();
+
+        for (name, value) in &sums.counters {
+            // Writing to a string does not fail.
+            let _ = writeln!(page, "{name} {value}");
+        }
+
+        for (name, histogram) in &sums.histograms {
+            let _ = writeln!(page, "{name} count={}", histogram.len());
+
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(page, "{name} p{}={value}", quantile * 100.0);
+            }
+        }
+
+        let _ = writeln!(page, "{PREFIX}.series_dropped {}", sums.dropped);
+        page
+    }
+}
+
+/// Adds up lines of the form `NAME:VALUE|TYPE|#KEY:VALUE,...`.
+struct Sink(Arc<Mutex<Sums>>);
+
+impl MetricSink for Sink {
+    fn emit(&self, line: &str) -> io::Result<usize> {
+        let mut sums = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+
+        if sums.add(line).is_none() {
+            sums.dropped += 1;
+        }
+
+        Ok(line.len())
+    }
+}
+
+impl Sums {
+    fn add(&mut self, line: &str) -> Option<()> {
+        let mut fields = line.split('|');
+        let (name, value) = fields.next()?.rsplit_once(':')?;
+        let kind = fields.next()?;
+        let tags = fields.next().and_then(|tags| tags.strip_prefix('#'));
+        let name = match tags {
+            Some(tags) => format!("{name}{{{tags}}}"),
+            None => name.to_owned(),
+        };
+        let value = value.parse::<u64>().ok()?;
+
+        if self.counters.len() + self.histograms.len() >= SERIES
+            && !self.counters.contains_key(&name)
+            && !self.histograms.contains_key(&name)
+        {
+            return None;
+        }
+
+        if kind == "c" {
+            *self.counters.entry(name).or_default() += value;
+            return Some(());
+        }
+
+        let histogram = match self.histograms.entry(name) {
+            std::collections::btree_map::Entry::Occupied(entry) => entry.into_mut(),
+            std::collections::btree_map::Entry::Vacant(entry) => {
+                entry.insert(Histogram::new(DIGITS).ok()?)
+            }
+        };
+        histogram.record(value).ok()
+    }
+}
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -7,11 +7,15 @@
             gossip::Message,
             id,
             member::{Member, Phase},
+            serving::{
+                mirror::{Changes, Object},
+                piece::{Failure, Input, Job, JobId, Outcome, Output},
+            },
             witness::{Subject, Verdict},
         },
-        transport::peer_capnp::{self, member, message, subject},
+        transport::peer_capnp::{self, changes, job, member, message, outcome, output, subject},
     },
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// Writes both records of a message.
@@ -86,6 +90,171 @@
     }
 }
 
+/// Writes a job.
+pub fn write_job(mut builder: job::Builder, job: &Job) {
+    builder.set_domain(job.domain.as_ref().map_or("", id::Domain::as_str));
+    builder.set_first(job.first);
+    builder.set_home(job.id.home.as_str());
+    builder.set_id(job.id.number);
+    builder.set_priority(job.priority);
+    builder.set_remaining_ms(millis(job.remaining));
+    builder.set_request(&job.request);
+    builder.set_service(job.service.as_str());
+    builder.set_stage(job.stage);
+    builder.set_urgency_ms(millis(job.urgency));
+    let mut pieces = builder.reborrow().init_pieces(length(job.pieces.len()));
+
+    for (index, piece) in (0..).zip(&job.pieces) {
+        pieces.set(index, *piece);
+    }
+
+    match &job.input {
+        Input::Key(key) => builder.set_key(key),
+        Input::Outputs(outputs) => {
+            let mut inputs = builder.init_inputs(length(outputs.len()));
+
+            for (index, output) in (0..).zip(outputs) {
+                inputs.set(index, output);
+            }
+        }
+    }
+}
+
+/// Reads a job.
+///
+/// # Errors
+///
+/// Returns an error for a malformed field.
+pub fn read_job(reader: job::Reader) -> capnp::Result<Job> {
+    let domain = reader.get_domain()?.to_str()?;
+    let inputs = reader.get_inputs()?;
+    let input = if inputs.is_empty() {
+        Input::Key(reader.get_key()?.to_string()?)
+    } else {
+        let inputs = inputs.iter().map(|input| Ok(input?.to_string()?));
+        Input::Outputs(inputs.collect::<capnp::Result<Vec<String>>>()?)
+    };
+
+    Ok(Job {
+        domain: (!domain.is_empty()).then(|| domain.into()),
+        first: reader.get_first(),
+        id: JobId {
+            home: reader.get_home()?.to_str()?.into(),
+            number: reader.get_id(),
+        },
+        input,
+        pieces: reader.get_pieces()?.iter().collect(),
+        priority: reader.get_priority(),
+        remaining: Duration::from_millis(reader.get_remaining_ms().into()),
+        request: reader.get_request()?.to_string()?,
+        service: reader.get_service()?.to_str()?.into(),
+        stage: reader.get_stage(),
+        urgency: Duration::from_millis(reader.get_urgency_ms().into()),
+    })
+}
+
+/// Writes what came of a job.
+pub fn write_outcome(mut builder: outcome::Builder, outcome: &Outcome) {
+    builder.set_backlog_ms(millis(outcome.backlog));
+    builder.set_failure(outcome.failure.map_or("", Failure::name));
+    builder.set_retry_after_ms(millis(outcome.retry_after));
+    write_outputs(
+        builder.init_outputs(length(outcome.outputs.len())),
+        &outcome.outputs,
+    );
+}
+
+/// Reads what came of a job.
+///
+/// # Errors
+///
+/// Returns an error for a malformed field.
+pub fn read_outcome(reader: outcome::Reader) -> capnp::Result<Outcome> {
+    let name = reader.get_failure()?.to_str()?;
+    let failure = Failure::ALL
+        .into_iter()
+        .find(|failure| failure.name() == name);
+
+    if failure.is_none() && !name.is_empty() {
+        return Err(capnp::Error::failed(format!("{name:?} is not a failure")));
+    }
+
+    Ok(Outcome {
+        backlog: Duration::from_millis(reader.get_backlog_ms().into()),
+        failure,
+        outputs: read_outputs(reader.get_outputs()?)?,
+        retry_after: Duration::from_millis(reader.get_retry_after_ms().into()),
+    })
+}
+
+/// Writes outputs of pieces.
+pub fn write_outputs(mut builder: capnp::struct_list::Builder<output::Owned>, outputs: &[Output]) {
+    for (index, output) in (0..).zip(outputs) {
+        let mut row = builder.reborrow().get(index);
+        row.set_endpoint(output.endpoint.as_str());
+        row.set_handle(&output.handle);
+        row.set_piece(output.piece);
+    }
+}
+
+/// Reads outputs of pieces.
+///
+/// # Errors
+///
+/// Returns an error for a malformed field.
+pub fn read_outputs(
+    reader: capnp::struct_list::Reader<output::Owned>,
+) -> capnp::Result<Vec<Output>> {
+    reader
+        .iter()
+        .map(|row| {
+            Ok(Output {
+                endpoint: row.get_endpoint()?.to_str()?.into(),
+                handle: row.get_handle()?.to_string()?,
+                piece: row.get_piece(),
+            })
+        })
+        .collect()
+}
+
+/// Writes changed objects.
+pub fn write_changes(mut builder: changes::Builder, changes: &Changes) {
+    builder.set_revision(changes.revision);
+    builder.set_whole(changes.whole);
+    let mut objects = builder.init_objects(length(changes.objects.len()));
+
+    for (index, object) in (0..).zip(&changes.objects) {
+        let mut row = objects.reborrow().get(index);
+        row.set_name(&object.name);
+        row.set_removed(object.removed);
+        row.set_revision(object.revision);
+        row.set_value(&object.value);
+    }
+}
+
+/// Reads changed objects.
+///
+/// # Errors
+///
+/// Returns an error for a malformed field.
+pub fn read_changes(reader: changes::Reader) -> capnp::Result<Changes> {
+    let objects = reader.get_objects()?;
+    let objects = objects.iter().map(|row| {
+        Ok(Object {
+            name: row.get_name()?.to_string()?,
+            removed: row.get_removed(),
+            revision: row.get_revision(),
+            value: row.get_value()?.to_vec(),
+        })
+    });
+
+    Ok(Changes {
+        objects: objects.collect::<capnp::Result<Vec<Object>>>()?,
+        revision: reader.get_revision(),
+        whole: reader.get_whole(),
+    })
+}
+
 /// Reads a socket address in its text form.
 ///
 /// # Errors
@@ -155,6 +324,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn length(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
