Account for the room of outputs at stage endpoints

Ruled out: endpoints that were slower than listed (their calls took the expected time).

Change: the dispatcher counts stored and expected outputs of each endpoint; listeners without a closing signal stay open.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -78,6 +78,8 @@
   # No stage of the request has run, so that it may still be refused.
   domain @12 :Text;
   # Where the outputs will be used; empty if it is not known.
+  outputBytes @13 :UInt64;
+  # Expected size of one output.
 }
 
 struct Output {
--- a/src/coordination/serving/dispatch.rs
+++ b/src/coordination/serving/dispatch.rs
@@ -77,7 +77,7 @@
             host.links
                 .release_outputs(*address, service, outputs, NOTICE_TIMEOUT);
         }
-        _ => pools::release(host, outputs),
+        _ => pools::release(host, service, outputs),
     }
 }
 
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -118,21 +118,35 @@
 /// Gives a job up.
 pub fn cancel(host: &Rc<Host>, id: &JobId) {
     host.pools.replies.borrow_mut().remove(id);
-    let mut actions = Vec::new();
+    let mut cancelled = Vec::new();
 
-    for dispatcher in host.pools.dispatchers.borrow_mut().values_mut() {
-        dispatcher.cancel(id, &mut actions);
+    for (service, dispatcher) in host.pools.dispatchers.borrow_mut().iter_mut() {
+        let mut actions = Vec::new();
+        dispatcher.cancel(boot_clock::now(), id, &mut actions);
+        cancelled.push((service.clone(), actions));
     }
 
-    for action in actions {
-        if let Action::Release { outputs } = action {
-            release(host, outputs);
-        }
+    for (service, actions) in cancelled {
+        act(host, &service, actions);
+    }
+}
+
+/// Frees outputs that a job had handed out.
+pub fn release(host: &Rc<Host>, service: &id::Pool, outputs: Vec<Output>) {
+    let mut actions = Vec::new();
+    let known = with(host, service, |dispatcher| {
+        dispatcher.release(boot_clock::now(), &outputs, &mut actions);
+    });
+
+    if known {
+        act(host, service, actions);
     }
+
+    free_later(host, outputs);
 }
 
 /// Frees outputs at their endpoints, those of a short time in one call.
-pub fn release(host: &Rc<Host>, outputs: Vec<Output>) {
+fn free_later(host: &Rc<Host>, outputs: Vec<Output>) {
     {
         let mut releases = host.pools.releases.borrow_mut();
 
@@ -228,10 +242,10 @@
                 if let Some(reply) = reply
                     && let Err(outcome) = reply.send(outcome)
                 {
-                    release(host, outcome.outputs);
+                    release(host, service, outcome.outputs);
                 }
             }
-            Action::Release { outputs } => release(host, outputs),
+            Action::Release { outputs } => free_later(host, outputs),
             Action::Send {
                 call,
                 entry,
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -237,6 +237,7 @@
             number: host.next_job(),
         },
         input,
+        output_bytes: request.route.stages[start.stage].output_bytes,
         pieces: (0..).take(start.pieces).collect(),
         priority: request.priority,
         remaining: request.remaining(),
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -236,7 +236,9 @@
     while let Some(call) = calls.recv().await {
         match call {
             Incoming::CancelJob(id) => pools::cancel(&host, &id),
-            Incoming::ReleaseOutputs { outputs, .. } => pools::release(&host, outputs),
+            Incoming::ReleaseOutputs { outputs, service } => {
+                pools::release(&host, &service, outputs);
+            }
             Incoming::RunJob { job, reply } => pools::submit(&host, job, reply),
             // Dropping the channel refuses the call.
             _ => {}
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -107,6 +107,8 @@
 
 #[derive(Clone, Debug)]
 struct Call {
+    /// Expected size of each item's output.
+    bytes: Vec<u64>,
     endpoint: id::Endpoint,
     expected: Duration,
     items: Vec<(JobId, usize)>,
@@ -119,6 +121,28 @@
     calls: usize,
     entry: Arc<Entry>,
     health: Health,
+    /// Space of the outputs that calls in progress will make.
+    reserved: u64,
+    /// Outputs that were made and not freed: size, and when they expire.
+    stored: HashMap<String, (u64, Time)>,
+}
+
+impl Node {
+    fn new(entry: &Arc<Entry>) -> Self {
+        Self {
+            calls: 0,
+            entry: Arc::clone(entry),
+            health: Health::default(),
+            reserved: 0,
+            stored: HashMap::new(),
+        }
+    }
+
+    /// Returns the space for outputs that is left.
+    fn room(&self, pool: &Pool) -> u64 {
+        let stored = self.stored.values().map(|(bytes, _)| bytes).sum::<u64>();
+        pool.room_bytes.saturating_sub(stored + self.reserved)
+    }
 }
 
 /// The dispatcher of one pool.
@@ -165,11 +189,7 @@
             let known = self.nodes.remove(&entry.endpoint);
             let same = known.filter(|node| node.entry.incarnation == entry.incarnation);
             let node = same.map_or_else(
-                || Node {
-                    calls: 0,
-                    entry: Arc::clone(entry),
-                    health: Health::default(),
-                },
+                || Node::new(entry),
                 |node| Node {
                     entry: Arc::clone(entry),
                     ..node
@@ -248,15 +268,35 @@
 
     /// Gives a job up. Outputs that exist are released; calls in progress go
     /// on, since an endpoint does not stop them.
-    pub fn cancel(&mut self, id: &JobId, actions: &mut Vec<Action>) {
+    pub fn cancel(&mut self, now: Time, id: &JobId, actions: &mut Vec<Action>) {
         if let Some(work) = self.works.remove(id) {
             let outputs = work.pieces.into_iter().filter_map(|piece| piece.output);
-            let outputs = outputs.collect::<Vec<Output>>();
+            self.discard(outputs.collect(), actions);
+            self.pump(now, actions);
+        }
+    }
 
-            if !outputs.is_empty() {
-                actions.push(Action::Release { outputs });
+    /// Notes that outputs are not needed any more; the driver frees them.
+    pub fn release(&mut self, now: Time, outputs: &[Output], actions: &mut Vec<Action>) {
+        for output in outputs {
+            if let Some(node) = self.nodes.get_mut(&output.endpoint) {
+                node.stored.remove(&output.handle);
             }
         }
+
+        self.pump(now, actions);
+    }
+
+    fn discard(&mut self, outputs: Vec<Output>, actions: &mut Vec<Action>) {
+        for output in &outputs {
+            if let Some(node) = self.nodes.get_mut(&output.endpoint) {
+                node.stored.remove(&output.handle);
+            }
+        }
+
+        if !outputs.is_empty() {
+            actions.push(Action::Release { outputs });
+        }
     }
 
     /// Takes the end of a call.
@@ -266,6 +306,7 @@
         };
 
         self.judge(now, &call, &ending);
+        self.store(now, &call, &ending);
         let mut touched = HashSet::new();
         let mut unused = Vec::new();
 
@@ -301,18 +342,16 @@
                 }
                 (_, Some(_)) => {}
                 (piece::Result::InputGone, None) => {
-                    self.end(id, Failure::InputGone, actions);
+                    self.end(now, id, Failure::InputGone, actions);
                 }
-                (piece::Result::Late, None) => self.end(id, Failure::Late, actions),
+                (piece::Result::Late, None) => self.end(now, id, Failure::Late, actions),
                 (piece::Result::Failed | piece::Result::Room, None) => {
                     slot.queued = slot.running == 0;
                 }
             }
         }
 
-        if !unused.is_empty() {
-            actions.push(Action::Release { outputs: unused });
-        }
+        self.discard(unused, actions);
 
         for id in touched {
             self.complete(now, &id, actions);
@@ -328,7 +367,11 @@
         let late = late.map(|work| work.job.id.clone());
 
         for id in late.collect::<Vec<JobId>>() {
-            self.end(&id, Failure::Late, actions);
+            self.end(now, &id, Failure::Late, actions);
+        }
+
+        for node in self.nodes.values_mut() {
+            node.stored.retain(|_, (_, expiry)| *expiry > now);
         }
 
         self.hedge(now);
@@ -361,6 +404,23 @@
         }
     }
 
+    /// Accounts for the outputs that a call has made.
+    fn store(&mut self, now: Time, call: &Call, ending: &Ending) {
+        let Some(node) = self.nodes.get_mut(&call.endpoint) else {
+            return;
+        };
+        node.reserved = node.reserved.saturating_sub(call.bytes.iter().sum());
+
+        if let Ending::Answered(results) = ending {
+            for (result, bytes) in results.iter().zip(&call.bytes) {
+                if let piece::Result::Done(handle) = result {
+                    let expiry = now + self.pool.retention;
+                    node.stored.insert(handle.clone(), (*bytes, expiry));
+                }
+            }
+        }
+    }
+
     fn judge(&mut self, now: Time, call: &Call, ending: &Ending) {
         let Some(node) = self.nodes.get_mut(&call.endpoint) else {
             return;
@@ -405,16 +465,16 @@
             .iter()
             .any(|piece| piece.output.is_none() && piece.running == 0 && piece.attempts >= ATTEMPTS)
         {
-            self.end(id, Failure::Failed, actions);
+            self.end(now, id, Failure::Failed, actions);
         }
     }
 
-    fn end(&mut self, id: &JobId, failure: Failure, actions: &mut Vec<Action>) {
+    fn end(&mut self, now: Time, id: &JobId, failure: Failure, actions: &mut Vec<Action>) {
         let Some(work) = self.works.get(id) else {
             return;
         };
         let home = work.job.id.clone();
-        self.cancel(id, actions);
+        self.cancel(now, id, actions);
         actions.push(Action::Finish {
             job: home,
             outcome: Outcome {
@@ -428,22 +488,28 @@
 
     /// Fills the endpoints that have a free place.
     fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let mut passed = Vec::new();
+
         while self.queued() > 0 {
-            let Some(endpoint) = self.free(now) else {
+            let Some(endpoint) = self.free(now, &passed) else {
                 return;
             };
 
             if !self.send(now, &endpoint, actions) {
-                return;
+                passed.push(endpoint);
             }
         }
     }
 
-    /// Returns the endpoint that takes the next call.
-    fn free(&self, now: Time) -> Option<id::Endpoint> {
+    /// Returns the endpoint that takes the next call, none of `passed`, which
+    /// have no room for any piece that waits.
+    fn free(&self, now: Time, passed: &[id::Endpoint]) -> Option<id::Endpoint> {
         let slots = self.pool.slots;
         let usable = self.nodes.values().filter(|node| {
-            !node.entry.leaving && node.calls < slots && !node.health.is_paused(now)
+            !node.entry.leaving
+                && node.calls < slots
+                && !node.health.is_paused(now)
+                && !passed.contains(&node.entry.endpoint)
         });
         let next = self.next_domain(now);
 
@@ -487,12 +553,15 @@
                 }
             })
             .collect::<Vec<Item>>();
+        let sizes = chosen.iter().map(|(id, _)| self.works[id].job.output_bytes);
+        let bytes = sizes.collect::<Vec<u64>>();
         let longest = items.iter().map(|item| item.remaining).max();
         let call = self.next_call;
         self.next_call += 1;
         self.calls.insert(
             call,
             Call {
+                bytes: bytes.clone(),
                 endpoint: endpoint.clone(),
                 expected: self.call_time(items.len()),
                 items: chosen,
@@ -503,6 +572,7 @@
 
         if let Some(node) = self.nodes.get_mut(endpoint) {
             node.calls += 1;
+            node.reserved += bytes.iter().sum::<u64>();
         }
 
         actions.push(Action::Send {
@@ -524,6 +594,8 @@
             .collect::<Vec<_>>();
         order.sort();
         let mut chosen = Vec::new();
+        let node = self.nodes.get(&entry.endpoint);
+        let mut room = node.map_or(0, |node| node.room(&self.pool));
 
         for (_, id) in order {
             let work = self.works.get_mut(&id).expect("the job was just listed");
@@ -533,7 +605,7 @@
                     return chosen;
                 }
 
-                if !piece.queued {
+                if !piece.queued || work.job.output_bytes > room {
                     continue;
                 }
 
@@ -546,6 +618,7 @@
                 piece.attempts += 1;
                 piece.queued = false;
                 piece.running += 1;
+                room -= work.job.output_bytes;
                 chosen.push((id.clone(), index));
             }
         }
--- a/src/state/serving/piece.rs
+++ b/src/state/serving/piece.rs
@@ -29,6 +29,8 @@
     pub first: bool,
     pub id: JobId,
     pub input: Input,
+    /// Expected size of one output.
+    pub output_bytes: u64,
     pub pieces: Vec<u16>,
     pub priority: u8,
     /// Time until the request's deadline.
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -145,7 +145,7 @@
 
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = closing.wait_for(|closing| *closing) => {
+        Ok(_) = closing.wait_for(|closing| *closing) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -96,6 +96,7 @@
     builder.set_first(job.first);
     builder.set_home(job.id.home.as_str());
     builder.set_id(job.id.number);
+    builder.set_output_bytes(job.output_bytes);
     builder.set_priority(job.priority);
     builder.set_remaining_ms(millis(job.remaining));
     builder.set_request(&job.request);
@@ -143,6 +144,7 @@
             number: reader.get_id(),
         },
         input,
+        output_bytes: reader.get_output_bytes(),
         pieces: reader.get_pieces()?.iter().collect(),
         priority: reader.get_priority(),
         remaining: Duration::from_millis(reader.get_remaining_ms().into()),
