Keep room at stage endpoints until they have freed it

Change: outputs count until the endpoint has answered; a piece without room keeps its attempt; jobs that have begun go first; outputs are freed within 15 ms instead of 80 ms.

--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -37,7 +37,7 @@
 const TICK: Duration = Duration::from_millis(25);
 
 /// Time in which outputs to be freed are gathered into one call.
-const RELEASE_DELAY: Duration = Duration::from_millis(80);
+const RELEASE_DELAY: Duration = Duration::from_millis(15);
 
 /// Longest time for a call that frees outputs.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -53,7 +53,7 @@
 #[derive(Default)]
 pub struct Pools {
     dispatchers: RefCell<HashMap<id::Pool, Dispatcher>>,
-    releases: RefCell<BTreeMap<id::Endpoint, Vec<String>>>,
+    releases: RefCell<BTreeMap<(id::Pool, id::Endpoint), Vec<String>>>,
     releasing: Cell<bool>,
     replies: RefCell<HashMap<JobId, Sender<Outcome>>>,
     ticking: Cell<bool>,
@@ -131,28 +131,14 @@
     }
 }
 
-/// Frees outputs that a job had handed out.
-pub fn release(host: &Rc<Host>, service: &id::Pool, outputs: Vec<Output>) {
-    let mut actions = Vec::new();
-    let known = with(host, service, |dispatcher| {
-        dispatcher.release(boot_clock::now(), &outputs, &mut actions);
-    });
-
-    if known {
-        act(host, service, actions);
-    }
-
-    free_later(host, outputs);
-}
-
 /// Frees outputs at their endpoints, those of a short time in one call.
-fn free_later(host: &Rc<Host>, outputs: Vec<Output>) {
+pub fn release(host: &Rc<Host>, service: &id::Pool, outputs: Vec<Output>) {
     {
         let mut releases = host.pools.releases.borrow_mut();
 
         for output in outputs {
             releases
-                .entry(output.endpoint)
+                .entry((service.clone(), output.endpoint))
                 .or_default()
                 .push(output.handle);
         }
@@ -165,14 +151,14 @@
             host.pools.releasing.set(false);
             let releases = std::mem::take(&mut *host.pools.releases.borrow_mut());
 
-            for (endpoint, handles) in releases {
-                spawn_local(free(Rc::clone(&host), endpoint, handles));
+            for ((service, endpoint), handles) in releases {
+                spawn_local(free(Rc::clone(&host), service, endpoint, handles));
             }
         });
     }
 }
 
-async fn free(host: Rc<Host>, endpoint: id::Endpoint, handles: Vec<String>) {
+async fn free(host: Rc<Host>, service: id::Pool, endpoint: id::Endpoint, handles: Vec<String>) {
     let Some(entry) = host.view().roster.get(&endpoint).map(Arc::clone) else {
         // The outputs have gone with their endpoint.
         return;
@@ -194,7 +180,13 @@
     };
 
     match timeout(RELEASE_TIMEOUT, call).await {
-        Ok(Ok(())) => {}
+        Ok(Ok(())) => {
+            let mut actions = Vec::new();
+            with(&host, &service, |dispatcher| {
+                dispatcher.freed(boot_clock::now(), &endpoint, &handles, &mut actions);
+            });
+            act(&host, &service, actions);
+        }
         Ok(Err(error)) => log::debug!(
             endpoint = endpoint.as_str();
             "outputs not freed, they expire on their own: {error:?}"
@@ -245,7 +237,7 @@
                     release(host, service, outcome.outputs);
                 }
             }
-            Action::Release { outputs } => free_later(host, outputs),
+            Action::Release { outputs } => release(host, service, outputs),
             Action::Send {
                 call,
                 entry,
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -20,7 +20,6 @@
         },
     },
     std::{
-        cmp::Reverse,
         collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
         time::Duration,
@@ -41,6 +40,13 @@
 /// which its output will be used.
 const DOMAIN_PENALTY: Duration = Duration::from_millis(250);
 
+/// Size of an output relative to the listed one that room is kept for. Listed
+/// sizes are approximate.
+const OUTPUT_MARGIN: f64 = 1.1;
+
+/// Time for which an endpoint that had no room gets no further call.
+const ROOM_PAUSE: Duration = Duration::from_millis(60);
+
 /// Least time to spare of a refused request's retry.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -101,6 +107,8 @@
 struct Work {
     deadline: Time,
     job: Job,
+    /// Room that one output takes.
+    output_bytes: u64,
     pieces: Vec<Piece>,
     start_by: Time,
 }
@@ -120,6 +128,8 @@
 struct Node {
     calls: usize,
     entry: Arc<Entry>,
+    /// Until when the endpoint gets no call, since it had no room.
+    full_until: Time,
     health: Health,
     /// Space of the outputs that calls in progress will make.
     reserved: u64,
@@ -132,6 +142,7 @@
         Self {
             calls: 0,
             entry: Arc::clone(entry),
+            full_until: Time::ZERO,
             health: Health::default(),
             reserved: 0,
             stored: HashMap::new(),
@@ -258,6 +269,7 @@
 
         let work = Work {
             deadline: now + job.remaining,
+            output_bytes: (job.output_bytes as f64 * OUTPUT_MARGIN) as u64,
             pieces: pieces.collect(),
             start_by: now + job.urgency,
             job,
@@ -271,34 +283,28 @@
     pub fn cancel(&mut self, now: Time, id: &JobId, actions: &mut Vec<Action>) {
         if let Some(work) = self.works.remove(id) {
             let outputs = work.pieces.into_iter().filter_map(|piece| piece.output);
-            self.discard(outputs.collect(), actions);
+            discard(outputs.collect(), actions);
             self.pump(now, actions);
         }
     }
 
-    /// Notes that outputs are not needed any more; the driver frees them.
-    pub fn release(&mut self, now: Time, outputs: &[Output], actions: &mut Vec<Action>) {
-        for output in outputs {
-            if let Some(node) = self.nodes.get_mut(&output.endpoint) {
-                node.stored.remove(&output.handle);
+    /// Notes that an endpoint has freed outputs.
+    pub fn freed(
+        &mut self,
+        now: Time,
+        endpoint: &id::Endpoint,
+        handles: &[String],
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(node) = self.nodes.get_mut(endpoint) {
+            for handle in handles {
+                node.stored.remove(handle);
             }
         }
 
         self.pump(now, actions);
     }
 
-    fn discard(&mut self, outputs: Vec<Output>, actions: &mut Vec<Action>) {
-        for output in &outputs {
-            if let Some(node) = self.nodes.get_mut(&output.endpoint) {
-                node.stored.remove(&output.handle);
-            }
-        }
-
-        if !outputs.is_empty() {
-            actions.push(Action::Release { outputs });
-        }
-    }
-
     /// Takes the end of a call.
     pub fn finish(&mut self, now: Time, call: CallId, ending: Ending, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&call) else {
@@ -345,13 +351,15 @@
                     self.end(now, id, Failure::InputGone, actions);
                 }
                 (piece::Result::Late, None) => self.end(now, id, Failure::Late, actions),
-                (piece::Result::Failed | piece::Result::Room, None) => {
+                (piece::Result::Room, None) => {
+                    slot.attempts = slot.attempts.saturating_sub(1);
                     slot.queued = slot.running == 0;
                 }
+                (piece::Result::Failed, None) => slot.queued = slot.running == 0,
             }
         }
 
-        self.discard(unused, actions);
+        discard(unused, actions);
 
         for id in touched {
             self.complete(now, &id, actions);
@@ -412,6 +420,10 @@
         node.reserved = node.reserved.saturating_sub(call.bytes.iter().sum());
 
         if let Ending::Answered(results) = ending {
+            if results.contains(&piece::Result::Room) {
+                node.full_until = now + ROOM_PAUSE;
+            }
+
             for (result, bytes) in results.iter().zip(&call.bytes) {
                 if let piece::Result::Done(handle) = result {
                     let expiry = now + self.pool.retention;
@@ -509,6 +521,7 @@
             !node.entry.leaving
                 && node.calls < slots
                 && !node.health.is_paused(now)
+                && node.full_until <= now
                 && !passed.contains(&node.entry.endpoint)
         });
         let next = self.next_domain(now);
@@ -553,7 +566,7 @@
                 }
             })
             .collect::<Vec<Item>>();
-        let sizes = chosen.iter().map(|(id, _)| self.works[id].job.output_bytes);
+        let sizes = chosen.iter().map(|(id, _)| self.works[id].output_bytes);
         let bytes = sizes.collect::<Vec<u64>>();
         let longest = items.iter().map(|item| item.remaining).max();
         let call = self.next_call;
@@ -605,7 +618,7 @@
                     return chosen;
                 }
 
-                if !piece.queued || work.job.output_bytes > room {
+                if !piece.queued || work.output_bytes > room {
                     continue;
                 }
 
@@ -618,7 +631,7 @@
                 piece.attempts += 1;
                 piece.queued = false;
                 piece.running += 1;
-                room -= work.job.output_bytes;
+                room -= work.output_bytes;
                 chosen.push((id.clone(), index));
             }
         }
@@ -669,13 +682,20 @@
 
 /// Orders jobs: those that can meet their goal first, then by priority and by
 /// the time at which they have to start.
-fn rank(work: &Work, now: Time, domain: Option<&id::Domain>) -> (bool, u8, Time, Reverse<usize>) {
+fn rank(work: &Work, now: Time, domain: Option<&id::Domain>) -> (bool, bool, u8, Time) {
     let late = work.start_by < now;
     let away = domain.is_some() && work.job.domain.is_some() && work.job.domain.as_ref() != domain;
     let penalty = if away { DOMAIN_PENALTY } else { Duration::ZERO };
     let due = if late { work.deadline } else { work.start_by };
-    let started = work.pieces.iter().filter(|piece| !piece.queued).count();
-    (late, work.job.priority, due + penalty, Reverse(started))
+    // The outputs of a job that has begun take room until its last one is made.
+    let begun = work.pieces.iter().any(|piece| !piece.queued);
+    (late, !begun, work.job.priority, due + penalty)
+}
+
+fn discard(outputs: Vec<Output>, actions: &mut Vec<Action>) {
+    if !outputs.is_empty() {
+        actions.push(Action::Release { outputs });
+    }
 }
 
 fn output(call: &Call, piece: u16, result: piece::Result) -> Option<Output> {
