Release the outputs of stages once an engine has read them

Cause: outputs of 3 MB were held until the first event, which leaves a parts endpoint room for a call of four pieces in place of eight. Ruled out: releasing at once (the engine may not have the request yet).

Change: outputs of requests that cannot be resumed are released 60 ms after the request was sent.

--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -47,14 +47,20 @@
     host: Rc<Host>,
 }
 
-impl Drop for Held {
-    fn drop(&mut self) {
-        for (service, outputs) in self.graph.all_outputs() {
+impl Held {
+    fn release(&mut self) {
+        for (service, outputs) in self.graph.take_all() {
             dispatch::release(&self.host, &service, outputs);
         }
     }
 }
 
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 impl Prepared {
     /// Returns the preparation of a request without stages.
     pub fn none(host: &Rc<Host>) -> Self {
@@ -122,14 +128,9 @@
 }
 
 impl Prepared {
-    /// Returns the number of outputs that are held.
-    pub fn len(&self) -> usize {
-        self.held.graph.outputs().len()
-    }
-
-    /// Returns whether there are no outputs.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    /// Releases the outputs, once an endpoint has read them.
+    pub fn release(&mut self) {
+        self.held.release();
     }
 }
 
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -27,6 +27,10 @@
     },
 };
 
+/// Time in which an engine has read the outputs of the stages: the way there
+/// and the transfer of a few outputs of some megabytes.
+const INPUTS_READ: Duration = Duration::from_millis(60);
+
 /// Events that wait for a caller that reads slowly.
 const QUEUE: usize = 64;
 
@@ -54,19 +58,34 @@
 pub async fn serve(
     host: &Rc<Host>,
     request: Rc<Request>,
-    prepared: Prepared,
+    mut prepared: Prepared,
 ) -> Result<Response<Body>, Refusal> {
     let mut tries = Tries::default();
+    let handles = prepared.handles.clone();
 
     loop {
         let Some(entry) = tries.choose(host, &request, prepared.domain.as_ref()) else {
             return Err(justified(&request, Reason::NoEndpoint));
         };
         let extra = Extra {
-            inputs: &prepared.handles,
+            inputs: &handles,
             last_event: request.call.last_event.as_deref(),
         };
-        let tried = attempt(host, &request, &entry, extra).await;
+        let tried = {
+            let attempt = attempt(host, &request, &entry, extra);
+            let mut attempt = std::pin::pin!(attempt);
+
+            match timeout(INPUTS_READ, attempt.as_mut()).await {
+                Ok(tried) => tried,
+                Err(_) => {
+                    if request.route.repeat == Repeat::Never {
+                        prepared.release();
+                    }
+
+                    attempt.await
+                }
+            }
+        };
         let tried = match tried {
             Tried::Answered(open) => match begin(host, &request, *open).await {
                 Ok(Begun::Stream(stream)) => {
--- a/src/state/serving/graph.rs
+++ b/src/state/serving/graph.rs
@@ -124,12 +124,15 @@
             .collect()
     }
 
-    /// Returns every output that exists and was not taken.
-    pub fn all_outputs(&self) -> Vec<(id::Pool, Vec<Output>)> {
+    /// Takes every output that exists and was not taken.
+    pub fn take_all(&mut self) -> Vec<(id::Pool, Vec<Output>)> {
         self.0
-            .iter()
+            .iter_mut()
             .filter(|node| !node.outputs.is_empty() && !node.released)
-            .map(|node| (node.service.clone(), node.outputs.clone()))
+            .map(|node| {
+                node.released = true;
+                (node.service.clone(), node.outputs.clone())
+            })
             .collect()
     }
 
