Start stages with large outputs as late as possible

Ruled out: too few full calls (the calls were full while there was room).

Change: a stage with outputs of 500 KB or more starts when the rest of its graph is no longer than what follows it; each pool logs its state once a second.

--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -5,6 +5,7 @@
     crate::{
         coordination::serving::host::Host,
         state::{
+            clock::Time,
             id,
             serving::{
                 batch::{Action, CallId, Dispatcher, Ending, Item},
@@ -36,6 +37,9 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time between two lines of the log on a pool with jobs.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time in which outputs to be freed are gathered into one call.
 const RELEASE_DELAY: Duration = Duration::from_millis(15);
 
@@ -56,6 +60,8 @@
     releases: RefCell<BTreeMap<(id::Pool, id::Endpoint), Vec<String>>>,
     releasing: Cell<bool>,
     replies: RefCell<HashMap<JobId, Sender<Outcome>>>,
+    /// When the state of the pools was last logged.
+    summarised: Cell<Time>,
     ticking: Cell<bool>,
 }
 
@@ -346,6 +352,7 @@
     spawn_local(async move {
         while host.pools.jobs() > 0 {
             sleep(TICK).await;
+            summarise(&host);
             let services = host.pools.queued().into_iter().map(|(service, _)| service);
 
             for service in services.collect::<Vec<id::Pool>>() {
@@ -361,6 +368,38 @@
     });
 }
 
+/// Logs the state of each pool with jobs, at most once an interval.
+fn summarise(host: &Host) {
+    let now = boot_clock::now();
+
+    if now.since(host.pools.summarised.get()) < SUMMARY_INTERVAL {
+        return;
+    }
+
+    host.pools.summarised.set(now);
+
+    for (service, dispatcher) in host.pools.dispatchers.borrow().iter() {
+        let summary = dispatcher.summary(now);
+
+        if summary.jobs > 0 {
+            log::info!(
+                service = service.as_str(),
+                jobs = summary.jobs,
+                late = summary.late,
+                queued = summary.queued,
+                running = summary.running,
+                calls = summary.calls,
+                idle = summary.idle,
+                paused = summary.paused,
+                endpoints = summary.nodes,
+                stored_kb = summary.stored_bytes / 1000,
+                backlog_ms = summary.backlog.as_millis();
+                "pool"
+            );
+        }
+    }
+}
+
 const fn ending_name(ending: &Ending) -> &'static str {
     match ending {
         Ending::Answered(_) => "answered",
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -100,6 +100,13 @@
             Ok(()) => {}
             Err(failed) if failed.failure == Failure::InputGone && restarts < RESTARTS => {
                 restarts += 1;
+                log::info!(
+                    request = request.id(),
+                    stage = failed.stage,
+                    ms = request.age().as_millis();
+                    "stages run again: an input is gone"
+                );
+                held.release();
                 held.graph.restart();
             }
             Err(failed) => {
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -94,6 +94,26 @@
     Unreachable,
 }
 
+/// The state of a pool.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Summary {
+    pub backlog: Duration,
+    pub calls: usize,
+    /// Endpoints that could take a call.
+    pub idle: usize,
+    pub jobs: usize,
+    /// Jobs that can no longer meet their goal.
+    pub late: usize,
+    pub nodes: usize,
+    pub paused: usize,
+    /// Pieces that wait.
+    pub queued: usize,
+    /// Pieces in calls.
+    pub running: usize,
+    /// Outputs that are not freed yet.
+    pub stored_bytes: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Piece {
     attempts: u32,
@@ -223,6 +243,32 @@
         pieces.filter(|piece| piece.queued).count()
     }
 
+    /// Returns the state of the pool, for logs and metrics.
+    pub fn summary(&self, now: Time) -> Summary {
+        let nodes = self.nodes.values();
+        let pieces = || self.works.values().flat_map(|work| &work.pieces);
+
+        Summary {
+            backlog: self.backlog(now),
+            calls: self.calls.len(),
+            idle: self.idle(now),
+            jobs: self.works.len(),
+            late: self
+                .works
+                .values()
+                .filter(|work| work.start_by < now)
+                .count(),
+            nodes: self.nodes.len(),
+            paused: nodes.filter(|node| node.health.is_paused(now)).count(),
+            queued: self.queued(),
+            running: pieces().filter(|piece| piece.running > 0).count(),
+            stored_bytes: (self.nodes.values())
+                .flat_map(|node| node.stored.values())
+                .map(|(bytes, _)| bytes)
+                .sum(),
+        }
+    }
+
     /// Returns the expected time until a new piece would start.
     pub fn backlog(&self, now: Time) -> Duration {
         let rate = self.rate(now);
--- a/src/state/serving/graph.rs
+++ b/src/state/serving/graph.rs
@@ -5,9 +5,15 @@
     serving::{config::Stage, piece::Output},
 };
 
+/// Size of an output from which on a stage starts as late as possible:
+/// endpoints have room for a dozen of them.
+const LARGE_OUTPUT_BYTES: u64 = 500_000;
+
 #[derive(Clone, Debug)]
 struct Node {
     after: Vec<usize>,
+    /// Whether the outputs take much of an endpoint's room.
+    large: bool,
     /// Outputs in the order of pieces; empty until the stage is done.
     outputs: Vec<Output>,
     pieces: usize,
@@ -37,6 +43,7 @@
     pub fn new(stages: &[Stage], pieces: &[usize]) -> Self {
         let nodes = stages.iter().enumerate().map(|(index, stage)| Node {
             after: stage.after.clone(),
+            large: stage.output_bytes >= LARGE_OUTPUT_BYTES,
             outputs: Vec::new(),
             pieces: pieces.get(index).copied().unwrap_or(0),
             released: false,
@@ -52,7 +59,9 @@
         self.0.iter().all(|node| node.outputs.len() == node.pieces)
     }
 
-    /// Returns the stages that can start now and marks them as started.
+    /// Returns the stages that can start now and marks them as started. A
+    /// stage with large outputs waits until the rest of the graph is no
+    /// longer than what follows the stage itself.
     pub fn start(&mut self) -> Vec<Start> {
         let ready = (0..self.0.len())
             .filter(|&stage| self.can_start(stage))
@@ -162,7 +171,19 @@
 
     fn can_start(&self, stage: usize) -> bool {
         let node = &self.0[stage];
-        node.pieces > 0 && !node.started && node.after.iter().all(|&before| self.done(before))
+        node.pieces > 0
+            && !node.started
+            && node.after.iter().all(|&before| self.done(before))
+            && !(node.large && self.depth_left() > self.rest(stage).len())
+    }
+
+    /// Returns the stages on the longest way that is still to go.
+    fn depth_left(&self) -> usize {
+        (0..self.0.len())
+            .filter(|&stage| !self.done(stage))
+            .map(|stage| self.rest(stage).len())
+            .max()
+            .unwrap_or(0)
     }
 
     /// Returns whether stages follow this one and all of them are done. A
