Let a few hosts read the store and the others follow them

Ruled out: spreading changes by the membership's gossip, which takes about 3.2 s over 91 hosts, longer than a configuration may take.

Change: the eight hosts first in rendezvous order read the store; the others wait for changes at one of them and read the store themselves after three failures. Answers say how long ago the store confirmed them, so that a reader that is cut off is left. Fleets of up to eight hosts read it everywhere.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -110,6 +110,8 @@
   # `objects` replaces everything known of the kind.
   revision @1 :UInt64;
   objects @2 :List(Object);
+  ageMs @3 :UInt32;
+  # Time since the store confirmed the revision.
 }
 
 interface Gate {
@@ -131,5 +133,6 @@
   cancelJob @6 (home :Text, id :UInt64);
   releaseOutputs @7 (service :Text, outputs :List(Output));
   ping @8 ();
-  objectChanges @9 (kind :Text, revision :UInt64) -> (changes :Changes);
+  objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32) -> (changes :Changes);
+  # Waits for a change after the revision, at most `waitMs`.
 }
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -12,7 +12,8 @@
             clock::Time,
             member::{Member, Phase},
             serving::{
-                mirror::{Changes, Mirror},
+                mirror::{Changes, Mirror, Relayed},
+                readers::{self, Role},
                 roster::Roster,
                 view::View,
             },
@@ -25,6 +26,7 @@
         collections::BTreeMap,
         sync::{
             Arc,
+            atomic::{AtomicBool, Ordering},
             mpsc::{Receiver, RecvTimeoutError, Sender},
         },
         time::Duration,
@@ -42,8 +44,13 @@
 /// Time between two questions to peers.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Longest time for a peer's answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How long a host that follows another one waits for a change. The answer
+/// shows that the other host is still there.
+const PEER_WAIT: Duration = Duration::from_millis(2000);
+
+/// Failures to follow one after the other from which on a host reads the
+/// store itself.
+const FOLLOW_FAILURES: u32 = 3;
 
 /// An event for the control thread.
 #[derive(Debug)]
@@ -51,15 +58,20 @@
     /// A peer asks for changed objects.
     Asked {
         kind: String,
-        reply: oneshot::Sender<Changes>,
+        reply: oneshot::Sender<Relayed>,
         revision: u64,
+        wait: Duration,
     },
     /// This host takes no new work from now on.
     Leave,
     Membership(membership::Event),
     /// A peer answered with changed objects.
     Peer {
-        changes: Changes,
+        kind: Kind,
+        relayed: Relayed,
+    },
+    /// A peer gave no answer.
+    PeerFailed {
         kind: Kind,
     },
     /// The store answered a follower.
@@ -78,10 +90,47 @@
 #[derive(Debug, Default)]
 struct Follow {
     asked: Time,
+    /// Whether a question to a peer waits for its answer.
+    asking: bool,
     /// Whether the last call to the store failed.
     failed: bool,
+    /// When the store confirmed the copy, here or at the host that is
+    /// followed.
     heard: Time,
     mirror: Mirror,
+    /// Questions to peers one after the other that did not help.
+    misses: u32,
+    /// Peers that wait for a change.
+    waiting: Vec<Waiting>,
+}
+
+/// A peer that waits for a change.
+#[derive(Debug)]
+struct Waiting {
+    deadline: Time,
+    reply: oneshot::Sender<Relayed>,
+    revision: u64,
+}
+
+impl Follow {
+    /// Answers the peers whose change has come or whose time is over.
+    fn answer_waiting(&mut self, now: Time) {
+        let changed = self.mirror.changed();
+        let (due, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition::<Vec<Waiting>, _>(|waiting| {
+                waiting.deadline <= now || waiting.revision < changed
+            });
+        self.waiting = waiting;
+
+        for waiting in due {
+            // The peer is gone if this fails.
+            let _ = waiting.reply.send(Relayed {
+                age: now.since(self.heard),
+                changes: self.mirror.since(waiting.revision),
+            });
+        }
+    }
 }
 
 /// The control state of one host on the platform.
@@ -90,6 +139,7 @@
     links: Links,
     membership: Membership,
     published: watch::Sender<Arc<View>>,
+    reading: follower::Reading,
     /// The membership's own snapshot.
     record: view::View,
     sender: Sender<Event>,
@@ -114,6 +164,7 @@
             links,
             membership,
             published,
+            reading: Arc::new(AtomicBool::new(true)),
             record: view::View {
                 endpoints: Arc::default(),
                 had_peers: false,
@@ -146,7 +197,8 @@
     /// sender is gone.
     pub fn run(mut self, receiver: &Receiver<Event>) {
         for kind in Kind::ALL {
-            follower::start(kind, Arc::clone(&self.store), self.sender.clone());
+            let reading = Arc::clone(&self.reading);
+            follower::start(kind, Arc::clone(&self.store), reading, self.sender.clone());
         }
 
         follower::announce(
@@ -178,7 +230,16 @@
                 kind,
                 reply,
                 revision,
-            } => self.answer(&kind, reply, revision),
+                wait,
+            } => self.answer(
+                now,
+                &kind,
+                Waiting {
+                    deadline: now + wait,
+                    reply,
+                    revision,
+                },
+            ),
             Event::Leave => {
                 self.membership
                     .handle(now, membership::Event::Leave, &mut self.record);
@@ -186,7 +247,23 @@
                 self.publish();
             }
             Event::Membership(event) => self.membership.handle(now, event, &mut self.record),
-            Event::Peer { changes, kind } => self.apply(now, kind, &changes, "peer"),
+            Event::Peer { kind, relayed } => {
+                let follow = self.follows.entry(kind).or_default();
+                let fresh = relayed.age < STORE_SILENCE;
+                follow.asking = false;
+                follow.misses = if fresh { 0 } else { follow.misses + 1 };
+
+                if fresh {
+                    follow.heard = follow.heard.max(now.before(relayed.age));
+                }
+
+                self.apply(now, kind, &relayed.changes, "peer");
+            }
+            Event::PeerFailed { kind } => {
+                let follow = self.follows.entry(kind).or_default();
+                follow.asking = false;
+                follow.misses += 1;
+            }
             Event::Store { changes, kind } => {
                 let follow = self.follows.entry(kind).or_default();
 
@@ -235,65 +312,96 @@
         objects.map(|object| object.revision).max().unwrap_or(0)
     }
 
-    fn answer(&self, kind: &str, reply: oneshot::Sender<Changes>, revision: u64) {
-        let follow = self.follows.iter().find(|(known, _)| known.name() == kind);
+    fn answer(&mut self, now: Time, kind: &str, waiting: Waiting) {
+        let follow = (self.follows.iter_mut()).find(|(known, _)| known.name() == kind);
 
+        // A host that knows nothing refuses by dropping the reply.
         if let Some((_, follow)) = follow
             && follow.mirror.revision().is_some()
         {
-            // The peer is gone if this fails.
-            let _ = reply.send(follow.mirror.since(revision));
+            follow.waiting.push(waiting);
+            follow.answer_waiting(now);
         }
     }
 
-    /// Asks a peer for what the store does not say, or what the peer seems to
-    /// know already.
+    /// Follows the hosts that read the store, or asks any peer where the
+    /// store turns this host away or a peer seems to know more.
     fn ask_peers(&mut self, now: Time) {
+        let alive = self.record.members.iter();
+        let alive = alive.filter(|member| member.phase == Phase::Alive);
+        let local = (!self.view.leaving).then_some(&self.record.local);
+        let role = readers::role(&self.record.local.host, alive.clone().chain(local));
         let newest = self.newest();
-        let peers = self.record.members.iter();
-        let ahead = peers
-            .clone()
-            .filter(|member| member.settings > newest && member.phase != Phase::Gone);
-        let ahead = ahead.choose(&mut rand::rng());
-        let any = peers
-            .filter(|member| member.phase == Phase::Alive)
-            .choose(&mut rand::rng());
+        let ahead = self.record.members.iter();
+        let ahead = ahead.filter(|member| member.settings > newest && member.phase != Phase::Gone);
+        let ahead = ahead
+            .choose(&mut rand::rng())
+            .map(|member| member.peer_address);
+        let any = alive
+            .choose(&mut rand::rng())
+            .map(|member| member.peer_address);
+        let mut reading = role == Role::Read;
 
         for (kind, follow) in &mut self.follows {
+            follow.answer_waiting(now);
+            reading |= follow.misses >= FOLLOW_FAILURES || follow.mirror.revision().is_none();
             let cut_off = follow.failed || now.since(follow.heard) > STORE_SILENCE;
-            let Some(peer) = ahead.or(any.filter(|_| cut_off)) else {
+            let (address, wait) = match (&role, ahead) {
+                (_, Some(ahead)) => (Some(ahead), Duration::ZERO),
+                (Role::Follow(readers), None) => {
+                    let next = follow.misses as usize % readers.len().max(1);
+                    (readers.get(next).copied(), PEER_WAIT)
+                }
+                (Role::Read, None) => (any.filter(|_| cut_off), Duration::ZERO),
+            };
+            let pause = if wait.is_zero() || follow.misses > 0 {
+                PEER_INTERVAL
+            } else {
+                Duration::ZERO
+            };
+            let Some(address) = address else {
                 continue;
             };
 
-            if now.since(follow.asked) < PEER_INTERVAL {
+            if follow.asking || now.since(follow.asked) < pause {
                 continue;
             }
 
             follow.asked = now;
+            follow.asking = true;
             let sender = self.sender.clone();
             let kind = *kind;
-            let address = peer.peer_address;
-            self.links.object_changes(
-                address,
-                kind.name(),
-                follow.mirror.revision().unwrap_or(0),
-                PEER_TIMEOUT,
-                move |answer| match answer {
-                    // A send fails only after the control thread has stopped.
-                    Ok(changes) => drop(sender.send(Event::Peer { changes, kind })),
-                    Err(error) => log::debug!(
-                        peer = address.to_string().as_str();
-                        "cannot follow a peer: {error}"
-                    ),
-                },
-            );
+            let revision = follow.mirror.revision().unwrap_or(0);
+            self.links
+                .object_changes(address, kind.name(), revision, wait, move |answer| {
+                    let event = match answer {
+                        Ok(relayed) => Event::Peer { kind, relayed },
+                        Err(error) => {
+                            log::info!(
+                                peer = address.to_string().as_str(),
+                                kind = kind.name();
+                                "cannot follow a peer: {error}"
+                            );
+                            Event::PeerFailed { kind }
+                        }
+                    };
+                    // Fails only after the control thread has stopped.
+                    drop(sender.send(event));
+                });
+        }
+
+        if self.reading.swap(reading, Ordering::Relaxed) != reading {
+            log::info!(reading = reading.to_string().as_str(); "role at the store changed");
         }
     }
 
     fn apply(&mut self, now: Time, kind: Kind, changes: &Changes, source: &'static str) {
         let follow = self.follows.entry(kind).or_default();
 
-        if !follow.mirror.apply(changes) {
+        let changed = follow.mirror.apply(changes);
+        follow.answer_waiting(now);
+
+        if !changed {
             return;
         }
 
@@ -364,31 +472,36 @@
     }
 }
 
-/// Returns the control thread's event for a call of another host, or the call
-/// itself if the traffic thread serves it.
-pub fn event(call: Incoming) -> Result<Event, Incoming> {
-    match call {
+/// Which thread serves a call of another host.
+pub enum Call {
+    Control(Box<Event>),
+    Traffic(Incoming),
+}
+
+/// Finds the thread that serves a call of another host.
+pub fn sort(call: Incoming) -> Call {
+    let event = match call {
         Incoming::ObjectChanges {
             kind,
             reply,
             revision,
-        } => Ok(Event::Asked {
+            wait,
+        } => Event::Asked {
             kind,
             reply,
             revision,
-        }),
-        Incoming::Probe { message, reply } => Ok(Event::Membership(membership::Event::Probed {
-            message,
-            reply,
-        })),
+            wait,
+        },
+        Incoming::Probe { message, reply } => {
+            Event::Membership(membership::Event::Probed { message, reply })
+        }
         Incoming::ProbeFor { reply, target } => {
-            Ok(Event::Membership(membership::Event::ProbeFor {
-                reply,
-                target,
-            }))
+            Event::Membership(membership::Event::ProbeFor { reply, target })
         }
-        other => Err(other),
-    }
+        other => return Call::Traffic(other),
+    };
+
+    Call::Control(Box::new(event))
 }
 
 fn log_changes(old: &Roster, new: &Roster, source: &'static str, revision: u64) {
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -8,7 +8,11 @@
         state::{member::Member, serving::mirror::Changes},
     },
     std::{
-        sync::{Arc, mpsc::Sender},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+            mpsc::Sender,
+        },
         thread,
         time::Duration,
     },
@@ -35,9 +39,17 @@
     Watch(u64),
 }
 
-/// Starts to follow a kind.
-pub fn start(kind: Kind, store: Arc<dyn Store>, events: Sender<Event>) {
-    spawn("follower", move || follow(kind, store.as_ref(), &events));
+/// Pause of a follower while other hosts read the store for this one.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Whether this host reads the store. Set by the control thread.
+pub type Reading = Arc<AtomicBool>;
+
+/// Starts to follow a kind. The kind is listed once in any case.
+pub fn start(kind: Kind, store: Arc<dyn Store>, reading: Reading, events: Sender<Event>) {
+    spawn("follower", move || {
+        follow(kind, store.as_ref(), &reading, &events);
+    });
 }
 
 /// Starts to make this host known and to read which others are.
@@ -68,11 +80,19 @@
     });
 }
 
-fn follow(kind: Kind, store: &dyn Store, events: &Sender<Event>) {
+fn follow(kind: Kind, store: &dyn Store, reading: &Reading, events: &Sender<Event>) {
     let mut revision = None;
     let mut failures = 0u32;
+    let mut listed = false;
 
     loop {
+        if listed && !reading.load(Ordering::Relaxed) {
+            // What the store had in between is listed anew.
+            revision = None;
+            thread::sleep(IDLE_PAUSE);
+            continue;
+        }
+
         let answer = match revision {
             Some(revision) => store.watch(kind, revision),
             None => store.list(kind),
@@ -80,6 +100,7 @@
 
         match next(&answer, revision) {
             Next::Watch(at) => {
+                listed = true;
                 failures = 0;
                 revision = Some(at);
             }
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -75,7 +75,7 @@
     /// find the engine that has it.
     pub fn session(&self) -> Option<u64> {
         let parts = &self.call.prompt.as_ref()?.parts;
-        let shared = parts.len().checked_sub(2).unwrap_or(0);
+        let shared = parts.len().saturating_sub(2);
         let part = parts.get(shared)?;
         let mut hasher = DefaultHasher::new();
         part.id.hash(&mut hasher);
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -90,7 +90,7 @@
             Tried::Answered(open) => match begin(host, &request, *open).await {
                 Ok(Begun::Stream(stream)) => {
                     let kept = (request.route.repeat == Repeat::Resume).then_some(prepared);
-                    return Ok(pass_on(host, request, stream, tries, kept));
+                    return Ok(pass_on(host, request, *stream, tries, kept));
                 }
                 Ok(Begun::Whole(response)) => return Ok(response),
                 Err(tried) => tried,
@@ -106,7 +106,7 @@
 }
 
 enum Begun {
-    Stream(Stream),
+    Stream(Box<Stream>),
     /// The endpoint's failure, passed on as it is.
     Whole(Response<Body>),
 }
@@ -164,11 +164,11 @@
         match splitter.take(&bytes) {
             Some(events) if events.is_empty() => {}
             Some(events) => {
-                return Ok(Begun::Stream(Stream {
+                return Ok(Begun::Stream(Box::new(Stream {
                     events,
                     open,
                     splitter,
-                }));
+                })));
             }
             None => {
                 fail(host, &open);
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -7,7 +7,7 @@
             error::{Error, ListenSnafu, SignalsSnafu, ThreadSnafu},
             membership::Membership,
             serving::{
-                control::{self, Control, Event},
+                control::{self, Call, Control, Event},
                 host::{self, Host},
                 ingress, pools,
             },
@@ -129,10 +129,10 @@
         let (links, connections) = Links::attach(
             listeners.peers,
             &settings.fleet_key,
-            move |call| match control::event(call) {
+            move |call| match control::sort(call) {
                 // Both fail only when the process ends.
-                Ok(event) => drop(control_events.send(event)),
-                Err(call) => drop(calls.send(call)),
+                Call::Control(event) => drop(control_events.send(*event)),
+                Call::Traffic(call) => drop(calls.send(call)),
             },
         );
         spawn_local(connections);
--- a/src/state/clock.rs
+++ b/src/state/clock.rs
@@ -50,6 +50,15 @@
     }
 }
 
+impl Time {
+    /// Returns the moment `duration` before this one, at least the clock's
+    /// zero.
+    pub fn before(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 impl Add<Duration> for Time {
     type Output = Self;
 
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -11,5 +11,6 @@
 pub mod mirror;
 pub mod piece;
 pub mod placement;
+pub mod readers;
 pub mod roster;
 pub mod view;
--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -3,7 +3,10 @@
 //! Hosts that the store turns away follow a peer's copy. Only rising
 //! revisions are applied, so a copy never goes back.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 /// Changes kept for peers that follow this copy.
 const HISTORY: usize = 1024;
@@ -26,9 +29,19 @@
     pub whole: bool,
 }
 
+/// Changes as another host passes them on.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Relayed {
+    /// Time since the store confirmed the revision.
+    pub age: Duration,
+    pub changes: Changes,
+}
+
 /// The copy of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
+    /// Revision of the last change of an object.
+    changed: u64,
     /// Revision from which on `history` is complete.
     floor: u64,
     history: VecDeque<Object>,
@@ -42,6 +55,11 @@
         self.revision
     }
 
+    /// Returns the revision of the last change of an object.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
     /// Returns the objects.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
         self.objects.values()
@@ -69,6 +87,10 @@
             changed |= self.put(object);
         }
 
+        if changed {
+            self.changed = changes.revision;
+        }
+
         changed
     }
 
--- a/src/transport/incoming.rs
+++ b/src/transport/incoming.rs
@@ -5,12 +5,12 @@
         gossip::Message,
         id,
         serving::{
-            mirror::Changes,
+            mirror::Relayed,
             piece::{Job, JobId, Outcome, Output},
         },
         witness::{Subject, Verdict},
     },
-    std::{net::SocketAddr, sync::mpsc},
+    std::{net::SocketAddr, sync::mpsc, time::Duration},
     tokio::sync::oneshot,
 };
 
@@ -24,11 +24,13 @@
         reply: mpsc::Sender<String>,
         version: u64,
     },
-    /// Asks for the objects of a kind that changed after a revision.
+    /// Asks for the objects of a kind that changed after a revision, and waits
+    /// for the first one.
     ObjectChanges {
         kind: String,
-        reply: oneshot::Sender<Changes>,
+        reply: oneshot::Sender<Relayed>,
         revision: u64,
+        wait: Duration,
     },
     /// Asks whether the request may be sent.
     Permit {
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -7,7 +7,7 @@
             gossip::Message,
             id,
             serving::{
-                mirror::Changes,
+                mirror::Relayed,
                 piece::{Job, JobId, Outcome, Output},
             },
             witness::{Subject, Verdict},
@@ -189,21 +189,24 @@
         .await
     }
 
-    /// Fetches the objects of a kind that changed after a revision, and
-    /// passes them to `done` without blocking the caller.
+    /// Fetches the objects of a kind that changed after a revision, waiting
+    /// for the first one, and passes them to `done` without blocking the
+    /// caller.
     pub fn object_changes(
         &self,
         address: SocketAddr,
         kind: &'static str,
         revision: u64,
-        timeout: Duration,
-        done: impl FnOnce(Result<Changes, Error>) + Send + 'static,
+        wait: Duration,
+        done: impl FnOnce(Result<Relayed, Error>) + Send + 'static,
     ) {
-        self.submit(address, timeout, done, move |peer| {
+        self.submit(address, wait + GRACE, done, move |peer| {
             Box::pin(async move {
                 let mut request = peer.object_changes_request();
                 request.get().set_kind(kind);
                 request.get().set_revision(revision);
+                let millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+                request.get().set_wait_ms(millis);
                 let response = request.send().promise.await?;
                 wire::read_changes(response.get()?.get_changes()?)
             })
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -148,11 +148,13 @@
         let params = params.get()?;
         let kind = params.get_kind()?.to_string()?;
         let revision = params.get_revision();
+        let wait = Duration::from_millis(params.get_wait_ms().into());
         let changes = self
             .ask(|reply| Incoming::ObjectChanges {
                 kind,
                 reply,
                 revision,
+                wait,
             })
             .await?;
         wire::write_changes(results.get().init_changes(), &changes);
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -8,7 +8,7 @@
             id,
             member::{Member, Phase},
             serving::{
-                mirror::{Changes, Object},
+                mirror::{Changes, Object, Relayed},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
             },
             witness::{Subject, Verdict},
@@ -220,7 +220,9 @@
 }
 
 /// Writes changed objects.
-pub fn write_changes(mut builder: changes::Builder, changes: &Changes) {
+pub fn write_changes(mut builder: changes::Builder, relayed: &Relayed) {
+    let changes = &relayed.changes;
+    builder.set_age_ms(millis(relayed.age));
     builder.set_revision(changes.revision);
     builder.set_whole(changes.whole);
     let mut objects = builder.init_objects(length(changes.objects.len()));
@@ -239,7 +241,7 @@
 /// # Errors
 ///
 /// Returns an error for a malformed field.
-pub fn read_changes(reader: changes::Reader) -> capnp::Result<Changes> {
+pub fn read_changes(reader: changes::Reader) -> capnp::Result<Relayed> {
     let objects = reader.get_objects()?;
     let objects = objects.iter().map(|row| {
         Ok(Object {
@@ -250,10 +252,13 @@
         })
     });
 
-    Ok(Changes {
-        objects: objects.collect::<capnp::Result<Vec<Object>>>()?,
-        revision: reader.get_revision(),
-        whole: reader.get_whole(),
+    Ok(Relayed {
+        age: Duration::from_millis(reader.get_age_ms().into()),
+        changes: Changes {
+            objects: objects.collect::<capnp::Result<Vec<Object>>>()?,
+            revision: reader.get_revision(),
+            whole: reader.get_whole(),
+        },
     })
 }
 
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -101,7 +101,9 @@
         let (control, events) = mpsc::channel();
         let incoming = control.clone();
         let links = Links::start(peers, FLEET_KEY, move |call| {
-            let _ = incoming.send(call.into());
+            if let Some(event) = control::Event::from_call(call) {
+                let _ = incoming.send(event);
+            }
         });
         let links = links.unwrap();
         let gateway = Arc::new(Gateway {
--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -65,13 +65,18 @@
         let published = Published::new(view.clone());
         let (events, receiver) = channel();
         let calls = events.clone();
-        let deliver = move |call| drop(calls.send(Event::from(call)));
+        let deliver = move |call| {
+            let event = Event::from_call(call).expect("hosts here call the control thread only");
+            drop(calls.send(event));
+        };
+        let answers = events.clone();
+        let take = Arc::new(move |event| drop(answers.send(Event::Membership(event))));
         let links = Links::start(listener, KEY, deliver).unwrap();
         let seeds = seeds.iter().copied();
         let control = Control {
             claims: Claims::new(&view, 100),
             leases: Leases::new(&view, channel().0),
-            membership: Membership::new(seeds, links.clone(), events.clone()),
+            membership: Membership::new(seeds, links.clone(), take),
             published: published.clone(),
             scheduling: Scheduling::new(Scheduler::new(domain.into(), 1)),
             settings: Settings::new(&view, channel().0),
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -63,7 +63,8 @@
                     Incoming::ChangesAfter { reply, version } => {
                         drop(reply.send(format!("[{version}]")));
                     }
-                    Incoming::Probe { .. } | Incoming::ProbeFor { .. } => {}
+                    // A witness answers nothing else.
+                    _ => {}
                 }
             }
         });
--- a/tests/peer_schema.rs
+++ b/tests/peer_schema.rs
@@ -60,7 +60,7 @@
 #[test]
 fn generated_code_has_every_name_of_the_schema() {
     let blocks = blocks();
-    assert_eq!(blocks.len(), 8, "{blocks:?}");
+    assert_eq!(blocks.len(), 13, "{blocks:?}");
 
     for ((kind, name), body) in blocks {
         let fields = body.lines().filter(|line| line.contains('@'));
