--- /dev/null
+++ b/tests/serving/batch.rs
@@ -0,0 +1,268 @@
+//! Cases of the dispatcher that faults and measurements have shown.
+
+use {
+    persimmoncleat::state::{
+        clock::Time,
+        serving::{
+            batch::{Action, CallId, Dispatcher, Ending, Item},
+            budget::Bounds,
+            config::Pool,
+            piece::{self, Failure, Input, Job, JobId, Outcome},
+            roster::Entry,
+        },
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+fn pool() -> Pool {
+    Pool {
+        batch: 8,
+        call: Duration::from_millis(150),
+        item: Duration::from_millis(16),
+        queue: 2,
+        retention: Duration::from_secs(4),
+        room_bytes: 36_000_000,
+        slots: 1,
+    }
+}
+
+const BOUNDS: Bounds = Bounds {
+    ratio: 0.2,
+    slack: 52.0,
+    window: Duration::from_secs(10),
+};
+
+fn entry(number: u16) -> Arc<Entry> {
+    Arc::new(Entry {
+        address: ([127, 0, 0, 1], 1000 + number).into(),
+        domain: format!("d{number}").into(),
+        endpoint: format!("e{number}").into(),
+        incarnation: 1,
+        leaving: false,
+        service: "s".into(),
+        slots: 1,
+    })
+}
+
+fn dispatcher(endpoints: u16) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(pool(), BOUNDS);
+    let entries = (0..endpoints).map(entry).collect::<Vec<Arc<Entry>>>();
+    dispatcher.update(&pool(), entries.iter(), 1);
+    dispatcher
+}
+
+fn job(number: u64, pieces: u16) -> Job {
+    Job {
+        domain: None,
+        first: true,
+        id: JobId {
+            home: "h".into(),
+            number,
+        },
+        input: Input::Key("k".into()),
+        output_bytes: 8000,
+        pieces: (0..pieces).collect(),
+        priority: 1,
+        remaining: Duration::from_secs(8),
+        request: format!("r{number}"),
+        service: "s".into(),
+        stage: 0,
+        urgency: Duration::from_secs(1),
+    }
+}
+
+const fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn sent(actions: &[Action]) -> Vec<(CallId, String, Vec<Item>)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Send {
+                call, entry, items, ..
+            } => Some((*call, entry.endpoint.to_string(), items.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn outcomes(actions: &[Action]) -> Vec<(u64, Outcome)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Finish { job, outcome } => Some((job.number, outcome.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn done(items: &[Item]) -> Ending {
+    let handles = items.iter();
+    Ending::Answered(
+        handles
+            .map(|item| piece::Result::Done(format!("{}/{}", item.request, item.piece)))
+            .collect(),
+    )
+}
+
+#[test]
+fn pieces_of_many_requests_share_a_call() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+
+    for number in 0..4 {
+        dispatcher.add(at(0), job(number, 2), &mut actions);
+    }
+
+    let first = sent(&actions);
+    assert_eq!(first.len(), 1);
+    actions.clear();
+    dispatcher.finish(at(200), first[0].0, done(&first[0].2), &mut actions);
+    assert_eq!(sent(&actions)[0].2.len(), 6);
+}
+
+#[test]
+fn urgent_jobs_go_before_late_and_less_urgent_ones() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+    dispatcher.add(at(0), job(0, 1), &mut actions);
+    let first = sent(&actions);
+    let late = Job {
+        urgency: Duration::ZERO,
+        priority: 0,
+        ..job(1, 4)
+    };
+    let less_urgent = Job {
+        priority: 2,
+        ..job(2, 4)
+    };
+    dispatcher.add(at(1), late, &mut actions);
+    dispatcher.add(at(1), less_urgent, &mut actions);
+    dispatcher.add(at(1), job(3, 4), &mut actions);
+    actions.clear();
+    dispatcher.finish(at(200), first[0].0, done(&first[0].2), &mut actions);
+    let items = &sent(&actions)[0].2;
+    let requests = items.iter().map(|item| item.request.as_str());
+    assert_eq!(
+        requests.collect::<Vec<&str>>(),
+        ["r3", "r3", "r3", "r3", "r2", "r2", "r2", "r2"]
+    );
+}
+
+#[test]
+fn call_is_no_larger_than_the_room_for_its_outputs() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+    let large = Job {
+        output_bytes: 10_000_000,
+        ..job(0, 5)
+    };
+    dispatcher.add(at(0), large, &mut actions);
+    let first = sent(&actions);
+    assert_eq!(first[0].2.len(), 3);
+    actions.clear();
+    dispatcher.finish(at(200), first[0].0, done(&first[0].2), &mut actions);
+    assert!(sent(&actions).is_empty(), "the outputs are still held");
+    let freed = ["r0/0".to_owned(), "r0/1".to_owned()];
+    dispatcher.freed(at(250), &"e0".into(), &freed, &mut actions);
+    assert_eq!(sent(&actions)[0].2.len(), 2);
+}
+
+#[test]
+fn piece_without_room_keeps_its_attempts() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+    dispatcher.add(at(0), job(0, 1), &mut actions);
+
+    for turn in 1..10 {
+        let call = sent(&actions).pop().expect("the piece is sent again");
+        actions.clear();
+        let now = at(turn * 500);
+        let full = Ending::Answered(vec![piece::Result::Room]);
+        dispatcher.finish(now, call.0, full, &mut actions);
+        assert!(outcomes(&actions).is_empty());
+        dispatcher.tick(at(turn * 500 + 100), &mut actions);
+    }
+}
+
+#[test]
+fn straggler_gives_its_pieces_to_another_endpoint() {
+    let mut dispatcher = dispatcher(2);
+    let mut actions = Vec::new();
+    dispatcher.add(at(0), job(0, 2), &mut actions);
+    let first = sent(&actions);
+    actions.clear();
+    dispatcher.tick(at(300), &mut actions);
+    assert!(sent(&actions).is_empty(), "the call may still end in time");
+    dispatcher.tick(at(600), &mut actions);
+    let second = sent(&actions);
+    assert_ne!(first[0].1, second[0].1);
+    actions.clear();
+    dispatcher.finish(at(800), second[0].0, done(&second[0].2), &mut actions);
+    assert_eq!(outcomes(&actions).len(), 1);
+    actions.clear();
+    dispatcher.finish(at(900), first[0].0, done(&first[0].2), &mut actions);
+    assert!(outcomes(&actions).is_empty());
+    assert!(matches!(&actions[0], Action::Release { outputs } if outputs.len() == 2));
+}
+
+#[test]
+fn job_that_cannot_end_in_time_is_refused_at_once() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+
+    for number in 0..40 {
+        dispatcher.add(at(0), job(number, 8), &mut actions);
+    }
+
+    actions.clear();
+    let short = Job {
+        remaining: Duration::from_secs(2),
+        ..job(99, 8)
+    };
+    dispatcher.add(at(0), short, &mut actions);
+    let (number, outcome) = outcomes(&actions).remove(0);
+    assert_eq!(number, 99);
+    assert_eq!(outcome.failure, Some(Failure::Overloaded));
+    assert!(outcome.retry_after > Duration::from_secs(1));
+}
+
+#[test]
+fn later_stage_is_never_refused() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+
+    for number in 0..40 {
+        dispatcher.add(at(0), job(number, 8), &mut actions);
+    }
+
+    actions.clear();
+    let later = Job {
+        first: false,
+        remaining: Duration::from_secs(2),
+        ..job(99, 8)
+    };
+    dispatcher.add(at(0), later, &mut actions);
+    assert!(outcomes(&actions).is_empty());
+}
+
+#[test]
+fn unreachable_endpoint_costs_no_attempt() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+    let patient = Job {
+        remaining: Duration::from_secs(600),
+        ..job(0, 1)
+    };
+    dispatcher.add(at(0), patient, &mut actions);
+
+    for turn in 1..10 {
+        let call = sent(&actions).pop().expect("the piece is sent again");
+        actions.clear();
+        let now = turn * 5000;
+        dispatcher.finish(at(now), call.0, Ending::Unreachable, &mut actions);
+        assert!(outcomes(&actions).is_empty());
+        dispatcher.tick(at(now + 4500), &mut actions);
+    }
+}
--- /dev/null
+++ b/tests/serving/config.rs
@@ -0,0 +1,80 @@
+//! A request must find the route with the longest prefix of its host, and
+//! targets in proportion to their weights.
+
+use {
+    persimmoncleat::state::serving::config::{Config, Limits, Repeat, Route, Target},
+    std::{collections::HashMap, time::Duration},
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        event_gap: None,
+        goal: Duration::from_millis(150),
+        host: host.into(),
+        max_attempts: 1,
+        name: name.into(),
+        prefix: prefix.into(),
+        priority: 0,
+        public: false,
+        repeat: Repeat::Never,
+        stages: Vec::new(),
+        stream: false,
+        targets: Vec::new(),
+        timeout: Duration::from_secs(1),
+    }
+}
+
+fn config() -> Config {
+    let routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/"),
+    ];
+    let limits = Limits {
+        body_bytes: 1,
+        header_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    Config::new(1, routes, HashMap::new(), None, limits)
+}
+
+macro_rules! finds {
+    ($($name:ident: $host:expr, $path:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let config = config();
+                let route = config.route($host, $path);
+                assert_eq!(route.map(|route| route.name.as_str()), $expected);
+            }
+        )*
+    };
+}
+
+finds! {
+    longest_prefix_wins: "a.example", "/x/y/z" => Some("long");
+    shorter_prefix_takes_the_rest: "a.example", "/x/z" => Some("short");
+    prefix_ends_with_a_slash: "a.example", "/xy" => None;
+    host_decides: "b.example", "/x/y/z" => Some("other");
+    host_in_other_case: "A.Example", "/x/z" => Some("short");
+    host_with_a_port: "a.example:8080", "/x/z" => Some("short");
+    unknown_host: "c.example", "/x/z" => None;
+}
+
+#[test]
+fn targets_share_by_weight() {
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    let route = Route {
+        targets: vec![target("a", 90.0), target("b", 10.0)],
+        ..route("r", "h", "/")
+    };
+    let first = (0..100).filter(|lot| {
+        let target = route.target(f64::from(*lot) / 100.0);
+        target.is_some_and(|service| service.as_str() == "a")
+    });
+    assert_eq!(first.count(), 90);
+}
--- /dev/null
+++ b/tests/serving/event_stream.rs
@@ -0,0 +1,56 @@
+//! A caller must never get a part of an event: the rest may come from
+//! another endpoint.
+
+use persimmoncleat::protocol::event_stream::Splitter;
+
+/// Returns the events passed on after each chunk, and the last event's id.
+fn split(chunks: &[&str]) -> (Vec<String>, Option<String>) {
+    let mut splitter = Splitter::default();
+    let passed = chunks.iter().map(|chunk| {
+        let events = splitter.take(chunk.as_bytes()).unwrap();
+        String::from_utf8(events).unwrap()
+    });
+    let passed = passed.collect();
+    (passed, splitter.last_id().map(str::to_owned))
+}
+
+macro_rules! splits {
+    ($($name:ident: $chunks:expr => $passed:expr, $last:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (passed, last) = split(&$chunks);
+                assert_eq!(passed, $passed);
+                assert_eq!(last.as_deref(), $last);
+            }
+        )*
+    };
+}
+
+splits! {
+    whole_event: ["id: 1\ndata: a\n\n"] => ["id: 1\ndata: a\n\n"], Some("1");
+    event_in_two_chunks: ["id: 1\nda", "ta: a\n\n"] => ["", "id: 1\ndata: a\n\n"], Some("1");
+    two_events_and_a_part: ["id:1\n\nid:2\n\nid:3"] => ["id:1\n\nid:2\n\n"], Some("2");
+    empty_line_in_two_chunks: ["id: 7\ndata: x\n", "\n"] => ["", "id: 7\ndata: x\n\n"], Some("7");
+    carriage_returns: ["id: 4\r\ndata: x\r\n\r\n"] => ["id: 4\r\ndata: x\r\n\r\n"], Some("4");
+    event_without_id: ["data: x\n\n"] => ["data: x\n\n"], None;
+}
+
+#[test]
+fn part_of_an_event_is_known_at_the_end() {
+    let mut splitter = Splitter::default();
+    splitter.take(b"id: 1\n\nid: 2\nda").unwrap();
+    assert!(splitter.is_partial());
+    splitter.discard_partial();
+    assert!(!splitter.is_partial());
+    assert_eq!(
+        splitter.take(b"id: 2\ndata: b\n\n").unwrap(),
+        b"id: 2\ndata: b\n\n"
+    );
+}
+
+#[test]
+fn endless_event_is_refused() {
+    let mut splitter = Splitter::default();
+    assert!(splitter.take(&vec![b'x'; 300 * 1024]).is_none());
+}
--- /dev/null
+++ b/tests/serving/graph.rs
@@ -0,0 +1,122 @@
+//! A request must start no stage before its inputs exist, and hand over the
+//! outputs of the last stages only.
+
+use persimmoncleat::state::serving::{
+    config::Stage,
+    graph::{Graph, Start},
+    piece::Output,
+};
+
+fn stage(service: &str, after: &[usize], output_bytes: u64) -> Stage {
+    Stage {
+        after: after.to_vec(),
+        output_bytes,
+        service: service.into(),
+    }
+}
+
+fn output(stage: usize, piece: u16) -> Output {
+    Output {
+        endpoint: "e".into(),
+        handle: format!("{stage}/{piece}"),
+        piece,
+    }
+}
+
+fn numbers(starts: &[Start]) -> Vec<usize> {
+    starts.iter().map(|start| start.stage).collect()
+}
+
+fn finish(graph: &mut Graph, start: &Start) {
+    let pieces = u16::try_from(start.pieces).unwrap();
+    let outputs = (0..pieces).map(|piece| output(start.stage, piece));
+    graph.finish(start.stage, outputs.collect());
+}
+
+/// Runs every stage and returns the order in which they started.
+fn order(stages: &[Stage], pieces: &[usize]) -> Vec<Vec<usize>> {
+    let mut graph = Graph::new(stages, pieces);
+    let mut order = Vec::new();
+
+    while !graph.is_done() {
+        let starts = graph.start();
+        assert!(!starts.is_empty(), "the graph is stuck");
+        order.push(numbers(&starts));
+        starts.iter().for_each(|start| finish(&mut graph, start));
+    }
+
+    order
+}
+
+macro_rules! orders {
+    ($($name:ident: $stages:expr, $pieces:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(order(&$stages, &$pieces), $expected);
+            }
+        )*
+    };
+}
+
+orders! {
+    chain_runs_in_order: [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[1], 1)], [1, 8, 16]
+        => [[0], [1], [2]];
+    stage_without_pieces_is_left_out: [stage("a", &[], 1), stage("b", &[0], 1)], [0, 2]
+        => [[1]];
+    parallel_stages_start_together: [stage("a", &[], 1), stage("b", &[], 1)], [2, 2]
+        => [[0, 1]];
+    large_outputs_wait_for_the_longer_branch:
+        [stage("a", &[], 3_000_000), stage("a", &[], 1), stage("b", &[1], 1), stage("c", &[2], 1)],
+        [2, 1, 8, 16]
+        => vec![vec![1], vec![2], vec![0, 3]];
+    large_outputs_alone_start_at_once: [stage("a", &[], 3_000_000)], [3]
+        => [[0]];
+}
+
+#[test]
+fn only_outputs_that_nothing_follows_go_to_the_engine() {
+    let stages = [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[], 1)];
+    let mut graph = Graph::new(&stages, &[1, 2, 1]);
+    let first = graph.start();
+    first.iter().for_each(|start| finish(&mut graph, start));
+    let second = graph.start();
+    assert_eq!(second[0].inputs, [output(0, 0)]);
+    second.iter().for_each(|start| finish(&mut graph, start));
+    assert_eq!(graph.outputs(), [output(1, 0), output(1, 1), output(2, 0)]);
+}
+
+#[test]
+fn outputs_pass_through_a_stage_without_pieces() {
+    let stages = [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[1], 1)];
+    let mut graph = Graph::new(&stages, &[1, 0, 1]);
+    let first = graph.start();
+    finish(&mut graph, &first[0]);
+    assert_eq!(graph.start()[0].inputs, [output(0, 0)]);
+}
+
+#[test]
+fn consumed_outputs_are_taken_once() {
+    let stages = [stage("a", &[], 1), stage("b", &[0], 1)];
+    let mut graph = Graph::new(&stages, &[1, 1]);
+    let first = graph.start();
+    finish(&mut graph, &first[0]);
+    assert!(graph.take_consumed().is_empty());
+    let second = graph.start();
+    finish(&mut graph, &second[0]);
+    assert_eq!(graph.take_consumed(), [("a".into(), vec![output(0, 0)])]);
+    assert!(graph.take_consumed().is_empty());
+    assert_eq!(graph.take_all(), [("b".into(), vec![output(1, 0)])]);
+    assert!(graph.take_all().is_empty());
+}
+
+#[test]
+fn restart_runs_every_stage_again() {
+    let stages = [stage("a", &[], 1), stage("b", &[0], 1)];
+    let mut graph = Graph::new(&stages, &[1, 1]);
+    let first = graph.start();
+    finish(&mut graph, &first[0]);
+    graph.start();
+    graph.restart();
+    assert_eq!(numbers(&graph.start()), [0]);
+}
--- /dev/null
+++ b/tests/serving/main.rs
@@ -0,0 +1,16 @@
+//! Decisions of the serving path, each against a simple oracle.
+
+mod batch;
+mod batch_fuzz;
+mod budget;
+mod config;
+mod directory;
+mod event_stream;
+mod graph;
+mod mirror;
+mod placement;
+mod readers;
+mod tally;
+
+#[path = "../support/fuzz.rs"]
+mod fuzz;
--- /dev/null
+++ b/tests/serving/placement.rs
@@ -0,0 +1,130 @@
+//! Requests that share a prompt must meet at one engine from every host, and
+//! failing endpoints must get no request while others are left.
+
+use {
+    persimmoncleat::state::{
+        clock::Time,
+        serving::{
+            placement::{Demand, Placement},
+            roster::Entry,
+        },
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+const NOW: Time = Time::from_millis(10_000);
+
+fn entries(count: u16) -> Vec<Arc<Entry>> {
+    (0..count)
+        .map(|number| {
+            Arc::new(Entry {
+                address: ([127, 0, 0, 1], 1000 + number).into(),
+                domain: if number % 2 == 0 { "a" } else { "b" }.into(),
+                endpoint: format!("e{number}").into(),
+                incarnation: 1,
+                leaving: false,
+                service: "s".into(),
+                slots: 6,
+            })
+        })
+        .collect()
+}
+
+fn session(session: u64) -> Demand<'static> {
+    Demand {
+        domain: None,
+        exclude: &[],
+        session: Some(session),
+    }
+}
+
+#[test]
+fn hosts_agree_on_the_engine_of_a_session() {
+    let entries = entries(18);
+    let first = Placement::default();
+    let second = Placement::default();
+
+    for number in 0..100 {
+        let demand = session(number);
+        let one = first.choose(NOW, entries.iter(), demand).unwrap();
+        let other = second.choose(NOW, entries.iter(), demand).unwrap();
+        assert_eq!(one, other);
+    }
+}
+
+#[test]
+fn crowded_engine_passes_a_session_on() {
+    let entries = entries(6);
+    let mut placement = Placement::default();
+    let demand = session(7);
+    let mut used = BTreeSet::new();
+
+    for _ in 0..60 {
+        let entry = placement.choose(NOW, entries.iter(), demand).unwrap();
+        used.insert(entry.endpoint.clone());
+        placement.begin(entry);
+    }
+
+    assert!(used.len() > 1);
+    let most = entries
+        .iter()
+        .map(|entry| placement.running(&entry.endpoint));
+    // 1.5 times the mean of ten, and two more.
+    assert!(most.max().unwrap() <= 17);
+}
+
+#[test]
+fn failing_endpoint_is_left_alone_until_its_pause_is_over() {
+    let entries = entries(2);
+    let mut placement = Placement::default();
+    placement.health_mut(&entries[0]).unreachable(NOW);
+    let demand = Demand {
+        domain: Some(&"a".into()),
+        exclude: &[],
+        session: None,
+    };
+    let chosen = placement.choose(NOW, entries.iter(), demand).unwrap();
+    assert_eq!(chosen, &entries[1]);
+    let later = Time::from_millis(11_000);
+    let chosen = placement.choose(later, entries.iter(), demand).unwrap();
+    assert_eq!(chosen, &entries[0]);
+}
+
+#[test]
+fn last_endpoint_is_used_although_it_failed() {
+    let entries = entries(1);
+    let mut placement = Placement::default();
+    placement.health_mut(&entries[0]).unreachable(NOW);
+    assert!(placement.choose(NOW, entries.iter(), session(1)).is_some());
+}
+
+#[test]
+fn new_incarnation_starts_with_a_clean_record() {
+    let mut entries = entries(1);
+    let mut placement = Placement::default();
+    placement.health_mut(&entries[0]).unreachable(NOW);
+    entries[0] = Arc::new(Entry {
+        incarnation: 2,
+        ..entries[0].as_ref().clone()
+    });
+    placement.retain(entries.iter());
+    assert!(!placement.health_mut(&entries[0]).is_paused(NOW));
+}
+
+#[test]
+fn leaving_and_tried_endpoints_are_passed_over() {
+    let mut entries = entries(3);
+    entries[0] = Arc::new(Entry {
+        leaving: true,
+        ..entries[0].as_ref().clone()
+    });
+    let exclude = [entries[1].endpoint.clone()];
+    let demand = Demand {
+        domain: None,
+        exclude: &exclude,
+        session: Some(3),
+    };
+    let placement = Placement::default();
+    let chosen = placement.choose(NOW, entries.iter(), demand).unwrap();
+    assert_eq!(chosen, &entries[2]);
+}
