--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -113,6 +113,9 @@
 /// Writes a streamed body.
 pub type Streamer = Box<dyn FnOnce(&mut Body) -> io::Result<Flow>>;
 
+/// Writes a whole answer, head included.
+pub type Writer = Box<dyn FnOnce(&mut dyn Write) -> io::Result<Flow>>;
+
 /// What a handler answers.
 pub enum Reply {
     /// The connection is closed without an answer.
@@ -129,6 +132,8 @@
         at: usize,
         value: Value,
     },
+    /// The handler writes the answer itself.
+    Written(Writer),
 }
 
 impl Reply {
@@ -185,6 +190,11 @@
                 writer.flush()?;
                 Ok(Flow::Close)
             }
+            Self::Written(write) => {
+                let flow = write(writer)?;
+                writer.flush()?;
+                Ok(flow)
+            }
         }
     }
 }
