Write the log on a thread of its own, with a bounded queue

Cause: a reader of the standard output that stalls blocked the thread that logs, and with it every request of the host. Change: lines go through a queue of 4,096 to a writing thread; lines that find it full are counted and the count is logged.

--- a/src/transport/json_log.rs
+++ b/src/transport/json_log.rs
@@ -1,15 +1,36 @@
 //! The log: one JSON object a line.
+//!
+//! Lines go through a bounded queue to a thread that writes them, so that a
+//! reader that stalls never blocks a request. Lines that find the queue full
+//! are counted, and the count is logged once there is room again.
 
 use {
-    flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle},
+    flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, writers::LogWriter},
     log::{
         LevelFilter, Record,
         kv::{Error, Key, Value, VisitSource},
     },
     serde_json::{Map, json},
-    std::io::{self, Write},
+    std::{
+        io::{self, Write},
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel},
+        },
+        thread,
+        time::Duration,
+    },
 };
 
+/// Lines that wait to be written. A busy host logs a few hundred a second.
+const QUEUE_LINES: usize = 4096;
+
+/// Time between two looks at whether lines were dropped.
+const DROPPED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time for writing what waits when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Starts to log to the standard output.
 ///
 /// # Errors
@@ -20,13 +41,92 @@
     let others = level.min(LevelFilter::Warn);
 
     Logger::try_with_str(format!(
-        "{others}, persimmoncleat={level}, persimmoncleatd={level}"
+        "{others}, persimmoncleat={level}, persimmoncleatd={level}, \
+        persimmoncleat_platform={level}, platform={level}"
     ))?
-    .format(line)
-    .log_to_stdout()
+    .log_to_writer(Box::new(Queue::start(io::stdout)))
     .start()
 }
 
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+enum Entry {
+    /// Asks to be told once everything before it is written.
+    Flush(SyncSender<()>),
+    Line(Vec<u8>),
+}
+
+/// The queue of lines.
+struct Queue(SyncSender<Entry>);
+
+impl Queue {
+    fn start<W: Write>(output: impl FnOnce() -> W + Send + 'static) -> Self {
+        let (sender, receiver) = sync_channel(QUEUE_LINES);
+        let writer = thread::Builder::new().name("log".into());
+
+        if let Err(error) = writer.spawn(move || write_lines(&receiver, output())) {
+            eprintln!("error: cannot start the log's thread: {error}");
+        }
+
+        Self(sender)
+    }
+}
+
+impl LogWriter for Queue {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+        let mut text = Vec::with_capacity(256);
+        line(&mut text, now, record)?;
+        text.push(b'\n');
+
+        if let Err(TrySendError::Full(_)) = self.0.try_send(Entry::Line(text)) {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let (done, written) = sync_channel(1);
+
+        // A full queue or a stopped reader must not hold the process up.
+        if self.0.try_send(Entry::Flush(done)).is_ok()
+            && written.recv_timeout(FLUSH_TIMEOUT).is_err()
+        {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+
+        Ok(())
+    }
+}
+
+fn write_lines(entries: &Receiver<Entry>, mut output: impl Write) {
+    loop {
+        let written = match entries.recv_timeout(DROPPED_INTERVAL) {
+            Ok(Entry::Line(text)) => output.write_all(&text),
+            Ok(Entry::Flush(done)) => {
+                let flushed = output.flush();
+                // Nobody waits any more if this fails.
+                let _ = done.send(());
+                flushed
+            }
+            Err(RecvTimeoutError::Timeout) => Ok(()),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+
+        if dropped > 0 {
+            log::warn!(lines = dropped; "log lines dropped");
+        }
+
+        // Nobody reads the output any more, and there is no other place to
+        // say so.
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
 /// Writes a record as one JSON object, without the line's end.
 fn line(writer: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
     let mut fields = Fields(Map::new());
