Choose dispatchers by capacity and count queues in place of scanning them

Ruled out: the pool's own capacity (its calls shrank from 20 pieces to 10 while 2,000 waited).

Change: members tell their capacity, from the part of a core and the link in the settings; dispatchers and readers of the store are chosen by weighted rendezvous hashing; a job counts its waiting pieces.

--- a/benches/control/hosts.rs
+++ b/benches/control/hosts.rs
@@ -78,6 +78,7 @@
 
     Member {
         caller_address: address,
+        capacity: 1,
         clock: Time::ZERO,
         demand,
         domain: format!("region{}-{}", index % 5, index % 17).into(),
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -41,6 +41,8 @@
   # Microseconds on the member's own clock.
   outstanding @8 :UInt32;
   demand @9 :List(Demand);
+  capacity @10 :UInt32;
+  # What the member can carry, relative to others.
 }
 
 struct Message {
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -187,6 +187,7 @@
 fn view(file: &File, caller_address: SocketAddr, peer_address: SocketAddr) -> View {
     let local = Member {
         caller_address,
+        capacity: 1,
         clock: boot_clock::now(),
         demand: BTreeMap::new(),
         domain: file.host.domain.clone(),
--- a/src/coordination/serving/dispatch.rs
+++ b/src/coordination/serving/dispatch.rs
@@ -16,7 +16,7 @@
         },
         transport::boot_clock,
     },
-    std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -81,14 +81,23 @@
     }
 }
 
+/// Returns the capacity of a host as a dispatcher. Dispatching one pool takes
+/// most of a small host, so that large hosts are preferred by more than their
+/// size.
+fn capacity(member: &Member) -> u32 {
+    member.capacity.saturating_pow(3)
+}
+
 /// Returns the peer addresses of the hosts that may dispatch to a service, in
 /// order; `None` stands for this host.
 fn dispatchers(host: &Host, service: &id::Pool) -> Vec<Option<SocketAddr>> {
     let view = host.view();
     let mut members = view.alive().collect::<Vec<&Member>>();
-    members.sort_by_cached_key(|member| {
-        Reverse(rendezvous::weight(&service.as_str(), &member.host.as_str()))
-    });
+    let score = |member: &Member| {
+        let (service, host) = (service.as_str(), member.host.as_str());
+        rendezvous::score(&service, &host, capacity(member))
+    };
+    members.sort_by(|a, b| score(b).total_cmp(&score(a)));
     let local = &view.local.host;
     let mut order = members
         .iter()
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -198,6 +198,7 @@
 
     Member {
         caller_address: settings.addresses.callers,
+        capacity: settings.capacity,
         clock: Time::ZERO,
         demand: BTreeMap::new(),
         domain: settings.domain.clone(),
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -15,10 +15,12 @@
         "host",
         &[
             "caller_address",
+            "cores",
             "directory_address",
             "domain",
             "fleet_key",
             "id",
+            "link_mbps",
             "metrics_address",
             "peer_address",
             "peers",
@@ -57,6 +59,8 @@
     pub addresses: Addresses,
     /// The retry budget of the whole fleet.
     pub budget: Bounds,
+    /// What the host can carry, relative to others.
+    pub capacity: u32,
     /// Most connections of callers.
     pub connections: usize,
     pub domain: id::Domain,
@@ -118,6 +122,8 @@
     let domain = text(fields, "host", "domain");
     let host = text(fields, "host", "id");
     let fleet_key = text(fields, "host", "fleet_key");
+    let cores = fields.optional::<f64>("host", "cores", "a number of cores");
+    let link = fields.optional::<f64>("host", "link_mbps", "a number of Mbit/s");
     let address = fields.required("store", "address", ADDRESS);
     let kind = text(fields, "store", "kind");
     let wait = fields.number("store", "wait_ms", 100, 30_000);
@@ -142,6 +148,7 @@
             slack: slack?,
             window: seconds(window?, MAX_SECONDS),
         },
+        capacity: capacity(cores, link),
         connections: usize::try_from(connections?).ok()?,
         domain: domain?.into(),
         fleet_key: fleet_key?.into_bytes(),
@@ -158,6 +165,19 @@
     })
 }
 
+/// Returns what a host can carry: its part of a core in percent, bounded by
+/// what its link carries.
+fn capacity(cores: Option<f64>, link_mbps: Option<f64>) -> u32 {
+    /// Link that carries the traffic of one percent of a core.
+    const MBPS_PER_PERCENT: f64 = 2.0;
+    /// Percent of a core that a host without a stated part has.
+    const DEFAULT_PERCENT: f64 = 25.0;
+
+    let processor = cores.map_or(DEFAULT_PERCENT, |cores| cores * 100.0);
+    let link = link_mbps.map_or(f64::MAX, |mbps| mbps / MBPS_PER_PERCENT);
+    processor.min(link).clamp(1.0, 100_000.0) as u32
+}
+
 fn text(fields: &mut Fields, section: &str, key: &str) -> Option<String> {
     let value: String = fields.required(section, key, "a text")?;
 
--- a/src/state/claims_host.rs
+++ b/src/state/claims_host.rs
@@ -119,6 +119,7 @@
 
     Member {
         caller_address: address,
+        capacity: 1,
         clock: Time::ZERO,
         demand: BTreeMap::new(),
         domain: "".into(),
--- a/src/state/member.rs
+++ b/src/state/member.rs
@@ -31,6 +31,9 @@
 #[derive(Deserialize, Serialize)]
 pub struct Member {
     pub caller_address: SocketAddr,
+    /// What the member can carry, relative to others.
+    #[serde(default = "one")]
+    pub capacity: u32,
     /// The member's own clock when it made this record, read only by itself.
     pub clock: Time,
     /// Requests in progress by team, the largest teams only.
@@ -45,3 +48,7 @@
     /// Version of the settings tree in force on the member.
     pub settings: u64,
 }
+
+const fn one() -> u32 {
+    1
+}
--- a/src/state/rendezvous.rs
+++ b/src/state/rendezvous.rs
@@ -13,3 +13,11 @@
     candidate.hash(&mut hasher);
     hasher.finish()
 }
+
+/// Returns the score of a candidate for a key by its capacity; the highest
+/// score wins. A candidate wins as often as its part of all capacity says.
+pub fn score(key: &impl Hash, candidate: &impl Hash, capacity: u32) -> f64 {
+    let weight = weight(key, candidate);
+    let lot = (weight >> 11) as f64 / (1u64 << 53) as f64;
+    -f64::from(capacity.max(1)) / lot.max(f64::MIN_POSITIVE).ln()
+}
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -131,6 +131,29 @@
     output_bytes: u64,
     pieces: Vec<Piece>,
     start_by: Time,
+    /// Pieces that wait.
+    waiting: usize,
+}
+
+impl Work {
+    /// Puts a piece into the queue, or takes it out.
+    fn queue(&mut self, piece: usize, queued: bool) {
+        let slot = &mut self.pieces[piece];
+
+        if slot.queued != queued {
+            slot.queued = queued;
+            self.waiting = if queued {
+                self.waiting + 1
+            } else {
+                self.waiting - 1
+            };
+        }
+    }
+
+    /// Returns whether a piece has left the queue.
+    fn has_begun(&self) -> bool {
+        self.waiting < self.pieces.len()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -239,8 +262,7 @@
 
     /// Returns the pieces that wait.
     pub fn queued(&self) -> usize {
-        let pieces = self.works.values().flat_map(|work| &work.pieces);
-        pieces.filter(|piece| piece.queued).count()
+        self.works.values().map(|work| work.waiting).sum()
     }
 
     /// Returns the state of the pool, for logs and metrics.
@@ -318,6 +340,7 @@
             output_bytes: (job.output_bytes as f64 * OUTPUT_MARGIN) as u64,
             pieces: pieces.collect(),
             start_by: now + job.urgency,
+            waiting: job.pieces.len(),
             job,
         };
         self.works.insert(work.job.id.clone(), work);
@@ -386,8 +409,8 @@
 
             match (result, &slot.output) {
                 (piece::Result::Done(handle), None) => {
-                    slot.queued = false;
                     slot.output = output(&call, index, piece::Result::Done(handle));
+                    work.queue(*piece, false);
                 }
                 (piece::Result::Done(handle), Some(_)) => {
                     unused.extend(output(&call, index, piece::Result::Done(handle)));
@@ -399,9 +422,13 @@
                 (piece::Result::Late, None) => self.end(now, id, Failure::Late, actions),
                 (piece::Result::Room, None) => {
                     slot.attempts = slot.attempts.saturating_sub(1);
-                    slot.queued = slot.running == 0;
+                    let alone = slot.running == 0;
+                    work.queue(*piece, alone);
+                }
+                (piece::Result::Failed, None) => {
+                    let alone = slot.running == 0;
+                    work.queue(*piece, alone);
                 }
-                (piece::Result::Failed, None) => slot.queued = slot.running == 0,
             }
         }
 
@@ -451,8 +478,9 @@
 
             for (id, piece) in &call.items {
                 if let Some(work) = self.works.get_mut(id) {
-                    let slot = &mut work.pieces[*piece];
-                    slot.queued = slot.output.is_none() && slot.attempts < ATTEMPTS;
+                    let slot = &work.pieces[*piece];
+                    let again = slot.output.is_none() && slot.attempts < ATTEMPTS;
+                    work.queue(*piece, again);
                 }
             }
         }
@@ -548,10 +576,10 @@
     fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
         let mut passed = Vec::new();
 
-        while self.queued() > 0 {
-            let Some(endpoint) = self.free(now, &passed) else {
+        while let Some(endpoint) = self.free(now, &passed) {
+            if self.queued() == 0 {
                 return;
-            };
+            }
 
             if !self.send(now, &endpoint, actions) {
                 passed.push(endpoint);
@@ -570,9 +598,16 @@
                 && node.full_until <= now
                 && !passed.contains(&node.entry.endpoint)
         });
+        let usable = usable.collect::<Vec<&Node>>();
+
+        if usable.len() < 2 {
+            return usable.first().map(|node| node.entry.endpoint.clone());
+        }
+
         let next = self.next_domain(now);
 
         usable
+            .into_iter()
             .min_by_key(|node| {
                 let away = next.as_ref().is_some_and(|next| *next != node.entry.domain);
                 let slowness = (node.health.slowness() * 4.0) as u64;
@@ -583,8 +618,7 @@
 
     /// Returns the domain of the piece that is first in order.
     fn next_domain(&self, now: Time) -> Option<id::Domain> {
-        let queued = |work: &&Work| work.pieces.iter().any(|piece| piece.queued);
-        let works = self.works.values().filter(queued);
+        let works = self.works.values().filter(|work| work.waiting > 0);
         let first = works.min_by_key(|work| rank(work, now, None))?;
         first.job.domain.clone()
     }
@@ -648,7 +682,7 @@
         let mut order = self
             .works
             .values()
-            .filter(|work| work.pieces.iter().any(|piece| piece.queued))
+            .filter(|work| work.waiting > 0)
             .map(|work| (rank(work, now, Some(&entry.domain)), work.job.id.clone()))
             .collect::<Vec<_>>();
         order.sort();
@@ -659,12 +693,15 @@
         for (_, id) in order {
             let work = self.works.get_mut(&id).expect("the job was just listed");
 
-            for (index, piece) in work.pieces.iter_mut().enumerate() {
+            for index in 0..work.pieces.len() {
                 if chosen.len() >= self.pool.batch {
                     return chosen;
                 }
 
-                if !piece.queued || work.output_bytes > room {
+                let output_bytes = work.output_bytes;
+                let piece = &mut work.pieces[index];
+
+                if !piece.queued || output_bytes > room {
                     continue;
                 }
 
@@ -675,9 +712,9 @@
                 }
 
                 piece.attempts += 1;
-                piece.queued = false;
                 piece.running += 1;
-                room -= work.output_bytes;
+                work.queue(index, false);
+                room -= output_bytes;
                 chosen.push((id.clone(), index));
             }
         }
@@ -718,9 +755,8 @@
             .works
             .values()
             .filter(|work| work.start_by > now && work.job.priority <= job.priority)
-            .flat_map(|work| &work.pieces)
-            .filter(|piece| piece.queued)
-            .count();
+            .map(|work| work.waiting)
+            .sum::<usize>();
         let waiting = before.saturating_sub(self.idle(now) * self.pool.batch);
         Duration::from_secs_f64(waiting as f64 / rate)
     }
@@ -734,7 +770,7 @@
     let penalty = if away { DOMAIN_PENALTY } else { Duration::ZERO };
     let due = if late { work.deadline } else { work.start_by };
     // The outputs of a job that has begun take room until its last one is made.
-    let begun = work.pieces.iter().any(|piece| !piece.queued);
+    let begun = work.has_begun();
     (late, !begun, work.job.priority, due + penalty)
 }
 
--- a/src/state/serving/readers.rs
+++ b/src/state/serving/readers.rs
@@ -24,9 +24,10 @@
 /// Returns the role of a host among those that are alive.
 pub fn role<'a>(local: &id::Host, alive: impl Iterator<Item = &'a Member>) -> Role {
     let mut members = alive.collect::<Vec<&Member>>();
-    members.sort_by_cached_key(|member| {
-        Reverse(rendezvous::weight(&"store reader", &member.host.as_str()))
-    });
+    let score = |member: &Member| {
+        rendezvous::score(&"store reader", &member.host.as_str(), member.capacity)
+    };
+    members.sort_by(|a, b| score(b).total_cmp(&score(a)));
     members.truncate(READERS);
 
     if members.len() < READERS || members.iter().any(|member| member.host == *local) {
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -275,6 +275,7 @@
 
 fn write_member(mut builder: member::Builder, member: &Member) {
     builder.set_caller_address(member.caller_address.to_string());
+    builder.set_capacity(member.capacity);
     builder.set_clock(member.clock.as_micros());
     builder.set_domain(member.domain.as_str());
     builder.set_host(member.host.as_str());
@@ -301,6 +302,7 @@
 
     Ok(Member {
         caller_address: read_address(reader.get_caller_address()?)?,
+        capacity: reader.get_capacity(),
         clock: Time::from_micros(reader.get_clock()),
         demand,
         domain: reader.get_domain()?.to_str()?.into(),
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -58,6 +58,7 @@
 fn member(host: &str) -> Member {
     Member {
         caller_address: any_port(),
+        capacity: 1,
         clock: Time::ZERO,
         demand: Default::default(),
         domain: "is-1".into(),
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -301,6 +301,7 @@
         heard_store: Some(Time::from_micros(u64::MAX)),
         local: Member {
             caller_address: address,
+            capacity: 1,
             clock: boot_clock::now(),
             demand: BTreeMap::new(),
             domain: "d1".into(),
--- a/tests/serving/directory.rs
+++ b/tests/serving/directory.rs
@@ -9,6 +9,7 @@
 fn member(host: u8, domain: &str, phase: Phase) -> Member {
     Member {
         caller_address: ([10, 0, 0, host], 80).into(),
+        capacity: 1,
         clock: Time::ZERO,
         demand: Default::default(),
         domain: domain.into(),
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -11,6 +11,7 @@
     (0..count)
         .map(|host| Member {
             caller_address: ([127, 0, 0, 1], 1000 + host).into(),
+            capacity: 1,
             clock: Time::ZERO,
             demand: Default::default(),
             domain: "a".into(),
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -15,6 +15,7 @@
 
     Member {
         caller_address: address(port),
+        capacity: 1,
         clock: Time::from_millis(u64::from(port)),
         demand: BTreeMap::new(),
         domain: domain.into(),
