Let pieces wait for an endpoint in the domain of their inputs

Change: a stage belongs to the domain of its inputs; a piece with more than 400 ms to spare waits for an endpoint there unless 0.4 of a full round of calls waits; room that other dispatchers filled is learnt from refusals.

--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -238,7 +238,8 @@
         .sum::<Duration>();
 
     Job {
-        domain: domain.cloned(),
+        // Every piece reads all inputs, which are larger than its output.
+        domain: outputs_domain(host, &start.inputs).or(domain.cloned()),
         first: first && !request.may_have_run.get(),
         id: JobId {
             home: host.settings.host.clone(),
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -36,16 +36,24 @@
 /// Added to the straggler's time, for the way to the endpoint and back.
 const STRAGGLER_MARGIN: Duration = Duration::from_millis(150);
 
-/// Time by which a piece is set back at an endpoint outside the domain in
-/// which its output will be used.
+/// Time to spare above which a piece waits for an endpoint in its own domain.
+/// It covers a call in progress there.
+const DOMAIN_SLACK: Duration = Duration::from_millis(400);
+
+/// Pieces that wait, relative to one full call of each endpoint, above which
+/// no piece waits for its own domain.
+const CROWDED: f64 = 0.4;
+
+/// Time by which a piece is set back at an endpoint outside its own domain.
 const DOMAIN_PENALTY: Duration = Duration::from_millis(250);
 
 /// Size of an output relative to the listed one that room is kept for. Listed
 /// sizes are approximate.
 const OUTPUT_MARGIN: f64 = 1.1;
 
-/// Time for which an endpoint that had no room gets no further call.
-const ROOM_PAUSE: Duration = Duration::from_millis(60);
+/// Time in which room that other dispatchers have filled is taken to become
+/// free again.
+const FOREIGN_TIME: Duration = Duration::from_millis(1500);
 
 /// Least time to spare of a refused request's retry.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -150,6 +158,14 @@
         }
     }
 
+    /// Returns whether the job has the time to wait for an endpoint in its own
+    /// domain, where its inputs are or its outputs will be used.
+    fn waits_for_domain(&self, now: Time, offered: &id::Domain, open: &[id::Domain]) -> bool {
+        self.job.domain.as_ref().is_some_and(|domain| {
+            domain != offered && open.contains(domain) && self.start_by.since(now) > DOMAIN_SLACK
+        })
+    }
+
     /// Returns whether a piece has left the queue.
     fn has_begun(&self) -> bool {
         self.waiting < self.pieces.len()
@@ -171,8 +187,8 @@
 struct Node {
     calls: usize,
     entry: Arc<Entry>,
-    /// Until when the endpoint gets no call, since it had no room.
-    full_until: Time,
+    /// Room that outputs of other dispatchers take, as of when it was found.
+    foreign: (u64, Time),
     health: Health,
     /// Space of the outputs that calls in progress will make.
     reserved: u64,
@@ -185,7 +201,7 @@
         Self {
             calls: 0,
             entry: Arc::clone(entry),
-            full_until: Time::ZERO,
+            foreign: (0, Time::ZERO),
             health: Health::default(),
             reserved: 0,
             stored: HashMap::new(),
@@ -193,7 +209,15 @@
     }
 
     /// Returns the space for outputs that is left.
-    fn room(&self, pool: &Pool) -> u64 {
+    fn room(&self, now: Time, pool: &Pool) -> u64 {
+        let (bytes, found) = self.foreign;
+        let age = now.since(found).as_secs_f64() / FOREIGN_TIME.as_secs_f64();
+        let foreign = (bytes as f64 * (1.0 - age).max(0.0)) as u64;
+        self.own_room(pool).saturating_sub(foreign)
+    }
+
+    /// Returns the space that this dispatcher's outputs leave.
+    fn own_room(&self, pool: &Pool) -> u64 {
         let stored = self.stored.values().map(|(bytes, _)| bytes).sum::<u64>();
         pool.room_bytes.saturating_sub(stored + self.reserved)
     }
@@ -494,16 +518,16 @@
         node.reserved = node.reserved.saturating_sub(call.bytes.iter().sum());
 
         if let Ending::Answered(results) = ending {
-            if results.contains(&piece::Result::Room) {
-                node.full_until = now + ROOM_PAUSE;
-            }
-
             for (result, bytes) in results.iter().zip(&call.bytes) {
                 if let piece::Result::Done(handle) = result {
                     let expiry = now + self.pool.retention;
                     node.stored.insert(handle.clone(), (*bytes, expiry));
                 }
             }
+
+            if results.contains(&piece::Result::Room) {
+                node.foreign = (node.own_room(&self.pool), now);
+            }
         }
     }
 
@@ -595,7 +619,6 @@
             !node.entry.leaving
                 && node.calls < slots
                 && !node.health.is_paused(now)
-                && node.full_until <= now
                 && !passed.contains(&node.entry.endpoint)
         });
         let usable = usable.collect::<Vec<&Node>>();
@@ -688,11 +711,18 @@
         order.sort();
         let mut chosen = Vec::new();
         let node = self.nodes.get(&entry.endpoint);
-        let mut room = node.map_or(0, |node| node.room(&self.pool));
+        let mut room = node.map_or(0, |node| node.room(now, &self.pool));
+
+        let domains = self.open_domains(now);
+        let crowded = self.is_crowded();
 
         for (_, id) in order {
             let work = self.works.get_mut(&id).expect("the job was just listed");
 
+            if !crowded && work.waits_for_domain(now, &entry.domain, &domains) {
+                continue;
+            }
+
             for index in 0..work.pieces.len() {
                 if chosen.len() >= self.pool.batch {
                     return chosen;
@@ -722,6 +752,21 @@
         chosen
     }
 
+    /// Returns whether so much waits that every free place is worth more than
+    /// the way between domains.
+    fn is_crowded(&self) -> bool {
+        let round = self.nodes.len() * self.pool.slots * self.pool.batch;
+        self.queued() as f64 > round as f64 * CROWDED
+    }
+
+    /// Returns the domains with an endpoint that takes calls.
+    fn open_domains(&self, now: Time) -> Vec<id::Domain> {
+        let open = self.nodes.values().filter(|node| {
+            !node.entry.leaving && !node.health.is_paused(now) && !node.health.is_slow()
+        });
+        open.map(|node| node.entry.domain.clone()).collect()
+    }
+
     fn call_time(&self, pieces: usize) -> Duration {
         let pieces = u32::try_from(pieces.min(self.pool.batch)).unwrap_or(u32::MAX);
         self.pool.call + self.pool.item * pieces
--- a/src/state/serving/piece.rs
+++ b/src/state/serving/piece.rs
@@ -22,7 +22,8 @@
 /// The pieces of one stage of one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Job {
-    /// Failure domain in which the outputs will be used, if it is known.
+    /// Failure domain in which the inputs are, or the outputs will be used, if
+    /// it is known.
     pub domain: Option<id::Domain>,
     /// Whether no stage of the request has run yet, so that it may be
     /// refused.
