Choose engines by session alone

Cause: the domain of the stages' outputs went before the session, so that requests that share a prompt were spread over the engines of four domains. Ruled out: too few engines for the sessions (the busiest had 1.4 times the mean).

--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -35,8 +35,6 @@
 
 /// Outputs of the stages, which are released when this is dropped.
 pub struct Prepared {
-    /// Failure domain in which most of the outputs are.
-    pub domain: Option<id::Domain>,
     pub handles: Vec<String>,
     held: Held,
 }
@@ -65,7 +63,6 @@
     /// Returns the preparation of a request without stages.
     pub fn none(host: &Rc<Host>) -> Self {
         Self {
-            domain: None,
             handles: Vec::new(),
             held: Held {
                 graph: Graph::new(&[], &[]),
@@ -124,12 +121,8 @@
         }
     }
 
-    let outputs = held.graph.outputs();
-    let domain = outputs_domain(host, &outputs).or(domain);
-
     Ok(Prepared {
-        domain,
-        handles: handles(&outputs),
+        handles: handles(&held.graph.outputs()),
         held,
     })
 }
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -64,7 +64,7 @@
     let handles = prepared.handles.clone();
 
     loop {
-        let Some(entry) = tries.choose(host, &request, prepared.domain.as_ref()) else {
+        let Some(entry) = tries.choose(host, &request, None) else {
             return Err(justified(&request, Reason::NoEndpoint));
         };
         let extra = Extra {
--- a/src/state/serving/placement.rs
+++ b/src/state/serving/placement.rs
@@ -37,7 +37,7 @@
 /// What a request asks of its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
-    /// Failure domain from which the endpoint gets its inputs.
+    /// Failure domain of the host; it matters to requests without a session.
     pub domain: Option<&'a id::Domain>,
     /// Endpoints that had the request already.
     pub exclude: &'a [id::Endpoint],
@@ -103,7 +103,7 @@
         };
 
         match demand.session {
-            Some(session) => self.by_session(candidates, session, demand.domain),
+            Some(session) => self.by_session(candidates, session),
             None => self.by_load(candidates, demand.domain),
         }
     }
@@ -134,7 +134,6 @@
         &self,
         candidates: Vec<&'a Arc<Entry>>,
         session: u64,
-        domain: Option<&id::Domain>,
     ) -> Option<&'a Arc<Entry>> {
         let total = (candidates.iter())
             .map(|entry| self.running(&entry.endpoint))
@@ -143,9 +142,7 @@
         let bound = mean * BOUND + BOUND_MARGIN;
         let mut order = candidates;
         order.sort_by_cached_key(|entry| {
-            let away = domain.is_some_and(|domain| *domain != entry.domain);
-            let weight = rendezvous::weight(&session, &entry.endpoint.as_str());
-            (away, Reverse(weight))
+            Reverse(rendezvous::weight(&session, &entry.endpoint.as_str()))
         });
 
         (order.iter())
