Split the dispatcher by job, and count the calls of an earlier listing

Cause: the state machine test, extended by the number of calls at an endpoint, found two calls at an endpoint with one place: the end of a call of an earlier incarnation was counted at the present one, and an endpoint that left the list and came back started with no calls although one was in progress. Ruled out: the hedge (it never sends to the same endpoint).

Change: a call counts at its own incarnation only; an endpoint that comes back has the calls it still carries.

--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -7,14 +7,25 @@
 //! at which they have to start; pieces that are already late take what is
 //! left.
 
+mod fill;
+mod load;
+mod node;
+mod watch;
+mod work;
+
+pub use load::Summary;
+
 use {
+    self::{
+        node::Node,
+        work::{Piece, Work},
+    },
     crate::state::{
         clock::Time,
         id,
         serving::{
             budget::{Bounds, Budget},
             config::Pool,
-            health::Health,
             piece::{self, Failure, Input, Job, JobId, Outcome, Output},
             roster::Entry,
         },
@@ -29,32 +40,10 @@
 /// Attempts of one piece, the first one included.
 const ATTEMPTS: u32 = 4;
 
-/// Time of a call, relative to the expected one, after which its pieces are
-/// given to another endpoint as well.
-const STRAGGLER: f64 = 2.0;
-
-/// Added to the straggler's time, for the way to the endpoint and back.
-const STRAGGLER_MARGIN: Duration = Duration::from_millis(150);
-
-/// Time to spare above which a piece waits for an endpoint in its own domain.
-/// It covers a call in progress there.
-const DOMAIN_SLACK: Duration = Duration::from_millis(400);
-
-/// Pieces that wait, relative to one full call of each endpoint, above which
-/// no piece waits for its own domain.
-const CROWDED: f64 = 0.4;
-
-/// Time by which a piece is set back at an endpoint outside its own domain.
-const DOMAIN_PENALTY: Duration = Duration::from_millis(250);
-
 /// Size of an output relative to the listed one that room is kept for. Listed
 /// sizes are approximate.
 const OUTPUT_MARGIN: f64 = 1.1;
 
-/// Time in which room that other dispatchers have filled is taken to become
-/// free again.
-const FOREIGN_TIME: Duration = Duration::from_millis(1500);
-
 /// Least time to spare of a refused request's retry.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -102,127 +91,18 @@
     Unreachable,
 }
 
-/// The state of a pool.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Summary {
-    pub backlog: Duration,
-    pub calls: usize,
-    /// Endpoints that could take a call.
-    pub idle: usize,
-    pub jobs: usize,
-    /// Jobs that can no longer meet their goal.
-    pub late: usize,
-    pub nodes: usize,
-    pub paused: usize,
-    /// Pieces that wait.
-    pub queued: usize,
-    /// Pieces in calls.
-    pub running: usize,
-    /// Outputs that are not freed yet.
-    pub stored_bytes: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Piece {
-    attempts: u32,
-    output: Option<Output>,
-    /// Calls in progress that hold the piece.
-    running: u32,
-    queued: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Work {
-    deadline: Time,
-    job: Job,
-    /// Room that one output takes.
-    output_bytes: u64,
-    pieces: Vec<Piece>,
-    start_by: Time,
-    /// Pieces that wait.
-    waiting: usize,
-}
-
-impl Work {
-    /// Puts a piece into the queue, or takes it out.
-    fn queue(&mut self, piece: usize, queued: bool) {
-        let slot = &mut self.pieces[piece];
-
-        if slot.queued != queued {
-            slot.queued = queued;
-            self.waiting = if queued {
-                self.waiting + 1
-            } else {
-                self.waiting - 1
-            };
-        }
-    }
-
-    /// Returns whether the job has the time to wait for an endpoint in its own
-    /// domain, where its inputs are or its outputs will be used.
-    fn waits_for_domain(&self, now: Time, offered: &id::Domain, open: &[id::Domain]) -> bool {
-        self.job.domain.as_ref().is_some_and(|domain| {
-            domain != offered && open.contains(domain) && self.start_by.since(now) > DOMAIN_SLACK
-        })
-    }
-
-    /// Returns whether a piece has left the queue.
-    fn has_begun(&self) -> bool {
-        self.waiting < self.pieces.len()
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Call {
     /// Expected size of each item's output.
     bytes: Vec<u64>,
     endpoint: id::Endpoint,
     expected: Duration,
+    incarnation: u64,
     items: Vec<(JobId, usize)>,
     sent: Time,
     straggles: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Node {
-    calls: usize,
-    entry: Arc<Entry>,
-    /// Room that outputs of other dispatchers take, as of when it was found.
-    foreign: (u64, Time),
-    health: Health,
-    /// Space of the outputs that calls in progress will make.
-    reserved: u64,
-    /// Outputs that were made and not freed: size, and when they expire.
-    stored: HashMap<String, (u64, Time)>,
-}
-
-impl Node {
-    fn new(entry: &Arc<Entry>) -> Self {
-        Self {
-            calls: 0,
-            entry: Arc::clone(entry),
-            foreign: (0, Time::ZERO),
-            health: Health::default(),
-            reserved: 0,
-            stored: HashMap::new(),
-        }
-    }
-
-    /// Returns the space for outputs that is left.
-    fn room(&self, now: Time, pool: &Pool) -> u64 {
-        let (bytes, found) = self.foreign;
-        let age = now.since(found).as_secs_f64() / FOREIGN_TIME.as_secs_f64();
-        let foreign = (bytes as f64 * (1.0 - age).max(0.0)) as u64;
-        self.own_room(pool).saturating_sub(foreign)
-    }
-
-    /// Returns the space that this dispatcher's outputs leave.
-    fn own_room(&self, pool: &Pool) -> u64 {
-        let stored = self.stored.values().map(|(bytes, _)| bytes).sum::<u64>();
-        pool.room_bytes.saturating_sub(stored + self.reserved)
-    }
-}
-
 /// The dispatcher of one pool.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -267,7 +147,7 @@
             let known = self.nodes.remove(&entry.endpoint);
             let same = known.filter(|node| node.entry.incarnation == entry.incarnation);
             let node = same.map_or_else(
-                || Node::new(entry),
+                || self.new_node(entry),
                 |node| Node {
                     entry: Arc::clone(entry),
                     ..node
@@ -279,54 +159,18 @@
         self.nodes = nodes;
     }
 
-    /// Returns the number of jobs in progress.
-    pub fn jobs(&self) -> usize {
-        self.works.len()
-    }
-
-    /// Returns the pieces that wait.
-    pub fn queued(&self) -> usize {
-        self.works.values().map(|work| work.waiting).sum()
-    }
-
-    /// Returns the state of the pool, for logs and metrics.
-    pub fn summary(&self, now: Time) -> Summary {
-        let nodes = self.nodes.values();
-        let pieces = || self.works.values().flat_map(|work| &work.pieces);
-
-        Summary {
-            backlog: self.backlog(now),
-            calls: self.calls.len(),
-            idle: self.idle(now),
-            jobs: self.works.len(),
-            late: self
-                .works
-                .values()
-                .filter(|work| work.start_by < now)
-                .count(),
-            nodes: self.nodes.len(),
-            paused: nodes.filter(|node| node.health.is_paused(now)).count(),
-            queued: self.queued(),
-            running: pieces().filter(|piece| piece.running > 0).count(),
-            stored_bytes: (self.nodes.values())
-                .flat_map(|node| node.stored.values())
-                .map(|(bytes, _)| bytes)
-                .sum(),
-        }
-    }
-
-    /// Returns the expected time until a new piece would start.
-    pub fn backlog(&self, now: Time) -> Duration {
-        let rate = self.rate(now);
+    /// Builds a node with the calls that it still has from an earlier listing.
+    fn new_node(&self, entry: &Arc<Entry>) -> Node {
+        let mut node = Node::new(entry);
+        let own =
+            |call: &&Call| call.endpoint == entry.endpoint && call.incarnation == entry.incarnation;
 
-        if rate <= 0.0 {
-            return self.call_time(self.pool.batch);
+        for call in self.calls.values().filter(own) {
+            node.calls += 1;
+            node.reserved += call.bytes.iter().sum::<u64>();
         }
 
-        let waiting = self
-            .queued()
-            .saturating_sub(self.idle(now) * self.pool.batch);
-        Duration::from_secs_f64(waiting as f64 / rate)
+        node
     }
 
     /// Takes a job.
@@ -483,73 +327,6 @@
         self.pump(now, actions);
     }
 
-    fn hedge(&mut self, now: Time) {
-        for call in self.calls.values_mut() {
-            let elapsed = now.since(call.sent);
-            let bound = call.expected.mul_f64(STRAGGLER) + STRAGGLER_MARGIN;
-
-            if call.straggles || elapsed < bound {
-                continue;
-            }
-
-            call.straggles = true;
-
-            if let Some(node) = self.nodes.get_mut(&call.endpoint) {
-                let ratio = elapsed.as_secs_f64() / call.expected.as_secs_f64();
-                node.health.outlast(ratio);
-                node.health.fail(now);
-            }
-
-            for (id, piece) in &call.items {
-                if let Some(work) = self.works.get_mut(id) {
-                    let slot = &work.pieces[*piece];
-                    let again = slot.output.is_none() && slot.attempts < ATTEMPTS;
-                    work.queue(*piece, again);
-                }
-            }
-        }
-    }
-
-    /// Accounts for the outputs that a call has made.
-    fn store(&mut self, now: Time, call: &Call, ending: &Ending) {
-        let Some(node) = self.nodes.get_mut(&call.endpoint) else {
-            return;
-        };
-        node.reserved = node.reserved.saturating_sub(call.bytes.iter().sum());
-
-        if let Ending::Answered(results) = ending {
-            for (result, bytes) in results.iter().zip(&call.bytes) {
-                if let piece::Result::Done(handle) = result {
-                    let expiry = now + self.pool.retention;
-                    node.stored.insert(handle.clone(), (*bytes, expiry));
-                }
-            }
-
-            if results.contains(&piece::Result::Room) {
-                node.foreign = (node.own_room(&self.pool), now);
-            }
-        }
-    }
-
-    fn judge(&mut self, now: Time, call: &Call, ending: &Ending) {
-        let Some(node) = self.nodes.get_mut(&call.endpoint) else {
-            return;
-        };
-        node.calls = node.calls.saturating_sub(1);
-
-        match ending {
-            Ending::Answered(_) => {
-                let elapsed = now.since(call.sent).as_secs_f64();
-                node.health.succeed(elapsed / call.expected.as_secs_f64());
-            }
-            Ending::Broken => {
-                node.health.fail(now);
-            }
-            Ending::Full => node.health.full(now),
-            Ending::Replaced | Ending::Unreachable => node.health.unreachable(now),
-        }
-    }
-
     /// Answers a job whose pieces are all done, and ends one whose pieces
     /// cannot be tried again.
     fn complete(&mut self, now: Time, id: &JobId, actions: &mut Vec<Action>) {
@@ -595,228 +372,6 @@
             },
         });
     }
-
-    /// Fills the endpoints that have a free place.
-    fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let mut passed = Vec::new();
-
-        while let Some(endpoint) = self.free(now, &passed) {
-            if self.queued() == 0 {
-                return;
-            }
-
-            if !self.send(now, &endpoint, actions) {
-                passed.push(endpoint);
-            }
-        }
-    }
-
-    /// Returns the endpoint that takes the next call, none of `passed`, which
-    /// have no room for any piece that waits.
-    fn free(&self, now: Time, passed: &[id::Endpoint]) -> Option<id::Endpoint> {
-        let slots = self.pool.slots;
-        let usable = self.nodes.values().filter(|node| {
-            !node.entry.leaving
-                && node.calls < slots
-                && !node.health.is_paused(now)
-                && !passed.contains(&node.entry.endpoint)
-        });
-        let usable = usable.collect::<Vec<&Node>>();
-
-        if usable.len() < 2 {
-            return usable.first().map(|node| node.entry.endpoint.clone());
-        }
-
-        let next = self.next_domain(now);
-
-        usable
-            .into_iter()
-            .min_by_key(|node| {
-                let away = next.as_ref().is_some_and(|next| *next != node.entry.domain);
-                let slowness = (node.health.slowness() * 4.0) as u64;
-                (node.health.is_slow(), away, slowness)
-            })
-            .map(|node| node.entry.endpoint.clone())
-    }
-
-    /// Returns the domain of the piece that is first in order.
-    fn next_domain(&self, now: Time) -> Option<id::Domain> {
-        let works = self.works.values().filter(|work| work.waiting > 0);
-        let first = works.min_by_key(|work| rank(work, now, None))?;
-        first.job.domain.clone()
-    }
-
-    fn send(&mut self, now: Time, endpoint: &id::Endpoint, actions: &mut Vec<Action>) -> bool {
-        let Some(entry) = self.nodes.get(endpoint).map(|node| Arc::clone(&node.entry)) else {
-            return false;
-        };
-        let chosen = self.choose(now, &entry);
-
-        if chosen.is_empty() {
-            return false;
-        }
-
-        let items = chosen
-            .iter()
-            .map(|(id, piece)| {
-                let work = &self.works[id];
-                Item {
-                    input: work.job.input.clone(),
-                    piece: work.job.pieces[*piece],
-                    remaining: work.deadline.since(now),
-                    request: work.job.request.clone(),
-                    stage: work.job.stage,
-                }
-            })
-            .collect::<Vec<Item>>();
-        let sizes = chosen.iter().map(|(id, _)| self.works[id].output_bytes);
-        let bytes = sizes.collect::<Vec<u64>>();
-        let longest = items.iter().map(|item| item.remaining).max();
-        let call = self.next_call;
-        self.next_call += 1;
-        self.calls.insert(
-            call,
-            Call {
-                bytes: bytes.clone(),
-                endpoint: endpoint.clone(),
-                expected: self.call_time(items.len()),
-                items: chosen,
-                sent: now,
-                straggles: false,
-            },
-        );
-
-        if let Some(node) = self.nodes.get_mut(endpoint) {
-            node.calls += 1;
-            node.reserved += bytes.iter().sum::<u64>();
-        }
-
-        actions.push(Action::Send {
-            call,
-            entry,
-            items,
-            timeout: longest.unwrap_or_default(),
-        });
-        true
-    }
-
-    /// Takes the pieces of the next call out of the queue.
-    fn choose(&mut self, now: Time, entry: &Entry) -> Vec<(JobId, usize)> {
-        let mut order = self
-            .works
-            .values()
-            .filter(|work| work.waiting > 0)
-            .map(|work| (rank(work, now, Some(&entry.domain)), work.job.id.clone()))
-            .collect::<Vec<_>>();
-        order.sort();
-        let mut chosen = Vec::new();
-        let node = self.nodes.get(&entry.endpoint);
-        let mut room = node.map_or(0, |node| node.room(now, &self.pool));
-
-        let domains = self.open_domains(now);
-        let crowded = self.is_crowded();
-
-        for (_, id) in order {
-            let work = self.works.get_mut(&id).expect("the job was just listed");
-
-            if !crowded && work.waits_for_domain(now, &entry.domain, &domains) {
-                continue;
-            }
-
-            for index in 0..work.pieces.len() {
-                if chosen.len() >= self.pool.batch {
-                    return chosen;
-                }
-
-                let output_bytes = work.output_bytes;
-                let piece = &mut work.pieces[index];
-
-                if !piece.queued || output_bytes > room {
-                    continue;
-                }
-
-                let again = piece.attempts > 0;
-
-                if again && !self.budget.take(now, &self.bounds, self.hosts, 1) {
-                    continue;
-                }
-
-                piece.attempts += 1;
-                piece.running += 1;
-                work.queue(index, false);
-                room -= output_bytes;
-                chosen.push((id.clone(), index));
-            }
-        }
-
-        chosen
-    }
-
-    /// Returns whether so much waits that every free place is worth more than
-    /// the way between domains.
-    fn is_crowded(&self) -> bool {
-        let round = self.nodes.len() * self.pool.slots * self.pool.batch;
-        self.queued() as f64 > round as f64 * CROWDED
-    }
-
-    /// Returns the domains with an endpoint that takes calls.
-    fn open_domains(&self, now: Time) -> Vec<id::Domain> {
-        let open = self.nodes.values().filter(|node| {
-            !node.entry.leaving && !node.health.is_paused(now) && !node.health.is_slow()
-        });
-        open.map(|node| node.entry.domain.clone()).collect()
-    }
-
-    fn call_time(&self, pieces: usize) -> Duration {
-        let pieces = u32::try_from(pieces.min(self.pool.batch)).unwrap_or(u32::MAX);
-        self.pool.call + self.pool.item * pieces
-    }
-
-    fn idle(&self, now: Time) -> usize {
-        let free = |node: &&Node| {
-            !node.entry.leaving && node.calls < self.pool.slots && !node.health.is_paused(now)
-        };
-        self.nodes.values().filter(free).count()
-    }
-
-    /// Returns the pieces a second that the pool does with full calls.
-    fn rate(&self, now: Time) -> f64 {
-        let usable = |node: &&Node| !node.entry.leaving && !node.health.is_paused(now);
-        let places = self.nodes.values().filter(usable).count() * self.pool.slots;
-        let call = self.call_time(self.pool.batch).as_secs_f64();
-        places as f64 * self.pool.batch as f64 / call.max(0.001)
-    }
-
-    /// Returns the expected time until a job would start, given what goes
-    /// before it.
-    fn backlog_before(&self, now: Time, job: &Job) -> Duration {
-        let rate = self.rate(now);
-
-        if rate <= 0.0 {
-            return Duration::ZERO;
-        }
-
-        let before = self
-            .works
-            .values()
-            .filter(|work| work.start_by > now && work.job.priority <= job.priority)
-            .map(|work| work.waiting)
-            .sum::<usize>();
-        let waiting = before.saturating_sub(self.idle(now) * self.pool.batch);
-        Duration::from_secs_f64(waiting as f64 / rate)
-    }
-}
-
-/// Orders jobs: those that can meet their goal first, then by priority and by
-/// the time at which they have to start.
-fn rank(work: &Work, now: Time, domain: Option<&id::Domain>) -> (bool, bool, u8, Time) {
-    let late = work.start_by < now;
-    let away = domain.is_some() && work.job.domain.is_some() && work.job.domain.as_ref() != domain;
-    let penalty = if away { DOMAIN_PENALTY } else { Duration::ZERO };
-    let due = if late { work.deadline } else { work.start_by };
-    // The outputs of a job that has begun take room until its last one is made.
-    let begun = work.has_begun();
-    (late, !begun, work.job.priority, due + penalty)
 }
 
 fn discard(outputs: Vec<Output>, actions: &mut Vec<Action>) {
--- a/tests/serving/batch_fuzz.rs
+++ b/tests/serving/batch_fuzz.rs
@@ -120,8 +120,8 @@
 }
 
 struct World {
-    /// Calls in progress: endpoint, items, and the room they may take.
-    calls: BTreeMap<CallId, (usize, Vec<Item>)>,
+    /// Calls in progress: endpoint, its incarnation, and the items.
+    calls: BTreeMap<CallId, (usize, u64, Vec<Item>)>,
     dispatcher: Dispatcher,
     /// Outputs that jobs were given, by job.
     given: Vec<Vec<(usize, String)>>,
@@ -254,7 +254,7 @@
     }
 
     fn ending(&mut self, call: CallId, end: End) -> Ending {
-        let (endpoint, items) = self.calls.remove(&call).unwrap();
+        let (endpoint, _, items) = self.calls.remove(&call).unwrap();
 
         match end {
             End::Answered(lot) => {
@@ -382,7 +382,16 @@
             }
         }
 
-        self.calls.insert(call, (endpoint, items));
+        let other = |(number, incarnation, _): &&(usize, u64, Vec<Item>)| {
+            (*number, *incarnation) == (endpoint, entry.incarnation)
+        };
+        assert_eq!(
+            self.calls.values().filter(other).count(),
+            0,
+            "more calls than places"
+        );
+        self.calls
+            .insert(call, (endpoint, entry.incarnation, items));
     }
 
     /// Repeats of all time keep to a budget of all windows.
