--- a/src/bin/persimmoncleatctl/help.rs
+++ b/src/bin/persimmoncleatctl/help.rs
@@ -89,3 +89,9 @@
 is replayed: claims-, lease-, scheduler- or settings-.
 
 Example: persimmoncleatctl replay tests/traces/settings-every-peer-fails.json";
+
+pub const TIMELINE: &str = "\
+Works without any host, on the logs of hosts that serve routes. Hosts' clocks \
+may differ, so lines of two hosts can be out of order.
+
+Example: persimmoncleatctl timeline 9c41d07be2a35f68 front-1.log front-2.log";
--- a/src/bin/persimmoncleatctl/main.rs
+++ b/src/bin/persimmoncleatctl/main.rs
@@ -10,6 +10,7 @@
 mod options;
 mod replay;
 mod table;
+mod timeline;
 
 use std::process::ExitCode;
 
--- a/src/bin/persimmoncleatctl/options.rs
+++ b/src/bin/persimmoncleatctl/options.rs
@@ -1,7 +1,9 @@
 //! The command line.
 
 use {
-    crate::{change::Author, config, failure::Failure, fleet, help, operator::Operator, replay},
+    crate::{
+        change::Author, config, failure::Failure, fleet, help, operator::Operator, replay, timeline,
+    },
     bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional},
     persimmoncleat::state::key::{self, KEYS},
     std::{env, fmt::Write, net::SocketAddr, path::PathBuf, process::ExitCode},
@@ -66,6 +68,11 @@
     Status {
         json: bool,
     },
+    Timeline {
+        json: bool,
+        request: String,
+        logs: Vec<PathBuf>,
+    },
 }
 
 /// What the command line asks for.
@@ -114,6 +121,11 @@
                 value,
             } => config::set(&operator()?, (path, key, value), author, json),
             Command::Status { json } => fleet::status(&operator()?, json),
+            Command::Timeline {
+                json,
+                request,
+                logs,
+            } => timeline::timeline(&request, &logs, json),
         }
     }
 }
@@ -218,8 +230,23 @@
         "Show the state of the host and its view of the others",
         help::STATUS,
     );
+    let json = self::json();
+    let request = positional::<String>("REQUEST").help("Id of the request");
+    let logs = positional::<PathBuf>("LOG")
+        .help("Log of a host")
+        .some("expected at least one LOG");
+    let timeline = command(
+        construct!(Command::Timeline {
+            json,
+            request,
+            logs
+        }),
+        "timeline",
+        "Put the log lines of a request together",
+        help::TIMELINE,
+    );
 
-    construct!([backlog, drain, endpoints, explain, replay, status])
+    construct!([backlog, drain, endpoints, explain, replay, status, timeline])
 }
 
 fn apply() -> impl Parser<Command> {
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -73,9 +73,24 @@
     replay_of_lease: ["replay", "tests/traces/lease-outage.json"] => 0, "no rule";
     replay_of_scheduler: ["replay", "tests/traces/scheduler-late-hedge.json"] => 0, "no rule";
     replay_of_settings: ["replay", "tests/traces/settings-every-peer-fails.json"] => 0, "no rule";
+    timeline_of_a_missing_log: ["timeline", "a1", "none.log"] => 2, "cannot read";
+    timeline_of_an_unknown_request: ["timeline", "none", "tests/logs/h1.log"] => 1, "no line names";
+    timeline_without_a_log: ["timeline", "a1"] => 2, "LOG";
     unknown_command_is_wrong_usage: ["bogus"] => 2, "bogus";
 }
 
+#[test]
+fn timeline_puts_the_lines_of_two_hosts_in_order() {
+    let output = run(&["timeline", "a1", "tests/logs/h1.log", "tests/logs/h2.log"]);
+    assert_eq!(output.status.code(), Some(0));
+    insta::assert_snapshot!(stdout(&output), @r"
+    TIME          LOG  MESSAGE                  FIELDS
+    10:00:01.100  h2   call with pieces failed  outcome=broken
+    10:00:01.200  h1   attempt failed:          endpoint=i-1 outcome=not_run
+    10:00:01.230  h1   request                  ms=30 outcome=answered status=200
+    ");
+}
+
 #[test]
 fn check_takes_a_good_file() {
     let (_folder, file) = folder(GOOD);
