Split the control thread and the links by job

Change: what is known of a kind, what is put into force and what peers ask are files of their own; the calls of jobs stand beside the links.

--- /dev/null
+++ b/src/coordination/serving/control/apply.rs
@@ -0,0 +1,117 @@
+//! Puts changed objects into force.
+
+use {
+    crate::{
+        coordination::serving::control::Control,
+        protocol::edge::Kind,
+        state::{
+            clock::Time,
+            serving::{mirror::Changes, roster::Roster},
+        },
+    },
+    std::sync::Arc,
+};
+
+impl Control {
+    pub(super) fn apply(&mut self, now: Time, kind: Kind, changes: &Changes, source: &'static str) {
+        let follow = self.follows.entry(kind).or_default();
+
+        let changed = follow.mirror.apply(changes);
+        follow.answer_waiting(now);
+
+        if !changed {
+            return;
+        }
+
+        match kind {
+            Kind::Config => self.apply_config(now, source),
+            Kind::Endpoints => self.apply_endpoints(source, changes),
+        }
+    }
+
+    fn apply_config(&mut self, now: Time, source: &'static str) {
+        let follow = &self.follows[&Kind::Config];
+        let Some(object) = follow.mirror.objects().max_by_key(|object| object.revision) else {
+            return;
+        };
+        let revision = object.revision;
+
+        match self.store.config(&object.value) {
+            Ok(config) => {
+                let version = config.version;
+                let known = self.view.config.as_ref().map_or(0, |known| known.version);
+
+                if version < known {
+                    log::warn!(version = version, known = known; "older configuration passed over");
+                    return;
+                }
+
+                log::info!(
+                    version = version,
+                    revision = revision,
+                    routes = config.route_count(),
+                    source = source;
+                    "configuration in force"
+                );
+                self.view.config = Some(Arc::new(config));
+                self.view.config_since = now;
+                self.publish();
+            }
+            Err(fault) => log::error!(revision = revision; "configuration refused: {fault}"),
+        }
+    }
+
+    fn apply_endpoints(&mut self, source: &'static str, changes: &Changes) {
+        let follow = &self.follows[&Kind::Endpoints];
+        let mut entries = Vec::new();
+
+        for object in follow.mirror.objects() {
+            match self.store.endpoint(&object.name, &object.value) {
+                Ok(entry) => entries.push(entry),
+                Err(fault) if changes.objects.contains(object) => {
+                    log::warn!(endpoint = object.name.as_str(); "entry passed over: {fault}");
+                }
+                // Logged when it came.
+                Err(_) => {}
+            }
+        }
+
+        let roster = Roster::new(entries);
+        log_changes(&self.view.roster, &roster, source, changes.revision);
+        self.view.roster = Arc::new(roster);
+        self.view.roster_known = true;
+        self.publish();
+    }
+}
+
+fn log_changes(old: &Roster, new: &Roster, source: &'static str, revision: u64) {
+    for entry in new.entries() {
+        let known = old.get(&entry.endpoint);
+
+        if known.is_none_or(|known| known != entry) {
+            log::info!(
+                endpoint = entry.endpoint.as_str(),
+                service = entry.service.as_str(),
+                address = entry.address.to_string().as_str(),
+                domain = entry.domain.as_str(),
+                leaving = entry.leaving.to_string().as_str(),
+                incarnation = entry.incarnation,
+                source = source,
+                revision = revision;
+                "endpoint listed"
+            );
+        }
+    }
+
+    for entry in old.entries() {
+        if new.get(&entry.endpoint).is_none() {
+            log::info!(
+                endpoint = entry.endpoint.as_str(),
+                service = entry.service.as_str(),
+                source = source,
+                revision = revision;
+                "endpoint removed"
+            );
+        }
+    }
+}
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -1,15 +1,12 @@
 //! Calls between hosts.
 
+mod jobs;
+
 use {
     crate::{
         protocol::ticket::Ticket,
         state::{
             gossip::Message,
-            id,
-            serving::{
-                mirror::Relayed,
-                piece::{Job, JobId, Outcome, Output},
-            },
             witness::{Subject, Verdict},
         },
         transport::{
@@ -32,7 +29,7 @@
     },
     tokio::{
         runtime::Builder,
-        sync::{mpsc, oneshot},
+        sync::mpsc,
         task::{LocalSet, spawn_local},
         time::Instant,
     },
@@ -111,108 +108,6 @@
         (Self(sender), serve(listener, key, receiver, deliver))
     }
 
-    /// Asks the dispatcher at `address` to run a job.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no answer arrived in time, or the connection broke.
-    pub async fn run_job(
-        &self,
-        address: SocketAddr,
-        job: &Job,
-        timeout: Duration,
-    ) -> Result<Outcome, Error> {
-        let job = job.clone();
-
-        self.ask(address, timeout, move |peer| {
-            Box::pin(async move {
-                let mut request = peer.run_job_request();
-                wire::write_job(request.get().init_job(), &job);
-                let response = request.send().promise.await?;
-                wire::read_outcome(response.get()?.get_outcome()?)
-            })
-        })
-        .await
-    }
-
-    /// Tells the dispatcher at `address` that a job is not needed any more.
-    pub fn cancel_job(&self, address: SocketAddr, id: &JobId, timeout: Duration) {
-        let id = id.clone();
-        let done = move |result| log_failure("cancel_job", address, result);
-
-        self.submit(address, timeout, done, move |peer| {
-            Box::pin(async move {
-                let mut request = peer.cancel_job_request();
-                request.get().set_home(id.home.as_str());
-                request.get().set_id(id.number);
-                request.send().promise.await?;
-                Ok(())
-            })
-        });
-    }
-
-    /// Tells the dispatcher at `address` that outputs are not needed any more.
-    pub fn release_outputs(
-        &self,
-        address: SocketAddr,
-        service: &id::Pool,
-        outputs: Vec<Output>,
-        timeout: Duration,
-    ) {
-        let service = service.clone();
-        let done = move |result| log_failure("release_outputs", address, result);
-
-        self.submit(address, timeout, done, move |peer| {
-            Box::pin(async move {
-                let mut request = peer.release_outputs_request();
-                request.get().set_service(service.as_str());
-                let length = u32::try_from(outputs.len()).unwrap_or(u32::MAX);
-                wire::write_outputs(request.get().init_outputs(length), &outputs);
-                request.send().promise.await?;
-                Ok(())
-            })
-        });
-    }
-
-    /// Checks that the host at `address` answers.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no answer arrived in time, or the connection broke.
-    pub async fn ping(&self, address: SocketAddr, timeout: Duration) -> Result<(), Error> {
-        self.ask(address, timeout, |peer| {
-            Box::pin(async move {
-                peer.ping_request().send().promise.await?;
-                Ok(())
-            })
-        })
-        .await
-    }
-
-    /// Fetches the objects of a kind that changed after a revision, waiting
-    /// for the first one, and passes them to `done` without blocking the
-    /// caller.
-    pub fn object_changes(
-        &self,
-        address: SocketAddr,
-        kind: &'static str,
-        revision: u64,
-        wait: Duration,
-        done: impl FnOnce(Result<Relayed, Error>) + Send + 'static,
-    ) {
-        self.submit(address, wait + GRACE, done, move |peer| {
-            Box::pin(async move {
-                let mut request = peer.object_changes_request();
-                request.get().set_kind(kind);
-                request.get().set_revision(revision);
-                let millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-                request.get().set_wait_ms(millis);
-                let response = request.send().promise.await?;
-                wire::read_changes(response.get()?.get_changes()?)
-            })
-        });
-    }
-
     /// Asks the witness at `address` whether the ticket's request may be sent.
     ///
     /// # Errors
@@ -322,22 +217,6 @@
         });
     }
 
-    async fn ask<T: Send + 'static>(
-        &self,
-        address: SocketAddr,
-        timeout: Duration,
-        send: impl FnOnce(
-            crate::transport::peer_capnp::peer::Client,
-        ) -> LocalBoxFuture<'static, capnp::Result<T>>
-        + Send
-        + 'static,
-    ) -> Result<T, Error> {
-        let (sender, receiver) = oneshot::channel();
-        let done = move |result| drop(sender.send(result));
-        self.submit(address, timeout, done, send);
-        receiver.await.unwrap_or_else(|_| stopped(address))
-    }
-
     fn wait<T: Send + 'static>(
         &self,
         address: SocketAddr,
@@ -432,12 +311,6 @@
     }
 }
 
-fn log_failure(call: &str, address: SocketAddr, result: Result<(), Error>) {
-    if let Err(error) = result {
-        log::debug!(call = call, peer = address.to_string().as_str(); "call failed: {error}");
-    }
-}
-
 fn subject(address: SocketAddr, ticket: &Ticket) -> Result<Subject, Error> {
     match &ticket.witness {
         Some(witness) => Ok(Subject {
