Apply removals that bear the revision of the last change

Cause: the copy of the store's objects passes over objects that are not newer than the known one. Ruled out: keeping the removal in the history with the store's revision, since an object that was created again in the same answer would be removed at followers. The history starts anew instead. Before: removal_may_bear_the_revision_of_the_last_change fails. After: passes, with the property tests of the copy. older_object_in_a_newer_answer_is_passed_over closes a gap that docs/proofs.md listed.

--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -84,7 +84,7 @@
         }
 
         for object in &changes.objects {
-            changed |= self.put(object);
+            changed |= self.put(object, changes.revision);
         }
 
         if changed {
@@ -137,16 +137,28 @@
         !missing.is_empty()
     }
 
-    fn put(&mut self, object: &Object) -> bool {
+    fn put(&mut self, object: &Object, at: u64) -> bool {
         let known = self.objects.get(&object.name);
 
-        if known.is_some_and(|known| known.revision >= object.revision) {
+        // A removal may bear the revision of the object's last change.
+        if known.is_some_and(|known| {
+            known.revision > object.revision
+                || (known.revision == object.revision && !object.removed)
+        }) {
             return false;
         }
 
         if object.removed {
-            if self.objects.remove(&object.name).is_none() {
+            let Some(known) = self.objects.remove(&object.name) else {
                 return false;
+            };
+
+            if known.revision == object.revision {
+                // The revision of the removal itself is unknown, so the
+                // history starts anew.
+                self.history.clear();
+                self.floor = at;
+                return true;
             }
         } else {
             self.objects.insert(object.name.clone(), object.clone());
--- a/tests/serving/mirror.rs
+++ b/tests/serving/mirror.rs
@@ -127,3 +127,45 @@
         prop_assert_eq!(held(&follower), objects(&history, last));
     }
 }
+
+fn object(name: &str, revision: u64, removed: bool) -> Object {
+    Object {
+        name: name.into(),
+        removed,
+        revision,
+        value: Vec::new(),
+    }
+}
+
+fn changes(revision: u64, whole: bool, objects: &[Object]) -> Changes {
+    Changes {
+        objects: objects.to_vec(),
+        revision,
+        whole,
+    }
+}
+
+/// A store may name the last change of an object in the news of its removal.
+/// An endpoint that is gone must not stay in the list, here or at a follower.
+#[test]
+fn removal_may_bear_the_revision_of_the_last_change() {
+    let mut reader = Mirror::default();
+    reader.apply(&changes(5, true, &[object("a", 5, false)]));
+    let mut follower = Mirror::default();
+    follower.apply(&reader.since(0));
+    assert!(reader.apply(&changes(7, false, &[object("a", 5, true)])));
+    assert!(held(&reader).is_empty());
+    follower.apply(&reader.since(5));
+    assert!(held(&follower).is_empty());
+}
+
+/// An object that is older than the one known must not come back inside an
+/// answer that is newer as a whole.
+#[test]
+fn older_object_in_a_newer_answer_is_passed_over() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&changes(5, true, &[object("a", 5, false)]));
+    assert!(!mirror.apply(&changes(9, false, &[object("a", 4, false)])));
+    assert!(!mirror.apply(&changes(10, false, &[object("a", 4, true)])));
+    assert_eq!(held(&mirror)["a"].revision, 5);
+}
