Reload settings while running, and apply the configuration's time limits

Cause: SIGHUP was only logged, and a file that changed without a signal was not noticed. Connections of callers had one fixed limit of 30 s for idle times and for heads, whatever the configuration said, since hyper has one timeout for both. Ruled out: hyper's header_read_timeout with the limit for heads, which would close idle connections that callers still use. Change: a thread reads the file after SIGHUP and every 2 s. Retry bounds, grace, kept addresses, log level and peers come into force at once; the rest is logged as kept until the restart; a faulty file changes nothing. Before: slow_head_ends_its_connection fails with the bounds not applied (mutation run). After: it passes, as do idle_connection_outlives_the_time_of_a_head and changed_settings_come_into_force_without_a_restart.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -10,6 +10,7 @@
 pub mod ingress;
 pub mod pools;
 pub mod relay;
+pub mod reload;
 pub mod request;
 pub mod retries;
 pub mod stages;
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -6,9 +6,18 @@
         protocol::{edge::Edge, serving_file::File},
         state::{
             clock::Time,
-            serving::{config::Config, placement::Placement, view::View},
+            serving::{
+                config::{Config, Limits},
+                placement::Placement,
+                view::View,
+            },
+        },
+        transport::{
+            boot_clock,
+            http::{client::Client, timing::Bounds},
+            links::Links,
+            tally::Tally,
         },
-        transport::{boot_clock, http::client::Client, links::Links, tally::Tally},
     },
     std::{
         cell::{Cell, RefCell},
@@ -19,27 +28,35 @@
     tokio::sync::watch,
 };
 
+/// Bounds of callers' connections before a configuration names them.
+const FIRST_BOUNDS: Bounds = Bounds {
+    header_bytes: 64 * 1024,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(30),
+};
+
 /// The shared state of the traffic thread.
 pub struct Host {
     /// Requests in progress.
     pub active: Cell<usize>,
+    pub caller_bounds: Rc<Cell<Bounds>>,
     pub client: Client,
     pub edge: Arc<dyn Edge>,
     pub links: Links,
     pub placement: RefCell<Placement>,
     pub pools: Pools,
     pub retries: Retries,
-    pub settings: File,
     pub tally: Tally,
     left: Cell<Option<Time>>,
     next_job: Cell<u64>,
+    settings: RefCell<Arc<File>>,
     view: RefCell<Arc<View>>,
 }
 
 impl Host {
     /// Builds the shared state.
     pub fn new(
-        settings: File,
+        settings: Arc<File>,
         edge: Arc<dyn Edge>,
         links: Links,
         view: Arc<View>,
@@ -47,6 +64,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             active: Cell::new(0),
+            caller_bounds: Rc::new(Cell::new(FIRST_BOUNDS)),
             client: Client::default(),
             edge,
             left: Cell::new(None),
@@ -54,13 +72,18 @@
             next_job: Cell::new(1),
             placement: RefCell::default(),
             pools: Pools::default(),
-            retries: Retries::new(settings.budget),
-            settings,
+            retries: Retries::default(),
+            settings: RefCell::new(settings),
             tally,
             view: RefCell::new(view),
         })
     }
 
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Arc<File> {
+        Arc::clone(&self.settings.borrow())
+    }
+
     /// Returns the newest view of the control state.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view.borrow())
@@ -91,6 +114,16 @@
     }
 }
 
+/// Takes over every change of the settings until nothing can change them any
+/// more.
+pub async fn follow_settings(host: Rc<Host>, mut settings: watch::Receiver<Arc<File>>) {
+    while settings.changed().await.is_ok() {
+        let newest = Arc::clone(&settings.borrow_and_update());
+        host.settings.replace(newest);
+        host.pools.update(&host);
+    }
+}
+
 /// Takes over every new view until the control thread ends.
 pub async fn follow(host: Rc<Host>, mut views: watch::Receiver<Arc<View>>) {
     loop {
@@ -103,6 +136,10 @@
                 .sweep(|endpoint| view.roster.get(endpoint).is_some());
         }
 
+        if let Some(config) = &view.config {
+            host.caller_bounds.set(bounds(&config.limits));
+        }
+
         host.view.replace(view);
         host.pools.update(&host);
 
@@ -111,3 +148,11 @@
         }
     }
 }
+
+fn bounds(limits: &Limits) -> Bounds {
+    Bounds {
+        header_bytes: limits.header_bytes,
+        header_timeout: limits.header_timeout,
+        idle_timeout: limits.idle_timeout,
+    }
+}
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -75,7 +75,7 @@
 
     if host
         .leaving_for()
-        .is_some_and(|time| time > host.settings.grace.saturating_sub(LAST_REQUESTS))
+        .is_some_and(|time| time > host.settings().grace.saturating_sub(LAST_REQUESTS))
     {
         return Err(refused_early(
             host,
@@ -93,7 +93,8 @@
     let request = accept(host, &config, head, body, started)
         .map_err(|refusal| refused_early(host, head, refusal))?;
     let request = Rc::new(request);
-    host.retries.request(&request.service);
+    host.retries
+        .request(&host.settings().budget, &request.service);
     let patience = request.remaining().saturating_sub(CALLER_MARGIN);
     let result = timeout(patience, run(host, &config, &request)).await;
     let result = result.unwrap_or_else(|_| Err(relay::justified(&request, Reason::Deadline)));
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -79,6 +79,7 @@
             if let Some(pool) = pool.and_then(|service| service.pool.as_ref()) {
                 let entries = view.roster.service(service).iter();
                 dispatcher.update(pool, entries, view.hosts());
+                dispatcher.bound(host.settings().budget);
             }
         }
     }
@@ -222,7 +223,7 @@
     };
     let mut dispatchers = host.pools.dispatchers.borrow_mut();
     let dispatcher = dispatchers.entry(service.clone()).or_insert_with(|| {
-        let mut dispatcher = Dispatcher::new(pool.clone(), host.settings.budget);
+        let mut dispatcher = Dispatcher::new(pool.clone(), host.settings().budget);
         let entries = view.roster.service(service).iter();
         dispatcher.update(pool, entries, view.hosts());
         dispatcher
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -99,7 +99,9 @@
     let hosts = host.view().hosts();
     request.attempts.get() < request.route.max_attempts
         && !request.allowance().is_zero()
-        && host.retries.take(&request.service, hosts)
+        && host
+            .retries
+            .take(&host.settings().budget, &request.service, hosts)
 }
 
 /// Returns the refusal that claims no more than is known.
@@ -121,10 +123,10 @@
 /// Returns the refusal if no endpoint answered.
 pub async fn whole(host: &Rc<Host>, request: &Request) -> Result<Response<Body>, Refusal> {
     let mut tries = Tries::default();
-    let domain = &host.settings.domain;
+    let settings = host.settings();
 
     loop {
-        let Some(entry) = tries.choose(host, request, Some(domain)) else {
+        let Some(entry) = tries.choose(host, request, Some(&settings.domain)) else {
             return Err(justified(request, Reason::NoEndpoint));
         };
         let tried = try_whole(host, request, &entry).await;
@@ -230,5 +232,7 @@
 
 /// Returns whether a retry would be covered, without taking it.
 fn budget_left(host: &Host, request: &Request) -> bool {
-    host.retries.covers(&request.service, host.view().hosts())
+    let bounds = host.settings().budget;
+    host.retries
+        .covers(&bounds, &request.service, host.view().hosts())
 }
--- /dev/null
+++ b/src/coordination/serving/reload.rs
@@ -0,0 +1,128 @@
+//! Reads the settings file again, after a signal and from time to time.
+
+use {
+    crate::{
+        coordination::{membership, serving::control::Event},
+        protocol::{serving_file::File, serving_reload::Reload},
+        transport::json_log,
+    },
+    flexi_logger::LoggerHandle,
+    std::{
+        fs,
+        path::PathBuf,
+        sync::{
+            Arc,
+            mpsc::{Receiver, RecvTimeoutError, Sender},
+        },
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
+
+/// Time between two looks at a file that may change without a signal.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Asks for the file to be read at once.
+/// Asks for the file to be read at once.
+#[derive(Debug)]
+pub struct Request;
+
+/// Where the settings come from.
+pub struct Source {
+    pub logger: LoggerHandle,
+    pub path: PathBuf,
+}
+
+/// Follows the settings file of a running host.
+pub struct Follower {
+    control: Sender<Event>,
+    published: watch::Sender<Arc<File>>,
+    source: Source,
+    /// The text that was looked at last, also if it could not be used.
+    text: String,
+}
+
+impl Follower {
+    /// Builds a follower that publishes every change of the settings.
+    pub fn new(
+        source: Source,
+        published: watch::Sender<Arc<File>>,
+        control: Sender<Event>,
+    ) -> Self {
+        Self {
+            control,
+            published,
+            source,
+            text: String::new(),
+        }
+    }
+
+    /// Reads the file for each request, and from time to time, until nobody
+    /// can ask any more.
+    pub fn run(mut self, requests: &Receiver<Request>) {
+        loop {
+            let asked = match requests.recv_timeout(INTERVAL) {
+                Ok(Request) => true,
+                Err(RecvTimeoutError::Timeout) => false,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            self.read(asked);
+        }
+    }
+
+    fn read(&mut self, asked: bool) {
+        let text = match fs::read_to_string(&self.source.path) {
+            Ok(text) => text,
+            Err(error) => {
+                let path = self.source.path.display();
+                log::error!("settings kept: cannot read {path}: {error}");
+                return;
+            }
+        };
+
+        if text == self.text && !asked {
+            return;
+        }
+
+        match File::parse(&text) {
+            Ok(file) => self.take(file, asked),
+            Err(faults) => {
+                for fault in faults {
+                    log::error!("settings kept: {fault}");
+                }
+            }
+        }
+
+        self.text = text;
+    }
+
+    fn take(&self, file: File, asked: bool) {
+        let known = Arc::clone(&self.published.borrow());
+        let reload = Reload::new(&known, file);
+
+        if !reload.is_change() {
+            if asked {
+                log::info!("settings read again: nothing is different");
+            }
+
+            return;
+        }
+
+        log::info!(
+            taken = reload.taken.join(", ").as_str(),
+            kept_until_restart = reload.kept.join(", ").as_str();
+            "settings changed"
+        );
+
+        if reload.settings.level != known.level {
+            json_log::set_level(&self.source.logger, reload.settings.level);
+        }
+
+        let own = reload.settings.addresses.peers;
+        let peers = reload.settings.peers.iter().copied();
+        let peers = membership::Event::Listed(peers.filter(|peer| *peer != own).collect());
+        // Fails only when the process ends.
+        drop(self.control.send(Event::Membership(peers)));
+        self.published.send_replace(reload.settings);
+    }
+}
--- a/src/coordination/serving/retries.rs
+++ b/src/coordination/serving/retries.rs
@@ -12,43 +12,35 @@
 };
 
 /// The budgets by service.
+#[derive(Default)]
 pub struct Retries {
-    bounds: Bounds,
     budgets: RefCell<HashMap<id::Pool, Budget>>,
 }
 
 impl Retries {
-    /// Builds full budgets.
-    pub fn new(bounds: Bounds) -> Self {
-        Self {
-            bounds,
-            budgets: RefCell::default(),
-        }
-    }
-
     /// Counts a request for a service.
-    pub fn request(&self, service: &id::Pool) {
-        self.budget(service, |budget, bounds| {
+    pub fn request(&self, bounds: &Bounds, service: &id::Pool) {
+        self.budget(service, |budget| {
             budget.request(boot_clock::now(), bounds, 1);
         });
     }
 
     /// Takes one retry if the budget of one of `hosts` hosts covers it.
-    pub fn take(&self, service: &id::Pool, hosts: usize) -> bool {
-        self.budget(service, |budget, bounds| {
+    pub fn take(&self, bounds: &Bounds, service: &id::Pool, hosts: usize) -> bool {
+        self.budget(service, |budget| {
             budget.take(boot_clock::now(), bounds, hosts, 1)
         })
     }
 
     /// Returns whether the budget covers a retry, without taking it.
-    pub fn covers(&self, service: &id::Pool, hosts: usize) -> bool {
-        self.budget(service, |budget, bounds| {
+    pub fn covers(&self, bounds: &Bounds, service: &id::Pool, hosts: usize) -> bool {
+        self.budget(service, |budget| {
             budget.covers(boot_clock::now(), bounds, hosts, 1)
         })
     }
 
-    fn budget<T>(&self, service: &id::Pool, act: impl FnOnce(&mut Budget, &Bounds) -> T) -> T {
+    fn budget<T>(&self, service: &id::Pool, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        act(budgets.entry(service.clone()).or_default(), &self.bounds)
+        act(budgets.entry(service.clone()).or_default())
     }
 }
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -235,7 +235,7 @@
         domain: outputs_domain(host, &start.inputs).or(domain.cloned()),
         first: first && !request.may_have_run.get(),
         id: JobId {
-            home: host.settings.host.clone(),
+            home: host.settings().host.clone(),
             number: host.next_job(),
         },
         input,
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -10,6 +10,7 @@
                 control::{self, Call, Control, Event},
                 host::{self, Host},
                 ingress, pools,
+                reload::{self, Follower, Source},
             },
         },
         protocol::{
@@ -27,6 +28,7 @@
             http::{
                 body::Body,
                 server::{self, Limits, Open},
+                timing::Bounds,
             },
             incoming::Incoming,
             links::Links,
@@ -44,6 +46,7 @@
     },
     snafu::ResultExt,
     std::{
+        cell::Cell,
         collections::BTreeMap,
         net::TcpListener,
         rc::Rc,
@@ -67,18 +70,14 @@
 
 /// Bounds of connections to the directory, the metrics and the readiness
 /// check, which are short.
-const SMALL: Limits = Limits {
-    connections: 256,
+const SMALL_BOUNDS: Bounds = Bounds {
     header_bytes: 16 * 1024,
+    header_timeout: Duration::from_secs(2),
     idle_timeout: Duration::from_secs(5),
 };
 
-/// Longest time between two requests on a caller's connection before the
-/// configuration names one.
-const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Longest head of a caller's request.
-const HEADER_BYTES: usize = 64 * 1024;
+/// Most connections to one of these.
+const SMALL_CONNECTIONS: usize = 256;
 
 /// Time before the end of the grace at which the process ends in any case.
 const END_MARGIN: Duration = Duration::from_millis(300);
@@ -103,13 +102,23 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound or a thread not be started.
-pub fn run(settings: File, edge: Arc<dyn Edge>, store: Arc<dyn Store>) -> Result<(), Error> {
+pub fn run(
+    settings: File,
+    source: Source,
+    edge: Arc<dyn Edge>,
+    store: Arc<dyn Store>,
+) -> Result<(), Error> {
+    let settings = Arc::new(settings);
     let listeners = listen(&settings)?;
     let local = local(&settings);
     let (sender, events) = mpsc::channel();
     let (published, views) = watch::channel(Arc::new(Control::first_view(local.clone())));
     let (leave, leaving) = watch::channel(false);
-    handle_signals(sender.clone(), leave)?;
+    let (published_settings, followed_settings) = watch::channel(Arc::clone(&settings));
+    let (reload, reloads) = mpsc::channel();
+    handle_signals(sender.clone(), reload, leave)?;
+    let follower = Follower::new(source, published_settings, sender.clone());
+    spawn("settings", move || follower.run(&reloads))?;
     let runtime = Builder::new_current_thread()
         .enable_all()
         .max_blocking_threads(BLOCKING_THREADS)
@@ -137,14 +146,12 @@
         );
         spawn_local(connections);
         let control = build_control(&settings, local, links.clone(), store, published, sender);
-        thread::Builder::new()
-            .name("control".into())
-            .spawn(move || control.run(&events))
-            .context(ThreadSnafu)?;
+        spawn("control", move || control.run(&events))?;
         let tally = Tally::default();
         let view = Arc::clone(&views.borrow());
         let host = Host::new(settings, edge, links, view, tally);
         spawn_local(host::follow(Rc::clone(&host), views));
+        spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
         spawn_local(take_calls(Rc::clone(&host), receiver));
         let open = Open::default();
         serve_callers(&host, listeners.callers, leaving.clone(), open);
@@ -211,14 +218,23 @@
     }
 }
 
-fn handle_signals(control: Sender<Event>, leave: watch::Sender<bool>) -> Result<(), Error> {
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), Error> {
+    let thread = thread::Builder::new().name(name.into());
+    thread.spawn(run).map(drop).context(ThreadSnafu)
+}
+
+fn handle_signals(
+    control: Sender<Event>,
+    reload: Sender<reload::Request>,
+    leave: watch::Sender<bool>,
+) -> Result<(), Error> {
     let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).context(SignalsSnafu)?;
 
-    thread::spawn(move || {
+    spawn("signals", move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
-                // Every setting that may change is read at the next start.
-                log::info!("settings changed; kept until the next start");
+                // Fails only when the process ends.
+                drop(reload.send(reload::Request));
                 continue;
             }
 
@@ -227,9 +243,7 @@
             drop(control.send(Event::Leave));
             leave.send_replace(true);
         }
-    });
-
-    Ok(())
+    })
 }
 
 /// Serves the calls of other hosts that concern jobs.
@@ -254,9 +268,8 @@
     open: Open,
 ) {
     let limits = Limits {
-        connections: host.settings.connections,
-        header_bytes: HEADER_BYTES,
-        idle_timeout: FIRST_IDLE_TIMEOUT,
+        bounds: Rc::clone(&host.caller_bounds),
+        connections: host.settings().connections,
     };
     let host = Rc::clone(host);
     spawn_local(server::run(
@@ -275,6 +288,10 @@
     metrics: Option<TcpListener>,
 ) {
     let (_, never) = watch::channel(false);
+    let limits = Limits {
+        bounds: Rc::new(Cell::new(SMALL_BOUNDS)),
+        connections: SMALL_CONNECTIONS,
+    };
     let serve = |listener, answer: fn(&Host, &Request<RequestBody>) -> Response<Body>| {
         let host = Rc::clone(host);
         let handler = move |request: Request<RequestBody>, _| {
@@ -283,7 +300,7 @@
         };
         spawn_local(server::run(
             listener,
-            SMALL,
+            limits.clone(),
             never.clone(),
             Open::default(),
             handler,
@@ -315,7 +332,7 @@
 
     let body = host
         .edge
-        .addresses(&addresses, host.settings.keep_addresses);
+        .addresses(&addresses, host.settings().keep_addresses);
     let mut response = Response::new(Body::whole(body));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
@@ -348,9 +365,8 @@
 
     host.leave();
     let started = boot_clock::now();
-    let most = host.settings.grace.saturating_sub(END_MARGIN);
-
     loop {
+        let most = host.settings().grace.saturating_sub(END_MARGIN);
         let elapsed = boot_clock::now().since(started);
         let idle = host.active.get() == 0 && host.pools.jobs() == 0;
 
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -15,6 +15,7 @@
 pub mod order;
 pub mod secret;
 pub mod serving_file;
+pub mod serving_reload;
 pub mod ticket;
 pub mod tree_file;
 
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -34,7 +34,7 @@
 ];
 
 /// Where a host listens.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Addresses {
     pub callers: SocketAddr,
     pub directory: SocketAddr,
@@ -44,7 +44,7 @@
 }
 
 /// How the platform's store is reached.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Store {
     pub address: SocketAddr,
     /// Kind of the objects by which hosts make themselves known.
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -159,6 +159,11 @@
         self.nodes = nodes;
     }
 
+    /// Takes the bounds of the fleet's retry budget.
+    pub fn bound(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Builds a node with the calls that it still has from an earlier listing.
     fn new_node(&self, entry: &Arc<Entry>) -> Node {
         let mut node = Node::new(entry);
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -4,3 +4,4 @@
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod timing;
--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -18,6 +18,43 @@
     Whole(Option<Bytes>),
 }
 
+/// A body that holds on to something until it was sent.
+#[derive(Debug)]
+pub struct Held<G> {
+    body: Body,
+    _guard: G,
+}
+
+impl<G> Held<G> {
+    /// Adds a guard to a body.
+    pub fn new(body: Body, guard: G) -> Self {
+        Self {
+            body,
+            _guard: guard,
+        }
+    }
+}
+
+impl<G: Unpin> HttpBody for Held<G> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Body {
     /// Returns a body with these bytes.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -6,10 +6,13 @@
 use {
     crate::transport::{
         error::{Error, ListenSnafu},
-        http::body::Body,
+        http::{
+            body::{Body, Held},
+            timing::{Bounds, Expiry, Timed, Timer},
+        },
     },
     hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     std::{
         cell::Cell,
         convert::Infallible,
@@ -33,16 +36,17 @@
 /// arrives within one turn of a busy host.
 const BACKLOG: i32 = 1024;
 
-/// How long a connection may be idle beyond the limit that callers know, so
-/// that the caller closes it first.
-const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Room for a request's first line, which the bound on headers leaves out.
+const REQUEST_LINE_BYTES: usize = 4096;
 
-/// Bounds of callers' connections.
+/// Smallest buffer that hyper accepts.
+const LEAST_BUFFER_BYTES: usize = 8192;
+
+/// Limits of a listener's connections. The bounds may change at any time.
 #[derive(Clone, Debug)]
 pub struct Limits {
+    pub bounds: Rc<Cell<Bounds>>,
     pub connections: usize,
-    pub header_bytes: usize,
-    pub idle_timeout: Duration,
 }
 
 /// Open connections of one listener.
@@ -132,19 +136,34 @@
         log::debug!("cannot set up a connection: {error}");
     }
 
+    let timer = Timer::start();
     let service = service_fn(|request| {
+        let serving = timer.serve();
         let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(answer.await.map(|body| Held::new(body, serving))) }
     });
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
-        .max_buf_size(limits.header_bytes.max(8192));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    builder.header_read_timeout(None).max_buf_size(
+        (limits.bounds.get().header_bytes + REQUEST_LINE_BYTES).max(LEAST_BUFFER_BYTES),
+    );
+    let stream = TokioIo::new(Timed::new(stream, timer.clone()));
+    let mut connection = pin!(builder.serve_connection(stream, service));
 
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        expiry = timer.expired(&limits.bounds) => match expiry {
+            // A graceful shutdown would wait for the rest of the head.
+            Expiry::Head => {
+                return log::info!(
+                    peer = peer.to_string().as_str();
+                    "connection closed: the head of a request did not arrive in time"
+                );
+            }
+            Expiry::Idle => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        },
         Ok(_) = closing.wait_for(|closing| *closing) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
--- a/src/transport/json_log.rs
+++ b/src/transport/json_log.rs
@@ -37,15 +37,26 @@
 ///
 /// Returns an error if the process already has a logger.
 pub fn start(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
+    Logger::try_with_str(specification(level))?
+        .log_to_writer(Box::new(Queue::start(io::stdout)))
+        .start()
+}
+
+/// Changes the level of a running log.
+pub fn set_level(logger: &LoggerHandle, level: LevelFilter) {
+    if let Err(error) = logger.parse_new_spec(&specification(level)) {
+        log::error!("the log keeps its level: {error}");
+    }
+}
+
+fn specification(level: LevelFilter) -> String {
     // Other crates log connection details that nobody reads below this level.
     let others = level.min(LevelFilter::Warn);
 
-    Logger::try_with_str(format!(
+    format!(
         "{others}, persimmoncleat={level}, persimmoncleatd={level}, \
         persimmoncleat_platform={level}, platform={level}"
-    ))?
-    .log_to_writer(Box::new(Queue::start(io::stdout)))
-    .start()
+    )
 }
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
