Share the stand-ins of the platform, with one relay for all tests

Cause: the stand-ins of the platform stood in the tests of platform/, where the fault soak cannot use them, and two relays had grown side by side. Ruled out: a second set of stand-ins in the soak. Change: stand_ins::platform has the store, the workers, the callers and the configuration; stand_ins::relay can cut, reset, delay, silence one or both ways and forget connections, and replaces the relay of tests/support. A host may listen for peers at another address than the one that it tells them (peer_listen_address), so that a relay can stand between hosts.

--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -193,7 +193,7 @@
         callers: bind(addresses.callers)?,
         directory: bind(addresses.directory)?,
         metrics: addresses.metrics.map(bind).transpose()?,
-        peers: TcpListener::bind(addresses.peers).context(ListenSnafu)?,
+        peers: TcpListener::bind(addresses.peers_listen).context(ListenSnafu)?,
         ready: bind(addresses.ready)?,
     })
 }
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -23,6 +23,7 @@
             "link_mbps",
             "metrics_address",
             "peer_address",
+            "peer_listen_address",
             "peers",
             "ready_address",
         ],
@@ -39,7 +40,10 @@
     pub callers: SocketAddr,
     pub directory: SocketAddr,
     pub metrics: Option<SocketAddr>,
+    /// Where other hosts connect.
     pub peers: SocketAddr,
+    /// Where their connections arrive, which differs behind a relay.
+    pub peers_listen: SocketAddr,
     pub ready: SocketAddr,
 }
 
@@ -117,6 +121,7 @@
     let directory = fields.required("host", "directory_address", ADDRESS);
     let metrics = fields.optional("host", "metrics_address", ADDRESS);
     let own = fields.required("host", "peer_address", ADDRESS);
+    let own_listen = fields.optional("host", "peer_listen_address", ADDRESS);
     let ready = fields.required("host", "ready_address", ADDRESS);
     let peers = fields.list("host", "peers", ADDRESS);
     let domain = text(fields, "host", "domain");
@@ -141,6 +146,7 @@
             directory: directory?,
             metrics,
             peers: own?,
+            peers_listen: own_listen.or(own)?,
             ready: ready?,
         },
         budget: Bounds {
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! `docs/platform.md` describes the interfaces. The stand-ins share no code
 //! with the daemon, so that a test checks the contract and not a common type.
-//! [`fleet`] starts daemons as processes among the stand-ins.
+//! [`fleet`] starts daemons as processes among the stand-ins. [`platform`]
+//! has the stand-ins of the users' platform, which speak its own protocol.
 
 pub mod batch;
 pub mod cache;
@@ -21,6 +22,7 @@
 pub mod oracle;
 pub mod orders;
 pub mod outcome;
+pub mod platform;
 pub mod relay;
 pub mod run;
 pub mod server;
--- /dev/null
+++ b/stand-ins/src/platform.rs
@@ -0,0 +1,6 @@
+//! Stand-ins of the users' platform: its store, its workers and its callers.
+
+pub mod caller;
+pub mod config;
+pub mod store;
+pub mod workers;
--- /dev/null
+++ b/stand-ins/src/platform/config.rs
@@ -0,0 +1,64 @@
+//! The operator's configuration.
+
+use serde_json::{Value, json};
+
+/// Host of every route.
+pub const HOST: &str = "h.example";
+
+/// Attempts of a route's request at different workers.
+pub const MAX_ATTEMPTS: usize = 2;
+
+/// Pieces that a call takes.
+const BATCH: usize = 8;
+
+/// Returns a configuration with a route of each kind, for the services
+/// `plain`, `stage` and `engine`.
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    let stages = json!([
+        { "service": "stage", "after": [], "bytes": 8000 },
+        { "service": "stage", "after": [0], "bytes": 8000 },
+    ]);
+
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", &json!({ "service": "plain" })),
+            route("order", "non_idempotent", &json!({ "service": "plain" })),
+            route("open", "idempotent", &json!({ "service": "plain", "public": true })),
+            route("draft", "stream", &json!({
+                "service": "engine", "stages": stages, "sticky": true, "resumable": false,
+                "gapGoalMs": 300,
+            })),
+            route("check", "stream", &json!({
+                "service": "engine", "stages": [], "sticky": true, "resumable": true,
+                "gapGoalMs": 300,
+            })),
+        ],
+        "services": [
+            { "name": "plain", "healthPath": "/healthz", "maxConns": 96 },
+            { "name": "engine", "maxConns": 96, "engine": {
+                "slots": 64, "kvCapacity": 332_768, "kvTokenBytes": 1, "linkMbps": 1.0 } },
+            { "name": "stage", "maxConns": 96, "pieces": {
+                "slots": 1, "queue": 2, "batch": BATCH, "callMs": 20.0, "itemMs": 1.0,
+                "headroomMb": 36.0, "handleS": 4.0, "linkMbps": 10_000 } },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "team", "apiKeys": keys, "priority": 1 }],
+    })
+}
+
+/// Returns a route whose paths begin with its name.
+pub fn route(name: &str, kind: &str, extra: &Value) -> Value {
+    let mut route = json!({
+        "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeKind": kind,
+        "timeoutMs": 5000, "targetLatencyMs": 1000, "priority": 1, "maxAttempts": MAX_ATTEMPTS,
+        "public": false,
+    });
+
+    if let (Some(fields), Some(extra)) = (route.as_object_mut(), extra.as_object()) {
+        fields.extend(extra.clone());
+    }
+
+    route
+}
--- a/platform/tests/serving/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -2,15 +2,16 @@
 //! watches and faults.
 
 use {
-    serde_json::{Value, json},
-    stand_ins::{
+    crate::{
         http::{Reply, Request},
-        server::{self, ANY_PORT, Handler, Server, lock},
+        server::{ANY_PORT, Handler, Server, lock},
     },
+    serde_json::{Value, json},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         net::SocketAddr,
-        sync::{Arc, Condvar, Mutex},
+        sync::{Arc, Condvar, Mutex, PoisonError},
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -23,10 +24,9 @@
     objects: BTreeMap<(String, String), Value>,
     /// Answers 503 to everyone.
     down: bool,
-    /// Calls by method.
-    calls: BTreeMap<String, usize>,
+    /// Added to the time of every answer.
+    delay: Duration,
     revision: u64,
-    seen: BTreeSet<String>,
 }
 
 /// The store's state, shared with its server.
@@ -43,12 +43,18 @@
 }
 
 impl Store {
+    /// Starts a store without objects.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port can be listened on.
     pub fn start() -> Self {
         let objects = Arc::<Objects>::default();
-        let server = Server::start(ANY_PORT, Arc::clone(&objects)).unwrap();
+        let server = Server::start(ANY_PORT, Arc::clone(&objects)).expect("the store listens");
         Self { objects, server }
     }
 
+    /// Returns the store's address.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
@@ -58,6 +64,7 @@
         self.objects.put(kind, name, spec);
     }
 
+    /// Removes an object, if it exists.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = lock(&self.objects.state);
         let key = (kind.to_owned(), name.to_owned());
@@ -70,6 +77,12 @@
         }
     }
 
+    /// Adds to the time of every answer.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.objects.state).delay = delay;
+    }
+
+    /// Answers 503 to every call, or serves again.
     pub fn set_down(&self, down: bool) {
         lock(&self.objects.state).down = down;
         self.objects.changed.notify_all();
@@ -83,6 +96,7 @@
         self.objects.changed.notify_all();
     }
 
+    /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = lock(&self.objects.state);
         let keys = state.objects.keys().filter(|(known, _)| known == kind);
@@ -145,22 +159,27 @@
                 return Reply::ok(json!({ "events": events, "at": state.revision }));
             }
 
-            state = self.changed.wait_timeout(state, left).unwrap().0;
+            state = self
+                .changed
+                .wait_timeout(state, left)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
         }
     }
 }
 
 impl Handler for Objects {
     fn handle(&self, request: Request) -> Reply {
-        {
-            let mut state = lock(&self.state);
-            *state.calls.entry(request.method.clone()).or_default() += 1;
-            state.seen.insert(request.path.clone());
+        let delay = {
+            let state = lock(&self.state);
 
             if state.down {
                 return Reply::problem(503, "down");
             }
-        }
+
+            state.delay
+        };
+        thread::sleep(delay);
 
         let mut words = request.path.trim_start_matches("/objects/").splitn(2, '/');
         let kind = words.next().unwrap_or_default();
@@ -175,23 +194,32 @@
                 None => self.list(kind, request.text("after")),
             },
             "POST" => {
-                let object: Value = serde_json::from_slice(&request.body).unwrap();
-                let name = object["metadata"]["name"].as_str().unwrap();
-                let key = (kind.to_owned(), name.to_owned());
+                let Some((name, object)) = named(&request) else {
+                    return Reply::problem(400, "no named object");
+                };
+                let key = (kind.to_owned(), name.clone());
 
-                if server::lock(&self.state).objects.contains_key(&key) {
+                if lock(&self.state).objects.contains_key(&key) {
                     return Reply::problem(409, "it exists");
                 }
 
-                self.put(kind, name, &object["spec"]);
+                self.put(kind, &name, &object["spec"]);
                 Reply::ok(object)
             }
             "PUT" => {
-                let object: Value = serde_json::from_slice(&request.body).unwrap();
-                self.put(kind, words.next().unwrap(), &object["spec"]);
+                let Ok(object) = request.json::<Value>() else {
+                    return Reply::problem(400, "no object");
+                };
+                self.put(kind, words.next().unwrap_or_default(), &object["spec"]);
                 Reply::ok(object)
             }
             _ => Reply::problem(405, "no such call"),
         }
     }
 }
+
+fn named(request: &Request) -> Option<(String, Value)> {
+    let object = request.json::<Value>().ok()?;
+    let name = object["metadata"]["name"].as_str()?.to_owned();
+    Some((name, object))
+}
--- a/platform/tests/serving/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -1,19 +1,19 @@
-//! Stand-ins of the platform's workers: a plain service, a stage pool and a
-//! model engine, which note what they ran.
+//! Workers: a plain service, a stage pool and a model engine, which note what
+//! they ran.
 
 use {
-    serde_json::{Value, json},
-    stand_ins::{
+    crate::{
         http::{Flow, Reply, Request},
         server::{ANY_PORT, Handler, Server, lock},
     },
+    serde_json::{Value, json},
     std::{
-        collections::VecDeque,
+        collections::{BTreeMap, VecDeque},
         io::Write,
         net::SocketAddr,
         sync::{Arc, Mutex},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -22,6 +22,8 @@
 pub enum Fault {
     /// Runs it and closes the connection without an answer.
     AnswerLost,
+    /// Breaks a stream off within this event.
+    Break(usize),
     /// Sends a second answer after the first one.
     Extra,
     /// Refuses it as full.
@@ -30,22 +32,30 @@
     Other,
     /// Answers without a proof.
     Unproven,
-    /// Breaks a stream off within this event.
-    Break(usize),
 }
 
 /// A request that a worker ran.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub headers: std::collections::BTreeMap<String, String>,
+    pub at: Instant,
+    pub headers: BTreeMap<String, String>,
     pub path: String,
 }
 
+/// A piece that a worker ran, as it was asked for.
+#[derive(Clone, Debug)]
+pub struct Piece {
+    pub at: Instant,
+    pub item: Value,
+}
+
 #[derive(Default)]
 struct State {
     faults: VecDeque<Fault>,
-    pieces: Vec<Value>,
+    pieces: Vec<Piece>,
     runs: Vec<Run>,
+    /// Added to the time of every request.
+    slowness: Duration,
 }
 
 /// A worker's state, shared with its server.
@@ -64,6 +74,12 @@
 }
 
 impl Worker {
+    /// Starts a worker whose streams have `events` events with `pause`
+    /// between them.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port can be listened on.
     pub fn start(id: &str, events: usize, pause: Duration) -> Self {
         let service = Arc::new(Service {
             events,
@@ -71,10 +87,11 @@
             pause,
             state: Mutex::default(),
         });
-        let server = Server::start(ANY_PORT, Arc::clone(&service)).unwrap();
+        let server = Server::start(ANY_PORT, Arc::clone(&service)).expect("the worker listens");
         Self { server, service }
     }
 
+    /// Returns the worker's address.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
@@ -84,57 +101,84 @@
         *lock(&self.service.id) = id.into();
     }
 
+    /// Lets one of the next requests fail.
     pub fn fail_next(&self, fault: Fault) {
         lock(&self.service.state).faults.push_back(fault);
     }
 
+    /// Adds to the time of every request.
+    pub fn slow_down(&self, slowness: Duration) {
+        lock(&self.service.state).slowness = slowness;
+    }
+
+    /// Returns the requests that were run, in order.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.service.state).runs.clone()
     }
 
-    pub fn pieces(&self) -> Vec<Value> {
+    /// Returns the pieces that were run, in order.
+    pub fn pieces(&self) -> Vec<Piece> {
         lock(&self.service.state).pieces.clone()
     }
 
     /// Returns the worker's entry in the store.
     pub fn entry(&self, service: &str, state: &str) -> Value {
-        json!({
-            "service": service, "address": self.address().to_string(), "zone": "z1",
-            "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0, "sequence": 1,
-        })
+        entry(self.address(), service, state)
     }
 }
 
+/// Returns a worker's entry in the store.
+pub fn entry(address: SocketAddr, service: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": address.to_string(), "zone": "z1",
+        "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0, "sequence": 1,
+    })
+}
+
 impl Service {
     fn stage(&self, request: &Request) -> Reply {
-        let body: Value = serde_json::from_slice(&request.body).unwrap();
-        let items = body["items"].as_array().unwrap();
-        lock(&self.state).pieces.extend(items.iter().cloned());
+        let Ok(body) = request.json::<Value>() else {
+            return Reply::problem(400, "no items");
+        };
+        let items = body["items"].as_array().cloned().unwrap_or_default();
+        let slowness = {
+            let mut state = lock(&self.state);
+            let at = Instant::now();
+            let pieces = items.iter().cloned();
+            state.pieces.extend(pieces.map(|item| Piece { at, item }));
+            state.slowness
+        };
+        thread::sleep(self.pause + slowness);
         let id = lock(&self.id).clone();
         let results = items.iter().map(|item| {
-            let request = item["id"].as_str().unwrap();
+            let request = item["id"].as_str().unwrap_or_default();
             json!({ "handle": format!("{id}/{request}.{}.{}", item["phase"], item["piece"]) })
         });
         Reply::ok(json!({ "items": results.collect::<Vec<Value>>() }))
     }
 
-    fn run(&self, request: Request) -> Reply {
+    fn run(&self, request: &Request) -> Reply {
         let attempt = request.headers.get("x-attempt-id").cloned();
         let attempt = attempt.unwrap_or_default();
-        let fault = lock(&self.state).faults.pop_front();
+        let (fault, slowness) = {
+            let mut state = lock(&self.state);
+            let fault = state.faults.pop_front();
 
-        if matches!(fault, Some(Fault::Full)) {
-            return refuse("503 Service Unavailable");
-        }
+            if matches!(fault, Some(Fault::Full)) {
+                return refuse("503 Service Unavailable");
+            }
 
-        lock(&self.state).runs.push(Run {
-            headers: request.headers.clone(),
-            path: request.path.clone(),
-        });
-        thread::sleep(self.pause);
+            state.runs.push(Run {
+                at: Instant::now(),
+                headers: request.headers.clone(),
+                path: request.path.clone(),
+            });
+            (fault, state.slowness)
+        };
+        thread::sleep(self.pause + slowness);
 
         if request.headers.contains_key("x-token-counts") {
-            self.stream(&request, &attempt, fault)
+            self.stream(request, &attempt, fault)
         } else {
             plain(&attempt, fault)
         }
@@ -143,7 +187,8 @@
     /// Sends events one by one.
     fn stream(&self, request: &Request, attempt: &str, fault: Option<Fault>) -> Reply {
         let first = request.headers.get("last-event-id");
-        let first = first.map_or(0, |id| id.parse::<usize>().unwrap() + 1);
+        let first = first.and_then(|id| id.parse::<usize>().ok());
+        let first = first.map_or(0, |id| id + 1);
         let last = match fault {
             Some(Fault::Break(event)) => event,
             _ => self.events,
@@ -153,12 +198,13 @@
             X-Server-Stamp: proof\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         let pause = self.pause;
+        let attempt = attempt.to_owned();
 
         Reply::Written(Box::new(move |writer| {
             writer.write_all(head.as_bytes())?;
 
             for event in first..last {
-                let text = format!("id: {event}\ndata: {event}\n\n");
+                let text = format!("id: {event}\ndata: {attempt} {event}\n\n");
                 write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
                 writer.flush()?;
                 thread::sleep(pause);
@@ -187,7 +233,7 @@
         match request.path.as_str() {
             "/stage-run" => self.stage(&request),
             "/stage-free" => Reply::ok(json!({})),
-            _ => self.run(request),
+            _ => self.run(&request),
         }
     }
 }
--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -1,28 +1,62 @@
-//! A TCP relay with a switch, to cut the link between two processes.
+//! A TCP relay that disturbs the link between two processes.
 
 use {
     crate::{
         error::{Error, ListenSnafu},
         server::{ANY_PORT, lock},
     },
+    rustix::net::sockopt,
     snafu::ResultExt,
     std::{
-        io,
+        io::{self, ErrorKind, Read, Write},
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, Ordering},
         },
         thread,
+        time::Duration,
     },
 };
 
+/// Time between two looks at the state of an idle link.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Time between two looks while bytes are held back.
+const HELD_LOOK: Duration = Duration::from_millis(5);
+
+/// Which bytes a silent link holds back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Silence {
+    Both,
+    ToCaller,
+    ToTarget,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    cut: bool,
+    delay: Duration,
+    silence: Option<Silence>,
+    stopping: bool,
+}
+
+/// One joined connection.
+#[derive(Debug)]
+struct Joined {
+    far: TcpStream,
+    near: TcpStream,
+    /// Bytes are taken and thrown away, as behind a firewall that forgot the
+    /// connection.
+    forgotten: AtomicBool,
+    reset: AtomicBool,
+}
+
 /// A relay from its own address to a target.
 pub struct Relay {
     address: SocketAddr,
-    cut: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
-    stopping: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<Arc<Joined>>>>,
+    state: Arc<Mutex<State>>,
     target: Arc<Mutex<Option<SocketAddr>>>,
 }
 
@@ -38,31 +72,26 @@
         let listener = TcpListener::bind(address).context(ListenSnafu { address })?;
         let relay = Self {
             address: listener.local_addr().context(ListenSnafu { address })?,
-            cut: Arc::default(),
             open: Arc::default(),
-            stopping: Arc::default(),
+            state: Arc::default(),
             target: Arc::new(Mutex::new(target)),
         };
+        let open = Arc::clone(&relay.open);
+        let state = Arc::clone(&relay.state);
+        let target = Arc::clone(&relay.target);
+
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let State { cut, stopping, .. } = *lock(&state);
+                let target = *lock(&target);
+
+                if stopping {
+                    return;
+                }
 
-        thread::spawn({
-            let cut = Arc::clone(&relay.cut);
-            let open = Arc::clone(&relay.open);
-            let stopping = Arc::clone(&relay.stopping);
-            let target = Arc::clone(&relay.target);
-
-            move || {
-                for stream in listener.incoming() {
-                    if stopping.load(Ordering::SeqCst) {
-                        return;
-                    }
-
-                    let target = *lock(&target);
-
-                    if let (Ok(stream), Some(target), false) =
-                        (stream, target, cut.load(Ordering::SeqCst))
-                    {
-                        let _ = join(&stream, target, &open);
-                    }
+                if let (Ok(stream), Some(target), false) = (stream, target, cut) {
+                    // A target that cannot be reached closes the connection.
+                    let _ = join(stream, target, &open, &state);
                 }
             }
         });
@@ -80,42 +109,167 @@
         *lock(&self.target) = Some(target);
     }
 
-    /// Cuts every connection and refuses new ones.
+    /// Cuts every connection and closes new ones at once.
     pub fn cut(&self) {
-        self.cut.store(true, Ordering::SeqCst);
+        lock(&self.state).cut = true;
+
+        for joined in lock(&self.open).drain(..) {
+            joined.close();
+        }
+    }
 
-        for stream in lock(&self.open).drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
+    /// Holds bytes back, on open and on new connections.
+    pub fn silence(&self, silence: Silence) {
+        lock(&self.state).silence = Some(silence);
+    }
+
+    /// Passes bytes on later.
+    pub fn delay(&self, delay: Duration) {
+        lock(&self.state).delay = delay;
+    }
+
+    /// Resets every open connection; new ones go through.
+    pub fn reset(&self) {
+        for joined in lock(&self.open).drain(..) {
+            joined.reset.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Lets every open connection go silent for good, without a reset; new
+    /// ones go through.
+    pub fn forget(&self) {
+        for joined in lock(&self.open).iter() {
+            joined.forgotten.store(true, Ordering::SeqCst);
         }
     }
 
-    /// Lets new connections through again.
+    /// Ends what [`Relay::cut`], [`Relay::silence`] and [`Relay::delay`]
+    /// began.
     pub fn mend(&self) {
-        self.cut.store(false, Ordering::SeqCst);
+        let mut state = lock(&self.state);
+        state.cut = false;
+        state.delay = Duration::ZERO;
+        state.silence = None;
     }
 }
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        lock(&self.state).stopping = true;
         self.cut();
+        // Wakes the accepting thread, which then sees that it is to stop.
         let _ = TcpStream::connect(self.address);
     }
 }
 
-fn join(near: &TcpStream, target: SocketAddr, open: &Mutex<Vec<TcpStream>>) -> io::Result<()> {
+impl Joined {
+    fn close(&self) {
+        let _ = self.near.shutdown(Shutdown::Both);
+        let _ = self.far.shutdown(Shutdown::Both);
+    }
+}
+
+fn join(
+    near: TcpStream,
+    target: SocketAddr,
+    open: &Mutex<Vec<Arc<Joined>>>,
+    state: &Arc<Mutex<State>>,
+) -> io::Result<()> {
     let far = TcpStream::connect(target)?;
-    lock(open).extend([near.try_clone()?, far.try_clone()?]);
-    copy(near.try_clone()?, far.try_clone()?);
-    copy(far, near.try_clone()?);
+
+    for stream in [&near, &far] {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(LOOK))?;
+    }
+
+    let joined = Arc::new(Joined {
+        far,
+        forgotten: AtomicBool::new(false),
+        near,
+        reset: AtomicBool::new(false),
+    });
+    let mut open = lock(open);
+    open.retain(|joined| Arc::strong_count(joined) > 1);
+    open.push(Arc::clone(&joined));
+
+    for to_target in [true, false] {
+        let joined = Arc::clone(&joined);
+        let state = Arc::clone(state);
+        thread::spawn(move || {
+            if let Err(error) = copy(&joined, to_target, &state)
+                && error.kind() == ErrorKind::ConnectionReset
+            {
+                // Without a time to linger, closing sends a reset.
+                let _ = sockopt::set_socket_linger(&joined.near, Some(Duration::ZERO));
+                let _ = sockopt::set_socket_linger(&joined.far, Some(Duration::ZERO));
+            }
+        });
+    }
+
     Ok(())
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream) {
-    let _ = to.set_nodelay(true);
+fn copy(joined: &Joined, to_target: bool, state: &Mutex<State>) -> io::Result<()> {
+    let (mut from, mut to) = if to_target {
+        (&joined.near, &joined.far)
+    } else {
+        (&joined.far, &joined.near)
+    };
+    let mut buffer = [0; 16 * 1024];
+
+    loop {
+        if joined.reset.load(Ordering::SeqCst) {
+            return Err(ErrorKind::ConnectionReset.into());
+        }
+
+        let count = match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                continue;
+            }
+            Err(_) => break,
+        };
 
-    thread::spawn(move || {
-        let _ = io::copy(&mut from, &mut to);
+        if joined.forgotten.load(Ordering::SeqCst) {
+            continue;
+        }
+
+        pass(joined, to_target, state);
+
+        if to.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+
+    if !joined.forgotten.load(Ordering::SeqCst) {
         let _ = to.shutdown(Shutdown::Write);
-    });
+    }
+
+    Ok(())
+}
+
+/// Waits until bytes may be passed on.
+fn pass(joined: &Joined, to_target: bool, state: &Mutex<State>) {
+    let own = if to_target {
+        Silence::ToTarget
+    } else {
+        Silence::ToCaller
+    };
+
+    loop {
+        let State {
+            cut,
+            delay,
+            silence,
+            ..
+        } = *lock(state);
+        let held = silence.is_some_and(|silence| silence == Silence::Both || silence == own);
+
+        if !held || cut || joined.reset.load(Ordering::SeqCst) {
+            return thread::sleep(delay);
+        }
+
+        thread::sleep(HELD_LOOK);
+    }
 }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -1,8 +1,5 @@
 //! Calls between two link servers on loopback.
 
-#[path = "support/relay.rs"]
-mod relay;
-
 use {
     persimmoncleat::{
         coordination::claim::{self, Claim},
@@ -16,7 +13,7 @@
         },
         transport::{Error, incoming::Incoming, links::Links},
     },
-    relay::Relay,
+    stand_ins::relay::{Relay, Silence},
     std::{
         io::Read,
         net::{SocketAddr, TcpListener, TcpStream},
@@ -178,25 +175,25 @@
 #[test]
 fn cut_connection_fails_the_call_and_reconnects() {
     let (server, calls) = Server::mute();
-    let relay = Relay::start(server.address);
+    let relay = Relay::start(Some(server.address)).unwrap();
     let links = client(KEY);
 
-    let (calling, address) = (links.clone(), relay.address);
+    let (calling, address) = (links.clone(), relay.address());
     let call = thread::spawn(move || calling.permit(address, &ticket(0), 1, LONG));
     let pending = calls.recv_timeout(LONG).unwrap();
-    relay.cut(true);
+    relay.cut();
     let result = call.join().unwrap();
     assert!(matches!(result, Err(Error::Broken { .. })), "{result:?}");
     assert_closed(result);
-    assert_closed(links.permit(relay.address, &ticket(0), 1, SHORT));
+    assert_closed(links.permit(relay.address(), &ticket(0), 1, SHORT));
     drop(pending);
 
-    relay.cut(false);
+    relay.mend();
     let answering = thread::spawn(move || match calls.recv_timeout(LONG * 3).unwrap() {
         Incoming::Void { reply, .. } => reply.send(Verdict::Voided).unwrap(),
         call => panic!("{call:?}"),
     });
-    let verdict = eventually(|| links.void(relay.address, &ticket(1), LONG));
+    let verdict = eventually(|| links.void(relay.address(), &ticket(1), LONG));
     assert_eq!(verdict, Verdict::Voided);
     answering.join().unwrap();
 }
@@ -206,19 +203,19 @@
 #[test]
 fn silent_peer_times_out_and_is_reached_again() {
     let server = Server::witness();
-    let relay = Relay::start(server.address);
+    let relay = Relay::start(Some(server.address)).unwrap();
     let links = client(KEY);
-    eventually(|| links.permit(relay.address, &ticket(0), 1, LONG));
+    eventually(|| links.permit(relay.address(), &ticket(0), 1, LONG));
 
-    relay.silence(true);
+    relay.silence(Silence::Both);
     for _ in 0..3 {
-        let result = links.permit(relay.address, &ticket(0), 1, SHORT);
+        let result = links.permit(relay.address(), &ticket(0), 1, SHORT);
         assert!(matches!(result, Err(Error::Timeout { .. })), "{result:?}");
         assert_closed(result);
     }
 
-    relay.silence(false);
-    let verdict = eventually(|| links.permit(relay.address, &ticket(0), 1, LONG));
+    relay.mend();
+    let verdict = eventually(|| links.permit(relay.address(), &ticket(0), 1, LONG));
     assert_eq!(verdict, Verdict::Granted);
 }
 
