--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -2,5 +2,6 @@
 
 pub mod caller;
 pub mod config;
+pub mod host;
 pub mod store;
 pub mod workers;
