--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -169,6 +169,11 @@
         fs::rename(draft, path).expect("the settings can be replaced");
     }
 
+    /// Returns the text of the settings file.
+    pub fn settings_text(&self) -> String {
+        fs::read_to_string(self.log.with_extension("ini")).unwrap_or_default()
+    }
+
     /// Returns the path of the log.
     pub fn log_path(&self) -> &Path {
         &self.log
