Serve what still arrives at a host that stops

Cause: with the stop signal every connection was shut down in the way of hyper's graceful shutdown, which closes one that has not carried a request yet. Callers use an address for as long as their answer of the directory lasts, so new connections of that time were closed without an answer. Change: a stopping host keeps connections, ends each with its next answer (Connection: close), and closes idle ones and the listener only when nothing is in progress. The drain and the short questions have files of their own. Before: host_that_stops_serves_what_still_arrives fails. After: passes.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -4,11 +4,13 @@
 pub mod answer;
 pub mod control;
 pub mod dispatch;
+pub mod drain;
 pub mod exchange;
 pub mod follower;
 pub mod host;
 pub mod ingress;
 pub mod pools;
+pub mod questions;
 pub mod relay;
 pub mod reload;
 pub mod request;
--- /dev/null
+++ b/src/coordination/serving/questions.rs
@@ -0,0 +1,108 @@
+//! The short questions that a host answers: which addresses callers use,
+//! whether it takes requests, and its metrics.
+
+use {
+    crate::{
+        coordination::serving::host::Host,
+        state::{id, serving::directory},
+        transport::http::{
+            body::Body,
+            server::{self, Limits, Open, Stage},
+            timing::Bounds,
+        },
+    },
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    std::{cell::Cell, net::TcpListener, rc::Rc, time::Duration},
+    tokio::{sync::watch, task::spawn_local},
+};
+
+/// Bounds of connections to the directory, the metrics and the readiness
+/// check, which are short.
+const SMALL_BOUNDS: Bounds = Bounds {
+    header_bytes: 16 * 1024,
+    header_timeout: Duration::from_secs(2),
+    idle_timeout: Duration::from_secs(5),
+};
+
+/// Most connections to one of these.
+const SMALL_CONNECTIONS: usize = 256;
+
+/// Serves the directory, the readiness check and the metrics.
+pub fn serve(
+    host: &Rc<Host>,
+    directory: TcpListener,
+    ready: TcpListener,
+    metrics: Option<TcpListener>,
+) {
+    let (_, always) = watch::channel(Stage::Open);
+    let limits = Limits {
+        bounds: Rc::new(Cell::new(SMALL_BOUNDS)),
+        connections: SMALL_CONNECTIONS,
+    };
+    let listen = |listener, answer: fn(&Host, &Request<Incoming>) -> Response<Body>| {
+        let host = Rc::clone(host);
+        let handler = move |request: Request<Incoming>, _| {
+            let response = answer(&host, &request);
+            async move { response }
+        };
+        spawn_local(server::run(
+            listener,
+            limits.clone(),
+            always.clone(),
+            Open::default(),
+            handler,
+        ));
+    };
+
+    listen(directory, answer_directory);
+    listen(ready, answer_ready);
+
+    if let Some(metrics) = metrics {
+        listen(metrics, |host, _| text(StatusCode::OK, host.tally.page()));
+    }
+}
+
+fn answer_directory(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+    let uri = request.uri();
+    let Some(question) = host.edge.question(uri.path(), uri.query().unwrap_or("")) else {
+        return text(StatusCode::NOT_FOUND, "no such path\n".into());
+    };
+    let view = host.view();
+    let domain = question.domain.as_deref().map(id::Domain::from);
+    let ready = view.is_ready().then_some(&view.local);
+    let others = view.members.iter();
+    let addresses = directory::addresses(others.chain(ready), domain.as_ref());
+
+    if addresses.is_empty() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no host is ready\n".into());
+    }
+
+    let body = host
+        .edge
+        .addresses(&addresses, host.settings().keep_addresses);
+    let mut response = Response::new(Body::whole(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn answer_ready(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+    let known = request.uri().path() == host.edge.ready_path();
+    let ready = host.view().is_ready() && host.leaving_for().is_none();
+
+    match (known, ready) {
+        (false, _) => text(StatusCode::NOT_FOUND, "no such path\n".into()),
+        (true, true) => text(StatusCode::OK, "ready\n".into()),
+        (true, false) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::whole(text));
+    *response.status_mut() = status;
+    response
+}
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -8,8 +8,9 @@
             membership::Membership,
             serving::{
                 control::{self, Call, Control, Event},
+                drain,
                 host::{self, Host},
-                ingress, pools,
+                ingress, pools, questions,
                 reload::{self, Follower, Source},
             },
         },
@@ -21,32 +22,21 @@
             clock::Time,
             id,
             member::{Member, Phase},
-            serving::{directory, view::View},
+            serving::view::View,
         },
         transport::{
-            boot_clock,
-            http::{
-                body::Body,
-                server::{self, Limits, Open},
-                timing::Bounds,
-            },
+            http::server::{self, Limits, Open, Stage},
             incoming::Incoming,
             links::Links,
             tally::Tally,
         },
     },
-    hyper::{
-        Request, Response, StatusCode,
-        body::Incoming as RequestBody,
-        header::{CONTENT_TYPE, HeaderValue},
-    },
     signal_hook::{
         consts::{SIGHUP, SIGINT, SIGTERM},
         iterator::Signals,
     },
     snafu::ResultExt,
     std::{
-        cell::Cell,
         collections::BTreeMap,
         net::TcpListener,
         rc::Rc,
@@ -55,40 +45,18 @@
             mpsc::{self, Sender},
         },
         thread,
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::{SystemTime, UNIX_EPOCH},
     },
     tokio::{
         runtime::Builder,
         sync::watch,
         task::{LocalSet, spawn_local},
-        time::sleep,
     },
 };
 
 /// Threads of the runtime that wait for blocking calls.
 const BLOCKING_THREADS: usize = 1;
 
-/// Bounds of connections to the directory, the metrics and the readiness
-/// check, which are short.
-const SMALL_BOUNDS: Bounds = Bounds {
-    header_bytes: 16 * 1024,
-    header_timeout: Duration::from_secs(2),
-    idle_timeout: Duration::from_secs(5),
-};
-
-/// Most connections to one of these.
-const SMALL_CONNECTIONS: usize = 256;
-
-/// Time before the end of the grace at which the process ends in any case.
-const END_MARGIN: Duration = Duration::from_millis(300);
-
-/// Time for which callers may still use the address of a stopping host:
-/// they learn of it when their answer of the directory expires.
-const STALE_ADDRESSES: Duration = Duration::from_millis(2500);
-
-/// Time between two looks at whether a stopping host is done.
-const DRAIN_TICK: Duration = Duration::from_millis(50);
-
 struct Listeners {
     callers: TcpListener,
     directory: TcpListener,
@@ -154,14 +122,15 @@
         spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
         spawn_local(take_calls(Rc::clone(&host), receiver));
         let open = Open::default();
-        serve_callers(&host, listeners.callers, leaving.clone(), open);
-        serve_questions(
+        let (staged, stage) = watch::channel(Stage::Open);
+        serve_callers(&host, listeners.callers, stage, open);
+        questions::serve(
             &host,
             listeners.directory,
             listeners.ready,
             listeners.metrics,
         );
-        drain(&host, leaving).await;
+        drain::run(&host, leaving, &staged).await;
         Ok(())
     })
 }
@@ -264,7 +233,7 @@
 fn serve_callers(
     host: &Rc<Host>,
     listener: TcpListener,
-    leaving: watch::Receiver<bool>,
+    stage: watch::Receiver<Stage>,
     open: Open,
 ) {
     let limits = Limits {
@@ -275,111 +244,8 @@
     spawn_local(server::run(
         listener,
         limits,
-        leaving,
+        stage,
         open,
         move |request, _| ingress::handle(Rc::clone(&host), request),
     ));
 }
-
-fn serve_questions(
-    host: &Rc<Host>,
-    directory: TcpListener,
-    ready: TcpListener,
-    metrics: Option<TcpListener>,
-) {
-    let (_, never) = watch::channel(false);
-    let limits = Limits {
-        bounds: Rc::new(Cell::new(SMALL_BOUNDS)),
-        connections: SMALL_CONNECTIONS,
-    };
-    let serve = |listener, answer: fn(&Host, &Request<RequestBody>) -> Response<Body>| {
-        let host = Rc::clone(host);
-        let handler = move |request: Request<RequestBody>, _| {
-            let response = answer(&host, &request);
-            async move { response }
-        };
-        spawn_local(server::run(
-            listener,
-            limits.clone(),
-            never.clone(),
-            Open::default(),
-            handler,
-        ));
-    };
-
-    serve(directory, answer_directory);
-    serve(ready, answer_ready);
-
-    if let Some(metrics) = metrics {
-        serve(metrics, |host, _| text(StatusCode::OK, host.tally.page()));
-    }
-}
-
-fn answer_directory(host: &Host, request: &Request<RequestBody>) -> Response<Body> {
-    let uri = request.uri();
-    let Some(question) = host.edge.question(uri.path(), uri.query().unwrap_or("")) else {
-        return text(StatusCode::NOT_FOUND, "no such path\n".into());
-    };
-    let view = host.view();
-    let domain = question.domain.as_deref().map(id::Domain::from);
-    let ready = view.is_ready().then_some(&view.local);
-    let others = view.members.iter();
-    let addresses = directory::addresses(others.chain(ready), domain.as_ref());
-
-    if addresses.is_empty() {
-        return text(StatusCode::SERVICE_UNAVAILABLE, "no host is ready\n".into());
-    }
-
-    let body = host
-        .edge
-        .addresses(&addresses, host.settings().keep_addresses);
-    let mut response = Response::new(Body::whole(body));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
-    response
-}
-
-fn answer_ready(host: &Host, request: &Request<RequestBody>) -> Response<Body> {
-    let known = request.uri().path() == host.edge.ready_path();
-    let ready = host.view().is_ready() && host.leaving_for().is_none();
-
-    match (known, ready) {
-        (false, _) => text(StatusCode::NOT_FOUND, "no such path\n".into()),
-        (true, true) => text(StatusCode::OK, "ready\n".into()),
-        (true, false) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
-    }
-}
-
-fn text(status: StatusCode, text: String) -> Response<Body> {
-    let mut response = Response::new(Body::whole(text));
-    *response.status_mut() = status;
-    response
-}
-
-/// Waits for the stop signal, and then until nothing is in progress.
-async fn drain(host: &Rc<Host>, mut leaving: watch::Receiver<bool>) {
-    if leaving.wait_for(|leaving| *leaving).await.is_err() {
-        // The signal thread has ended; nothing can stop the host any more.
-        std::future::pending::<()>().await;
-    }
-
-    host.leave();
-    let started = boot_clock::now();
-    loop {
-        let most = host.settings().grace.saturating_sub(END_MARGIN);
-        let elapsed = boot_clock::now().since(started);
-        let idle = host.active.get() == 0 && host.pools.jobs() == 0;
-
-        if elapsed >= most || (idle && elapsed >= STALE_ADDRESSES) {
-            log::info!(
-                active = host.active.get(),
-                jobs = host.pools.jobs(),
-                ms = elapsed.as_millis();
-                "stopped"
-            );
-            return;
-        }
-
-        sleep(DRAIN_TICK).await;
-    }
-}
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -11,7 +11,13 @@
             timing::{Bounds, Expiry, Timed, Timer},
         },
     },
-    hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        header::{CONNECTION, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     std::{
         cell::Cell,
@@ -49,6 +55,17 @@
     pub connections: usize,
 }
 
+/// How the connections of a listener are treated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// Connections are kept.
+    Open,
+    /// Requests are served, and each answer ends its connection.
+    Leaving,
+    /// Nothing new is accepted, and idle connections are closed.
+    Closing,
+}
+
 /// Open connections of one listener.
 #[derive(Clone, Debug, Default)]
 pub struct Open(Rc<Cell<usize>>);
@@ -82,12 +99,12 @@
     })
 }
 
-/// Accepts connections until the task is dropped. Once `closing` is true,
-/// connections close after the request that they carry.
+/// Accepts connections until the task is dropped or the stage is
+/// [`Stage::Closing`].
 pub async fn run<F>(
     listener: StdListener,
     limits: Limits,
-    closing: watch::Receiver<bool>,
+    mut stage: watch::Receiver<Stage>,
     open: Open,
     handler: impl Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
 ) where
@@ -99,14 +116,19 @@
     };
 
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Ok(_) = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+        };
+
+        match accepted {
             Ok((stream, peer)) if open.count() < limits.connections => {
                 let guard = Guard::new(&open);
-                let closing = closing.clone();
+                let stage = stage.clone();
                 let limits = limits.clone();
                 let handler = handler.clone();
                 spawn_local(async move {
-                    serve(stream, peer, limits, closing, handler).await;
+                    serve(stream, peer, limits, stage, handler).await;
                     drop(guard);
                 });
             }
@@ -127,7 +149,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     limits: Limits,
-    mut closing: watch::Receiver<bool>,
+    mut stage: watch::Receiver<Stage>,
     handler: impl Fn(Request<Incoming>, SocketAddr) -> F + 'static,
 ) where
     F: Future<Output = Response<Body>> + 'static,
@@ -137,10 +159,21 @@
     }
 
     let timer = Timer::start();
+    let current = stage.clone();
     let service = service_fn(|request| {
         let serving = timer.serve();
         let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await.map(|body| Held::new(body, serving))) }
+        let stage = current.clone();
+        async move {
+            let mut answer = answer.await.map(|body| Held::new(body, serving));
+
+            if *stage.borrow() != Stage::Open {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+
+            Ok::<_, Infallible>(answer)
+        }
     });
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None).max_buf_size(
@@ -164,7 +197,7 @@
                 connection.as_mut().await
             }
         },
-        Ok(_) = closing.wait_for(|closing| *closing) => {
+        Ok(_) = stage.wait_for(|stage| *stage == Stage::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
