Count on a wait before each later stage of a request

Ruled out: freeing inputs once the last piece is in a call (a call from the dispatcher to the home, 60 ms later the release). Change: 200 ms for each later stage are taken off the time to start.

--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -30,6 +30,10 @@
 /// Time of a call to a dispatcher and back, between failure domains.
 const HOP: Duration = Duration::from_millis(15);
 
+/// Wait for a free endpoint before each later stage. Without it, jobs of a
+/// crowded pool begin so late that the next wait makes them miss their goal.
+const STAGE_WAIT: Duration = Duration::from_millis(200);
+
 /// Times that all stages run again because outputs are gone.
 const RESTARTS: u32 = 1;
 
@@ -224,11 +228,13 @@
     } else {
         Input::Outputs(handles(&start.inputs))
     };
-    let after = graph
-        .rest(start.stage)
+    let rest = graph.rest(start.stage);
+    let calls = rest
         .iter()
         .map(|(service, pieces)| call_time(config, service, *pieces) + HOP)
         .sum::<Duration>();
+    let later = u32::try_from(rest.len().saturating_sub(1)).unwrap_or(u32::MAX);
+    let after = calls + STAGE_WAIT * later;
 
     Job {
         // Every piece reads all inputs, which are larger than its output.
