Give up the jobs of hosts that ended

Cause: the pieces of a request whose host was killed kept taking calls and room until the request's deadline. Ruled out: waiting for the membership, which needs seconds; the closed link says it at once. Change: the dispatcher cancels a job whose answer nobody waits for any more. Before: dispatcher_gives_up_the_jobs_of_a_host_that_ended fails with the mechanism disabled. After: passes.

--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -353,6 +353,7 @@
     spawn_local(async move {
         while host.pools.jobs() > 0 {
             sleep(TICK).await;
+            give_up_orphans(&host);
             summarise(&host);
             let services = host.pools.queued().into_iter().map(|(service, _)| service);
 
@@ -369,6 +370,20 @@
     });
 }
 
+/// Gives up the jobs whose home has closed its link, or has ended.
+fn give_up_orphans(host: &Rc<Host>) {
+    let replies = host.pools.replies.borrow();
+    let orphans = replies.iter().filter(|(_, reply)| reply.is_closed());
+    let orphans = orphans.map(|(id, _)| id.clone()).collect::<Vec<JobId>>();
+    drop(replies);
+
+    for id in orphans {
+        log::info!(home = id.home.as_str(), job = id.number; "job given up: its home is gone");
+        host.tally.count("orphans", &[]);
+        cancel(host, &id);
+    }
+}
+
 /// Logs the state of each pool with jobs, at most once an interval.
 fn summarise(host: &Host) {
     let now = boot_clock::now();
