Let jobs that have begun go first, also when they are late

Ruled out: dropping late jobs at once, which loses what they still earn. Change: jobs that have begun come first in the order of a pool. Before: job_that_has_begun_ends_before_another_one_begins fails with the old order. After: passes.

--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -2,10 +2,10 @@
 //! calls with them and hands the outputs back.
 //!
 //! An endpoint spends most of a call's time on the call itself, so pieces
-//! wait while every endpoint is busy and go out together. Pieces that can
-//! still meet their goal go first, in the order of priority and of the time
-//! at which they have to start; pieces that are already late take what is
-//! left.
+//! wait while every endpoint is busy and go out together. Jobs that have begun
+//! go first, since their outputs take room. Then come pieces that can still
+//! meet their goal, in the order of priority and of the time at which they
+//! have to start; pieces that are already late take what is left.
 
 mod fill;
 mod load;
--- a/src/state/serving/batch/work.rs
+++ b/src/state/serving/batch/work.rs
@@ -71,14 +71,13 @@
     }
 }
 
-/// Orders jobs: those that can meet their goal first, then by priority and by
-/// the time at which they have to start.
+/// Orders jobs: those that have begun first, since their outputs take room
+/// until the last one is made, then those that can meet their goal, then by
+/// priority and by the time at which they have to start.
 pub(super) fn rank(work: &Work, now: Time, domain: Option<&id::Domain>) -> (bool, bool, u8, Time) {
     let late = work.start_by < now;
     let away = domain.is_some() && work.job.domain.is_some() && work.job.domain.as_ref() != domain;
     let penalty = if away { DOMAIN_PENALTY } else { Duration::ZERO };
     let due = if late { work.deadline } else { work.start_by };
-    // The outputs of a job that has begun take room until its last one is made.
-    let begun = work.has_begun();
-    (late, !begun, work.job.priority, due + penalty)
+    (!work.has_begun(), late, work.job.priority, due + penalty)
 }
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -285,3 +285,25 @@
     dispatcher.tick(at(300), &mut actions);
     assert!(sent(&actions).is_empty());
 }
+
+/// The outputs of a job that has begun take room until its last one is made,
+/// so its last piece goes before the pieces of others, also when it is late.
+#[test]
+fn job_that_has_begun_ends_before_another_one_begins() {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+    let begun = Job {
+        urgency: Duration::from_millis(100),
+        ..job(1, 9)
+    };
+    dispatcher.add(at(0), begun, &mut actions);
+    let (call, _, items) = sent(&actions).remove(0);
+    assert_eq!(items.len(), 8);
+    dispatcher.add(at(10), job(2, 8), &mut actions);
+    actions.clear();
+    let outputs = (0..8).map(|piece| piece::Result::Done(format!("o{piece}")));
+    let ending = Ending::Answered(outputs.collect());
+    dispatcher.finish(at(300), call, ending, &mut actions);
+    let next = sent(&actions).remove(0).2;
+    assert!(next.iter().any(|item| item.request == "r1"), "{next:?}");
+}
