--- a/src/bin/persimmoncleatctl/replay.rs
+++ b/src/bin/persimmoncleatctl/replay.rs
@@ -3,8 +3,10 @@
 use {
     crate::failure::Failure,
     persimmoncleat::state::{
-        claims_trace, lease_trace, scheduler_trace,
-        settings_trace::{self, Step},
+        replay::claims_trace,
+        replay::lease_trace,
+        replay::scheduler_trace,
+        replay::settings_trace::{self, Step},
         tuning::Tuning,
     },
     serde::de::DeserializeOwned,
--- /dev/null
+++ b/src/state/replay.rs
@@ -0,0 +1,19 @@
+//! Worlds, oracles and traces for the fuzz tests and for replays with
+//! `persimmoncleatctl`. Nothing here serves requests.
+
+pub mod claims_host;
+pub mod claims_network;
+pub mod claims_trace;
+pub mod claims_violation;
+pub mod claims_world;
+pub mod lease_trace;
+pub mod scheduler_oracle;
+pub mod scheduler_trace;
+pub mod settings_call;
+mod settings_oracle;
+pub mod settings_step;
+pub mod settings_store;
+pub mod settings_trace;
+pub mod settings_violation;
+pub mod trace_setting;
+pub mod violation;
--- a/src/state/claims_host.rs
+++ b/src/state/replay/claims_host.rs
@@ -1,12 +1,12 @@
-//! One host of a [`World`](crate::state::claims_world::World).
+//! One host of a [`World`](crate::state::replay::claims_world::World).
 
 use {
     crate::state::{
-        claims_network::Content,
         clock::Time,
         home, id,
         member::{Member, Phase},
         refusal::Outcome,
+        replay::claims_network::Content,
         witness::{Subject, Witness},
     },
     std::{
--- a/src/state/claims_trace.rs
+++ b/src/state/replay/claims_trace.rs
@@ -2,7 +2,9 @@
 //! once.
 
 use {
-    crate::state::{claims_violation::Violation, claims_world::World, refusal::Outcome},
+    crate::state::{
+        refusal::Outcome, replay::claims_violation::Violation, replay::claims_world::World,
+    },
     serde::{Deserialize, Serialize},
 };
 
--- a/src/state/claims_world.rs
+++ b/src/state/replay/claims_world.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::state::{
-        claims_host::{Host, Record, member, name},
-        claims_network::{Content, Message, Network},
-        claims_trace::{Endpoint, Step, Told},
-        claims_violation::{RanDespiteNotRunSnafu, RanTwiceSnafu, Violation},
         clock::Time,
         home::{self, Admission, Permission},
         id,
         refusal::{Outcome, Refusal},
+        replay::claims_host::{Host, Record, member, name},
+        replay::claims_network::{Content, Message, Network},
+        replay::claims_trace::{Endpoint, Step, Told},
+        replay::claims_violation::{RanDespiteNotRunSnafu, RanTwiceSnafu, Violation},
         resolution::{self, Route},
         witness::{Subject, Verdict},
     },
--- a/src/state/scheduler_oracle.rs
+++ b/src/state/replay/scheduler_oracle.rs
@@ -9,8 +9,8 @@
         endpoint::{Endpoint, Phase},
         id,
         refusal::Outcome,
+        replay::violation::{Rule, Violation, check},
         request::Request,
-        violation::{Rule, Violation, check},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/src/state/settings_call.rs
+++ b/src/state/replay/settings_call.rs
@@ -1,7 +1,7 @@
 //! A call in a trial of settings replicas.
 
 use crate::state::{
-    proposal::Creation, replica_action::Action, replica_event::Event, settings_step::Fault,
+    proposal::Creation, replay::settings_step::Fault, replica_action::Action, replica_event::Event,
 };
 
 /// A call in progress.
--- a/src/state/settings_oracle.rs
+++ b/src/state/replay/settings_oracle.rs
@@ -3,8 +3,8 @@
 
 use crate::state::{
     change::Outcome,
-    settings_trace::World,
-    settings_violation::{BehindSnafu, MisreportedSnafu, Violation},
+    replay::settings_trace::World,
+    replay::settings_violation::{BehindSnafu, MisreportedSnafu, Violation},
 };
 
 impl World {
--- a/src/state/settings_store.rs
+++ b/src/state/replay/settings_store.rs
@@ -4,8 +4,8 @@
     crate::state::{
         change::Change,
         proposal::Creation,
+        replay::settings_violation::Violation,
         replica_event::Event,
-        settings_violation::Violation,
         snapshot::{Floor, Snapshot},
         tree::Tree,
     },
--- a/src/state/settings_trace.rs
+++ b/src/state/replay/settings_trace.rs
@@ -2,8 +2,8 @@
 //! can be recorded and replayed.
 
 pub use crate::state::{
-    settings_step::{Fault, Step},
-    settings_violation::Violation,
+    replay::settings_step::{Fault, Step},
+    replay::settings_violation::Violation,
 };
 
 use {
@@ -12,12 +12,12 @@
         clock::Time,
         edit::Wish,
         id,
+        replay::settings_call::Call,
+        replay::settings_store::Store,
+        replay::settings_violation::{DiffersSnafu, FellSnafu, UnansweredSnafu},
         replica::{Limits, Replica},
         replica_action::Action,
         replica_event::Event,
-        settings_call::Call,
-        settings_store::Store,
-        settings_violation::{DiffersSnafu, FellSnafu, UnansweredSnafu},
         watchers::watchers,
     },
     std::{collections::BTreeMap, time::Duration},
--- a/tests/claims_fuzz.rs
+++ b/tests/claims_fuzz.rs
@@ -5,9 +5,9 @@
 
 use {
     persimmoncleat::state::{
-        claims_trace::{Endpoint, Step},
-        claims_world::World,
         refusal::Outcome,
+        replay::claims_trace::{Endpoint, Step},
+        replay::claims_world::World,
     },
     proptest::prelude::*,
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
--- a/tests/claims_traces.rs
+++ b/tests/claims_traces.rs
@@ -1,7 +1,7 @@
 //! Replays recorded faults around claims and compares every answer and the
 //! number of runs with what the trace states.
 
-use {persimmoncleat::state::claims_trace::Trace, std::fs};
+use {persimmoncleat::state::replay::claims_trace::Trace, std::fs};
 
 fn replay(name: &str) {
     let path = format!("tests/traces/claims-{}.json", name.replace('_', "-"));
--- a/tests/lease_fuzz.rs
+++ b/tests/lease_fuzz.rs
@@ -2,8 +2,8 @@
 
 use {
     persimmoncleat::state::{
-        lease_trace::{Step, World, Write},
         pool::Fencing,
+        replay::lease_trace::{Step, World, Write},
     },
     proptest::{prelude::*, test_runner::Config},
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
--- a/tests/lease_traces.rs
+++ b/tests/lease_traces.rs
@@ -1,6 +1,6 @@
 //! Replays recorded histories of the lease against their stated outcomes.
 
-use persimmoncleat::state::lease_trace::Trace;
+use persimmoncleat::state::replay::lease_trace::Trace;
 
 macro_rules! replay {
     ($($name:ident: $file:literal,)*) => {
--- a/tests/scheduler_fuzz.rs
+++ b/tests/scheduler_fuzz.rs
@@ -3,8 +3,8 @@
 use {
     persimmoncleat::state::{
         endpoint::Phase,
-        scheduler_trace::{Ending, Step, World},
-        trace_setting::ENDPOINTS,
+        replay::scheduler_trace::{Ending, Step, World},
+        replay::trace_setting::ENDPOINTS,
         tuning::Tuning,
     },
     proptest::{prelude::*, test_runner::RngSeed},
--- a/tests/scheduler_traces.rs
+++ b/tests/scheduler_traces.rs
@@ -1,6 +1,6 @@
 //! Replays recorded traces against the scheduler's oracle.
 
-use persimmoncleat::state::{scheduler_trace::World, tuning::Tuning};
+use persimmoncleat::state::{replay::scheduler_trace::World, tuning::Tuning};
 
 macro_rules! traces {
   ($($name:ident: $file:literal,)*) => {
--- a/tests/settings_fuzz.rs
+++ b/tests/settings_fuzz.rs
@@ -4,7 +4,7 @@
 //! `PERSIMMON_FUZZ_CASES` sets the number of cases for long runs.
 
 use {
-    persimmoncleat::state::settings_trace::{Fault, HOSTS, Step, World},
+    persimmoncleat::state::replay::settings_trace::{Fault, HOSTS, Step, World},
     proptest::{
         prelude::*,
         test_runner::{Config, RngSeed, TestError, TestRunner},
--- a/tests/settings_traces.rs
+++ b/tests/settings_traces.rs
@@ -2,7 +2,7 @@
 //! fault that its name describes.
 
 use {
-    persimmoncleat::state::settings_trace::{Step, World},
+    persimmoncleat::state::replay::settings_trace::{Step, World},
     std::{fs, path::Path},
 };
 
