Give membership, settings and claims folders of their own in state

Cause: state was one flat folder; files of coordination::serving had grown. Change: state::{fleet, settings, claims} hold what their names say; the release of outputs leaves pools.rs for a file of its own.

--- a/benches/control/hosts.rs
+++ b/benches/control/hosts.rs
@@ -6,12 +6,12 @@
     persimmoncleat::{
         state::{
             clock::Time,
-            gossip::Message,
+            fleet::gossip::Message,
+            fleet::member::{Member, Phase},
+            fleet::membership::Membership,
+            fleet::membership_action::Action,
+            fleet::membership_event::Event,
             id,
-            member::{Member, Phase},
-            membership::Membership,
-            membership_action::Action,
-            membership_event::Event,
         },
         transport::{peer_capnp::message, wire},
     },
--- a/benches/control/settings.rs
+++ b/benches/control/settings.rs
@@ -3,7 +3,8 @@
 use {
     crate::meter::{float, micros_per, timed, weighed},
     persimmoncleat::state::{
-        change::Change, edit::Edit, policy::Policy, snapshot::Snapshot, tree::Tree,
+        policy::Policy, settings::change::Change, settings::edit::Edit,
+        settings::snapshot::Snapshot, settings::tree::Tree,
     },
 };
 
--- a/benches/control/store.rs
+++ b/benches/control/store.rs
@@ -3,9 +3,9 @@
 use {
     crate::meter::float,
     persimmoncleat::state::{
+        fleet::watchers::{region, watchers},
         id,
         lease::RENEWAL,
-        watchers::{region, watchers},
     },
     std::{collections::BTreeSet, time::Duration},
 };
--- a/benches/control/tickets.rs
+++ b/benches/control/tickets.rs
@@ -3,9 +3,9 @@
 use {
     crate::meter::{float, micros_per, timed, weighed},
     persimmoncleat::state::{
+        claims::witness::{Subject, Witness},
         clock::Time,
         id::Incarnation,
-        witness::{Subject, Witness},
     },
 };
 
--- a/benches/policy/baseline.rs
+++ b/benches/policy/baseline.rs
@@ -5,11 +5,11 @@
     persimmoncleat::state::{
         action::Action,
         attempt::End,
+        claims::refusal::{Reason, Refusal},
         clock::Time,
         endpoint::{Endpoint, Phase},
         event::Event,
         id,
-        refusal::{Reason, Refusal},
         request::Request,
     },
     std::{
--- a/src/bin/persimmoncleatctl/change.rs
+++ b/src/bin/persimmoncleatctl/change.rs
@@ -7,9 +7,9 @@
         table::cell,
     },
     persimmoncleat::state::{
-        change::{Conflict, Draft},
-        edit::{Edit, Wish},
         fault::Fault,
+        settings::change::{Conflict, Draft},
+        settings::edit::{Edit, Wish},
     },
     serde_json::{Value, json},
 };
--- a/src/bin/persimmoncleatctl/config.rs
+++ b/src/bin/persimmoncleatctl/config.rs
@@ -11,9 +11,10 @@
     persimmoncleat::{
         protocol::tree_file,
         state::{
-            edit::Edit,
-            key, path,
-            tree::{Row, Tree},
+            key,
+            settings::edit::Edit,
+            settings::path,
+            settings::tree::{Row, Tree},
         },
     },
     serde_json::{Value, json},
--- a/src/bin/persimmoncleatctl/diff.rs
+++ b/src/bin/persimmoncleatctl/diff.rs
@@ -1,6 +1,6 @@
 //! The difference between two settings trees.
 
-use {persimmoncleat::state::edit::Edit, std::fmt::Write};
+use {persimmoncleat::state::settings::edit::Edit, std::fmt::Write};
 
 /// Writes what the edits remove and add, by path.
 pub fn diff(edits: &[Edit]) -> String {
--- a/src/coordination/admin.rs
+++ b/src/coordination/admin.rs
@@ -4,8 +4,8 @@
     crate::{
         coordination::{body, drain, gateway::Gateway, problem, scheduling, settings_api},
         state::{
+            claims::refusal::{Reason, Refusal},
             id,
-            refusal::{Reason, Refusal},
         },
     },
     rouille::{Request, Response, router},
--- a/src/coordination/claim.rs
+++ b/src/coordination/claim.rs
@@ -4,9 +4,9 @@
     crate::{
         protocol::ticket::Ticket,
         state::{
-            home::{self, Permission},
-            refusal::Refusal,
-            resolution,
+            claims::home::{self, Permission},
+            claims::refusal::Refusal,
+            claims::resolution,
         },
         transport::links::Links,
     },
--- a/src/coordination/claims.rs
+++ b/src/coordination/claims.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::state::{
+        claims::witness::{Subject, Verdict, Witness},
         clock::Time,
         id,
         view::View,
-        witness::{Subject, Verdict, Witness},
     },
     tokio::sync::oneshot::Sender,
 };
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -23,8 +23,8 @@
         },
         protocol::{self, daemon_file::File, object_api::ObjectApi},
         state::{
+            fleet::member::{Member, Phase},
             id,
-            member::{Member, Phase},
             scheduler::Scheduler,
             view::View,
         },
--- a/src/coordination/drain.rs
+++ b/src/coordination/drain.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         coordination::{control, gateway::Gateway, membership},
-        state::{clock::Time, member::Phase},
+        state::{clock::Time, fleet::member::Phase},
         transport::boot_clock,
     },
     std::{thread, time::Duration},
--- a/src/coordination/engines.rs
+++ b/src/coordination/engines.rs
@@ -15,7 +15,7 @@
             endpoint::Endpoint,
             id,
             lease::{self, Found, ORDER_TIMEOUT, Record, Written},
-            rollout::{Next, Rollout},
+            settings::rollout::{Next, Rollout},
         },
         transport::{
             boot_clock,
--- a/src/coordination/entrypoints.rs
+++ b/src/coordination/entrypoints.rs
@@ -4,9 +4,8 @@
     crate::{
         protocol::caller::{Entrypoint, Entrypoints},
         state::{
-            id,
-            member::{Member, Phase},
-            rendezvous,
+            fleet::member::{Member, Phase},
+            id, rendezvous,
             view::View,
         },
     },
--- a/src/coordination/gateway.rs
+++ b/src/coordination/gateway.rs
@@ -8,9 +8,9 @@
         },
         protocol::{daemon_file::Limits, digest, secret::Secret},
         state::{
+            claims::refusal::{Reason, Refusal},
+            fleet::member::Phase,
             id,
-            member::Phase,
-            refusal::{Reason, Refusal},
         },
         transport::{boot_clock, client::Client, links::Links, object_api::Calls},
     },
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -12,9 +12,9 @@
             runner,
         },
         state::{
+            claims::refusal::{Reason, Refusal},
             id,
             pipeline::Stage,
-            refusal::{Reason, Refusal},
             request::{Request, prefix_hash},
         },
         transport::boot_clock,
--- a/src/coordination/leases.rs
+++ b/src/coordination/leases.rs
@@ -6,9 +6,10 @@
         state::{
             clock::Time,
             endpoint::{Endpoint, Phase},
+            fleet::member,
             id,
             lease::{self, Lease, Next, Standing},
-            member, pool, rendezvous,
+            pool, rendezvous,
             view::View,
         },
     },
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -4,8 +4,9 @@
     crate::{
         protocol::hosts::{ENTRY_POOL, Host},
         state::{
-            clock::Time, endpoint, gossip::Message, membership::Membership as Machine,
-            membership_action::Action, membership_event::Event as MachineEvent, view::View,
+            clock::Time, endpoint, fleet::gossip::Message,
+            fleet::membership::Membership as Machine, fleet::membership_action::Action,
+            fleet::membership_event::Event as MachineEvent, view::View,
         },
         transport::{self, links::Links},
     },
--- a/src/coordination/posted.rs
+++ b/src/coordination/posted.rs
@@ -7,9 +7,9 @@
             digest,
         },
         state::{
+            claims::refusal::{Outcome, Reason, Refusal},
             id,
             policy::Policy,
-            refusal::{Outcome, Reason, Refusal},
         },
     },
     rouille::Request,
--- a/src/coordination/problem.rs
+++ b/src/coordination/problem.rs
@@ -5,8 +5,8 @@
         coordination::{gateway::Gateway, posted},
         protocol::caller::{Problem, TICKET_HEADER},
         state::{
+            claims::refusal::{Outcome, Reason, Refusal},
             id,
-            refusal::{Outcome, Reason, Refusal},
         },
         transport::{client, head::Head, server::Fault},
     },
--- a/src/coordination/progress.rs
+++ b/src/coordination/progress.rs
@@ -6,10 +6,10 @@
         protocol::caller::StageReport,
         state::{
             attempt::End,
+            claims::once::Once,
+            claims::refusal::{Outcome as Proof, Refusal},
             clock::Time,
             id,
-            once::Once,
-            refusal::{Outcome as Proof, Refusal},
             tokens::Tokens,
         },
         transport::boot_clock,
--- a/src/coordination/record.rs
+++ b/src/coordination/record.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         protocol::caller::Answer,
-        state::{clock::Time, id, refusal::Refusal},
+        state::{claims::refusal::Refusal, clock::Time, id},
     },
     std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
 };
--- a/src/coordination/records.rs
+++ b/src/coordination/records.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         coordination::record::{Outcome, Record, Subject},
-        state::{clock::Time, home, id},
+        state::{claims::home, clock::Time, id},
     },
     std::{
         collections::{BTreeSet, HashMap},
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -14,8 +14,8 @@
         },
         protocol::{caller::TICKET_HEADER, ticket::Ticket},
         state::{
+            claims::refusal::{Reason, Refusal},
             id,
-            refusal::{Reason, Refusal},
             view::View,
         },
         transport::boot_clock,
--- a/src/coordination/routes.rs
+++ b/src/coordination/routes.rs
@@ -5,7 +5,7 @@
         coordination::{
             admin, auth, body, entrypoints, gateway::Gateway, problem, requests, ticketed,
         },
-        state::refusal::{Reason, Refusal},
+        state::claims::refusal::{Reason, Refusal},
         transport::{
             head::Head,
             server::{Fault, Handler},
--- a/src/coordination/run.rs
+++ b/src/coordination/run.rs
@@ -15,9 +15,9 @@
         state::{
             action::Action,
             attempt::{End, Report},
+            claims::refusal::{Outcome as Proof, Reason, Refusal},
             event, id,
             journal::Entry,
-            refusal::{Outcome as Proof, Reason, Refusal},
             request::Request,
         },
         transport::boot_clock,
--- a/src/coordination/runner.rs
+++ b/src/coordination/runner.rs
@@ -6,7 +6,7 @@
             gateway::Gateway,
             run::{Job, Run},
         },
-        state::refusal::{Reason, Refusal},
+        state::claims::refusal::{Reason, Refusal},
     },
     std::{
         sync::{
--- a/src/coordination/scheduling.rs
+++ b/src/coordination/scheduling.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::state::{
-        action::Action, backlog, clock::Time, endpoint_row, event, id, member::Member,
+        action::Action, backlog, clock::Time, endpoint_row, event, fleet::member::Member, id,
         scheduler::Scheduler, view::View,
     },
     std::{
--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -12,6 +12,7 @@
 pub mod pools;
 pub mod questions;
 pub mod relay;
+pub mod releases;
 pub mod reload;
 pub mod request;
 pub mod retries;
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -15,7 +15,7 @@
         protocol::edge::{Kind, Store},
         state::{
             clock::Time,
-            member::Member,
+            fleet::member::Member,
             serving::{
                 mirror::{Changes, Relayed},
                 view::View,
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -5,7 +5,7 @@
         coordination::serving::control::{Control, Event, STORE_SILENCE, follow::Waiting},
         state::{
             clock::Time,
-            member::Phase,
+            fleet::member::Phase,
             serving::readers::{self, Role},
         },
     },
--- a/src/coordination/serving/dispatch.rs
+++ b/src/coordination/serving/dispatch.rs
@@ -7,11 +7,10 @@
 
 use {
     crate::{
-        coordination::serving::{host::Host, pools},
+        coordination::serving::{host::Host, pools, releases},
         state::{
-            id,
-            member::Member,
-            rendezvous,
+            fleet::member::Member,
+            id, rendezvous,
             serving::piece::{Failure, Job, JobId, Outcome, Output},
         },
         transport::boot_clock,
@@ -77,7 +76,7 @@
             host.links
                 .release_outputs(*address, service, outputs, NOTICE_TIMEOUT);
         }
-        _ => pools::release(host, service, outputs),
+        _ => releases::release(host, service, outputs),
     }
 }
 
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -5,7 +5,7 @@
     crate::{
         coordination::{membership, serving::control::Event},
         protocol::edge::{Kind, Store, StoreError},
-        state::{member::Member, serving::mirror::Changes},
+        state::{fleet::member::Member, serving::mirror::Changes},
     },
     std::{
         sync::{
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -3,28 +3,27 @@
 
 use {
     crate::{
-        coordination::serving::host::Host,
+        coordination::serving::{
+            host::Host,
+            releases::{self, Releases},
+        },
         state::{
             clock::Time,
             id,
             serving::{
                 batch::{Action, CallId, Dispatcher, Ending, Item},
-                piece::{Job, JobId, Outcome, Output},
+                piece::{Job, JobId, Outcome},
                 roster::Entry,
             },
         },
-        transport::{
-            boot_clock,
-            http::client::{Exchange, Failure},
-        },
+        transport::{boot_clock, http::client::Failure},
     },
     http_body_util::Full,
     hyper::Method,
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::HashMap,
         rc::Rc,
-        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -40,14 +39,8 @@
 /// Time between two lines of the log on a pool with jobs.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time in which outputs to be freed are gathered into one call.
-const RELEASE_DELAY: Duration = Duration::from_millis(15);
-
-/// Longest time for a call that frees outputs.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Longest answer to a call with pieces.
-const ANSWER_BYTES: usize = 1024 * 1024;
+pub(super) const ANSWER_BYTES: usize = 1024 * 1024;
 
 /// Longest time for a call with pieces. An endpoint that is five times slower
 /// than listed answers a full call within it.
@@ -57,8 +50,7 @@
 #[derive(Default)]
 pub struct Pools {
     dispatchers: RefCell<HashMap<id::Pool, Dispatcher>>,
-    releases: RefCell<BTreeMap<(id::Pool, id::Endpoint), Vec<String>>>,
-    releasing: Cell<bool>,
+    pub(super) releases: Releases,
     replies: RefCell<HashMap<JobId, Sender<Outcome>>>,
     /// When the state of the pools was last logged.
     summarised: Cell<Time>,
@@ -138,82 +130,9 @@
     }
 }
 
-/// Frees outputs at their endpoints, those of a short time in one call.
-pub fn release(host: &Rc<Host>, service: &id::Pool, outputs: Vec<Output>) {
-    {
-        let mut releases = host.pools.releases.borrow_mut();
-
-        for output in outputs {
-            releases
-                .entry((service.clone(), output.endpoint))
-                .or_default()
-                .push(output.handle);
-        }
-    }
-
-    if !host.pools.releasing.replace(true) {
-        let host = Rc::clone(host);
-        spawn_local(async move {
-            sleep(RELEASE_DELAY).await;
-            host.pools.releasing.set(false);
-            let releases = std::mem::take(&mut *host.pools.releases.borrow_mut());
-
-            for ((service, endpoint), handles) in releases {
-                spawn_local(free(Rc::clone(&host), service, endpoint, handles));
-            }
-        });
-    }
-}
-
-async fn free(host: Rc<Host>, service: id::Pool, endpoint: id::Endpoint, handles: Vec<String>) {
-    let Some(entry) = host.view().roster.get(&endpoint).map(Arc::clone) else {
-        // The outputs have gone with their endpoint.
-        return;
-    };
-    let body = host.edge.release(&handles);
-    let headers = host
-        .edge
-        .piece_headers(entry.endpoint.as_str(), RELEASE_TIMEOUT);
-    let mut request = hyper::Request::new(Full::new(body.body.into()));
-    *request.method_mut() = Method::POST;
-    *request.headers_mut() = headers;
-    *request.uri_mut() = hyper::Uri::from_static(body.path);
-
-    let call = async {
-        let mut exchange = host.client.send(&entry, request).await?;
-        exchange.collect(ANSWER_BYTES).await?;
-        keep(&host, exchange);
-        Ok::<(), Failure>(())
-    };
-
-    match timeout(RELEASE_TIMEOUT, call).await {
-        Ok(Ok(())) => {
-            let mut actions = Vec::new();
-            with(&host, &service, |dispatcher| {
-                dispatcher.freed(boot_clock::now(), &endpoint, &handles, &mut actions);
-            });
-            act(&host, &service, actions);
-        }
-        Ok(Err(error)) => log::debug!(
-            endpoint = endpoint.as_str();
-            "outputs not freed, they expire on their own: {error:?}"
-        ),
-        Err(_) => log::debug!(
-            endpoint = endpoint.as_str();
-            "outputs not freed in time, they expire on their own"
-        ),
-    }
-}
-
-fn keep(host: &Host, exchange: Exchange) {
-    let response = &exchange.response;
-    let answer = host.edge.answer(response.status(), response.headers());
-    exchange.finish(answer.keep_alive, answer.closing);
-}
-
 /// Gives the dispatcher of a service to `run`, building it if the service has
 /// a pool. Returns whether it has.
-fn with(host: &Host, service: &id::Pool, run: impl FnOnce(&mut Dispatcher)) -> bool {
+pub(super) fn with(host: &Host, service: &id::Pool, run: impl FnOnce(&mut Dispatcher)) -> bool {
     let view = host.view();
     let Some(config) = &view.config else {
         return false;
@@ -232,7 +151,7 @@
     true
 }
 
-fn act(host: &Rc<Host>, service: &id::Pool, actions: Vec<Action>) {
+pub(super) fn act(host: &Rc<Host>, service: &id::Pool, actions: Vec<Action>) {
     for action in actions {
         match action {
             Action::Finish { job, outcome } => {
@@ -241,10 +160,10 @@
                 if let Some(reply) = reply
                     && let Err(outcome) = reply.send(outcome)
                 {
-                    release(host, service, outcome.outputs);
+                    releases::release(host, service, outcome.outputs);
                 }
             }
-            Action::Release { outputs } => release(host, service, outputs),
+            Action::Release { outputs } => releases::release(host, service, outputs),
             Action::Send {
                 call,
                 entry,
--- /dev/null
+++ b/src/coordination/serving/releases.rs
@@ -0,0 +1,112 @@
+//! Frees outputs of stages at their endpoints.
+
+use {
+    crate::{
+        coordination::serving::{host::Host, pools},
+        state::{id, serving::piece::Output},
+        transport::{
+            boot_clock,
+            http::client::{Exchange, Failure},
+        },
+    },
+    http_body_util::Full,
+    hyper::Method,
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time in which outputs to be freed are gathered into one call.
+const RELEASE_DELAY: Duration = Duration::from_millis(15);
+
+/// Longest time for a call that frees outputs.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Outputs that wait to be freed, by service and endpoint.
+#[derive(Default)]
+pub struct Releases {
+    /// Whether a call is about to be made.
+    sending: Cell<bool>,
+    waiting: RefCell<BTreeMap<(id::Pool, id::Endpoint), Vec<String>>>,
+}
+
+/// Frees outputs at their endpoints, those of a short time in one call.
+pub fn release(host: &Rc<Host>, service: &id::Pool, outputs: Vec<Output>) {
+    {
+        let mut releases = host.pools.releases.waiting.borrow_mut();
+
+        for output in outputs {
+            releases
+                .entry((service.clone(), output.endpoint))
+                .or_default()
+                .push(output.handle);
+        }
+    }
+
+    if !host.pools.releases.sending.replace(true) {
+        let host = Rc::clone(host);
+        spawn_local(async move {
+            sleep(RELEASE_DELAY).await;
+            host.pools.releases.sending.set(false);
+            let releases = std::mem::take(&mut *host.pools.releases.waiting.borrow_mut());
+
+            for ((service, endpoint), handles) in releases {
+                spawn_local(free(Rc::clone(&host), service, endpoint, handles));
+            }
+        });
+    }
+}
+
+async fn free(host: Rc<Host>, service: id::Pool, endpoint: id::Endpoint, handles: Vec<String>) {
+    let Some(entry) = host.view().roster.get(&endpoint).map(Arc::clone) else {
+        // The outputs have gone with their endpoint.
+        return;
+    };
+    let body = host.edge.release(&handles);
+    let headers = host
+        .edge
+        .piece_headers(entry.endpoint.as_str(), RELEASE_TIMEOUT);
+    let mut request = hyper::Request::new(Full::new(body.body.into()));
+    *request.method_mut() = Method::POST;
+    *request.headers_mut() = headers;
+    *request.uri_mut() = hyper::Uri::from_static(body.path);
+
+    let call = async {
+        let mut exchange = host.client.send(&entry, request).await?;
+        exchange.collect(pools::ANSWER_BYTES).await?;
+        keep(&host, exchange);
+        Ok::<(), Failure>(())
+    };
+
+    match timeout(RELEASE_TIMEOUT, call).await {
+        Ok(Ok(())) => {
+            let mut actions = Vec::new();
+            pools::with(&host, &service, |dispatcher| {
+                dispatcher.freed(boot_clock::now(), &endpoint, &handles, &mut actions);
+            });
+            pools::act(&host, &service, actions);
+        }
+        Ok(Err(error)) => log::debug!(
+            endpoint = endpoint.as_str();
+            "outputs not freed, they expire on their own: {error:?}"
+        ),
+        Err(_) => log::debug!(
+            endpoint = endpoint.as_str();
+            "outputs not freed in time, they expire on their own"
+        ),
+    }
+}
+
+fn keep(host: &Host, exchange: Exchange) {
+    let response = &exchange.response;
+    let answer = host.edge.answer(response.status(), response.headers());
+    exchange.finish(answer.keep_alive, answer.closing);
+}
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -10,7 +10,7 @@
                 control::{self, Call, Control, Event},
                 drain,
                 host::{self, Host},
-                ingress, pools, questions,
+                ingress, pools, questions, releases,
                 reload::{self, Follower, Source},
             },
         },
@@ -20,8 +20,8 @@
         },
         state::{
             clock::Time,
+            fleet::member::{Member, Phase},
             id,
-            member::{Member, Phase},
             serving::view::View,
         },
         transport::{
@@ -221,7 +221,7 @@
         match call {
             Incoming::CancelJob(id) => pools::cancel(&host, &id),
             Incoming::ReleaseOutputs { outputs, service } => {
-                pools::release(&host, &service, outputs);
+                releases::release(&host, &service, outputs);
             }
             Incoming::RunJob { job, reply } => pools::submit(&host, job, reply),
             // Dropping the channel refuses the call.
--- a/src/coordination/settings_api.rs
+++ b/src/coordination/settings_api.rs
@@ -4,11 +4,11 @@
     crate::{
         coordination::{body, control, gateway::Gateway, settings::Event},
         state::{
-            change::{Draft, Outcome},
             fault::Fault,
+            fleet::member::{Member, Phase},
             id,
-            member::{Member, Phase},
-            path,
+            settings::change::{Draft, Outcome},
+            settings::path,
             view::View,
         },
     },
--- a/src/coordination/settings_log.rs
+++ b/src/coordination/settings_log.rs
@@ -9,8 +9,8 @@
             object_api::{ObjectApi, Write},
         },
         state::{
-            change::Change,
-            snapshot::{Floor, Snapshot},
+            settings::change::Change,
+            settings::snapshot::{Floor, Snapshot},
         },
     },
     serde::de::DeserializeOwned,
--- a/src/coordination/settings_worker.rs
+++ b/src/coordination/settings_worker.rs
@@ -12,8 +12,8 @@
         },
         protocol::object_api::{ObjectApi, Write},
         state::{
-            change::Change, id, proposal::Creation, replica_action::Action, replica_event,
-            snapshot::Batch,
+            id, settings::change::Change, settings::proposal::Creation,
+            settings::replica_action::Action, settings::replica_event, settings::snapshot::Batch,
         },
         transport::links::Links,
     },
--- a/src/coordination/ticketed.rs
+++ b/src/coordination/ticketed.rs
@@ -18,9 +18,9 @@
             ticket::Ticket,
         },
         state::{
-            home::{self, Admission},
-            refusal::{Reason, Refusal},
-            resolution::{self, Route},
+            claims::home::{self, Admission},
+            claims::refusal::{Reason, Refusal},
+            claims::resolution::{self, Route},
         },
         transport::boot_clock,
     },
--- a/src/coordination/tickets.rs
+++ b/src/coordination/tickets.rs
@@ -11,8 +11,8 @@
         },
         state::{
             clock::Time,
+            fleet::member::{Member, Phase},
             id,
-            member::{Member, Phase},
             view::View,
         },
     },
--- a/src/protocol/caller.rs
+++ b/src/protocol/caller.rs
@@ -1,7 +1,7 @@
 //! The messages of the caller interface.
 
 use {
-    crate::state::{id, refusal::Refusal},
+    crate::state::{claims::refusal::Refusal, id},
     serde::{Deserialize, Serialize},
     serde_json::Value,
     serde_with::{DurationMilliSeconds, serde_as},
--- a/src/protocol/tree_file.rs
+++ b/src/protocol/tree_file.rs
@@ -4,8 +4,8 @@
 use {
     crate::state::{
         fault::Fault,
-        path::{self, PATHS},
-        tree::Tree,
+        settings::path::{self, PATHS},
+        settings::tree::Tree,
     },
     ini::{EscapePolicy, Ini, ParseOption, WriteOption},
     std::collections::BTreeSet,
--- a/src/state/action.rs
+++ b/src/state/action.rs
@@ -1,7 +1,7 @@
 //! What the scheduler wants done.
 
 use {
-    crate::state::{backlog, id, refusal::Refusal},
+    crate::state::{backlog, claims::refusal::Refusal, id},
     std::time::Duration,
 };
 
--- a/src/state/arrival.rs
+++ b/src/state/arrival.rs
@@ -4,11 +4,11 @@
     crate::state::{
         action::Action,
         admission,
+        claims::refusal::{Reason, Refusal},
         class::Class,
         clock::Time,
         fair_queue::Flow,
         id, limit,
-        refusal::{Reason, Refusal},
         request::Request,
         scheduler::Scheduler,
         work::{Timer, Work},
--- a/src/state/home.rs
+++ b/src/state/claims/home.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::state::{
+        claims::refusal::{Reason, Refusal},
+        claims::witness::Verdict,
         clock::Time,
         id,
-        refusal::{Reason, Refusal},
-        witness::Verdict,
     },
     std::time::Duration,
 };
--- a/src/state/resolution.rs
+++ b/src/state/claims/resolution.rs
@@ -1,10 +1,10 @@
 //! How a host that is not a ticket's home finds out what became of it.
 
 use crate::state::{
+    claims::refusal::{Reason, Refusal},
+    claims::witness::Verdict,
+    fleet::member::{Member, Phase},
     id,
-    member::{Member, Phase},
-    refusal::{Reason, Refusal},
-    witness::Verdict,
 };
 
 /// Where a host other than the home turns first.
--- a/src/state/completion.rs
+++ b/src/state/completion.rs
@@ -4,9 +4,9 @@
     crate::state::{
         action::Action,
         attempt::{End, Report},
+        claims::refusal::Reason,
         clock::Time,
         id,
-        refusal::Reason,
         scheduler::Scheduler,
         work::Running,
     },
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -1,6 +1,6 @@
 //! Counts of decisions, for operators.
 
-use {crate::state::refusal::Reason, std::collections::BTreeMap};
+use {crate::state::claims::refusal::Reason, std::collections::BTreeMap};
 
 /// The counters of a scheduler.
 #[derive(Clone, Debug, Default)]
--- a/src/state/dispatch.rs
+++ b/src/state/dispatch.rs
@@ -3,10 +3,10 @@
 use {
     crate::state::{
         action::Action,
+        claims::refusal::Reason,
         clock::Time,
         fair_queue::Item,
         id,
-        refusal::Reason,
         scheduler::Scheduler,
         work::{Current, Queued, Timer, Work},
     },
--- /dev/null
+++ b/src/state/fleet.rs
@@ -0,0 +1,13 @@
+//! Membership: which hosts live, and what they tell each other.
+
+pub mod gossip;
+pub mod hints;
+pub mod member;
+pub mod membership;
+pub mod membership_action;
+pub mod membership_event;
+pub mod peer;
+pub mod peers;
+pub mod probes;
+pub mod rumours;
+pub mod watchers;
--- a/src/state/gossip.rs
+++ b/src/state/fleet/gossip.rs
@@ -1,6 +1,6 @@
 //! What two hosts tell each other in a probe and its answer.
 
-use crate::state::member::Member;
+use crate::state::fleet::member::Member;
 
 /// One side's own record and the news it passes on.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/state/membership_action.rs
+++ b/src/state/fleet/membership_action.rs
@@ -1,6 +1,6 @@
 //! What the membership wants done.
 
-use {crate::state::gossip::Message, std::net::SocketAddr};
+use {crate::state::fleet::gossip::Message, std::net::SocketAddr};
 
 /// What to do next.
 #[derive(Clone, Debug)]
--- a/src/state/membership_event.rs
+++ b/src/state/fleet/membership_event.rs
@@ -1,6 +1,6 @@
 //! What the membership is told.
 
-use {crate::state::gossip::Message, std::net::SocketAddr};
+use {crate::state::fleet::gossip::Message, std::net::SocketAddr};
 
 /// An event for the membership.
 #[derive(Clone, Debug)]
--- a/src/state/peer.rs
+++ b/src/state/fleet/peer.rs
@@ -3,8 +3,8 @@
 use {
     crate::state::{
         clock::Time,
+        fleet::member::{Member, Phase},
         id,
-        member::{Member, Phase},
     },
     std::time::Duration,
 };
--- a/src/state/peers.rs
+++ b/src/state/fleet/peers.rs
@@ -3,9 +3,9 @@
 use {
     crate::state::{
         clock::Time,
+        fleet::member::{Member, Phase},
+        fleet::peer::Peer,
         id,
-        member::{Member, Phase},
-        peer::Peer,
     },
     std::{
         cmp::Reverse,
--- a/src/state/inventory.rs
+++ b/src/state/inventory.rs
@@ -7,7 +7,7 @@
         endpoint::{self, Endpoint, Phase},
         endpoint_state::EndpointState,
         estimates::Size,
-        hints::Hints,
+        fleet::hints::Hints,
         id,
         load::Claim,
         policy::Policy,
--- a/src/state/key.rs
+++ b/src/state/key.rs
@@ -1,7 +1,7 @@
 //! The keys of the settings tree, with their types, units and defaults.
 
 use {
-    crate::state::path::{self, Subtree},
+    crate::state::settings::path::{self, Subtree},
     std::ops::RangeInclusive,
 };
 
--- a/src/state/policy_builder.rs
+++ b/src/state/policy_builder.rs
@@ -4,11 +4,11 @@
     crate::state::{
         class::Class,
         id, key,
-        path::{self, Subtree},
         pipeline::{Pipeline, Stage},
         policy::{Policy, Team},
         pool::{Fencing, Kind, Pool},
-        tree::Tree,
+        settings::path::{self, Subtree},
+        settings::tree::Tree,
     },
     std::{collections::BTreeSet, str::FromStr, time::Duration},
 };
--- a/src/state/replay/claims_host.rs
+++ b/src/state/replay/claims_host.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::state::{
+        claims::home,
+        claims::refusal::Outcome,
+        claims::witness::{Subject, Witness},
         clock::Time,
-        home, id,
-        member::{Member, Phase},
-        refusal::Outcome,
+        fleet::member::{Member, Phase},
+        id,
         replay::claims_network::Content,
-        witness::{Subject, Witness},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/src/state/replay/claims_network.rs
+++ b/src/state/replay/claims_network.rs
@@ -1,7 +1,7 @@
 //! The network of a [`World`](crate::state::replay::claims_world::World).
 
 use {
-    crate::state::witness::Verdict,
+    crate::state::claims::witness::Verdict,
     std::collections::{BTreeMap, BTreeSet},
 };
 
--- a/src/state/replay/claims_trace.rs
+++ b/src/state/replay/claims_trace.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::state::{
-        refusal::Outcome, replay::claims_violation::Violation, replay::claims_world::World,
+        claims::refusal::Outcome, replay::claims_violation::Violation, replay::claims_world::World,
     },
     serde::{Deserialize, Serialize},
 };
--- a/src/state/replay/claims_world.rs
+++ b/src/state/replay/claims_world.rs
@@ -2,16 +2,16 @@
 
 use {
     crate::state::{
+        claims::home::{self, Admission, Permission},
+        claims::refusal::{Outcome, Refusal},
+        claims::resolution::{self, Route},
+        claims::witness::{Subject, Verdict},
         clock::Time,
-        home::{self, Admission, Permission},
         id,
-        refusal::{Outcome, Refusal},
         replay::claims_host::{Host, Record, member, name},
         replay::claims_network::{Content, Message, Network},
         replay::claims_trace::{Endpoint, Step, Told},
         replay::claims_violation::{RanDespiteNotRunSnafu, RanTwiceSnafu, Violation},
-        resolution::{self, Route},
-        witness::{Subject, Verdict},
     },
     std::time::Duration,
 };
--- a/src/state/replay/scheduler_oracle.rs
+++ b/src/state/replay/scheduler_oracle.rs
@@ -5,10 +5,10 @@
     crate::state::{
         action::Action,
         attempt::End,
+        claims::refusal::Outcome,
         clock::Time,
         endpoint::{Endpoint, Phase},
         id,
-        refusal::Outcome,
         replay::violation::{Rule, Violation, check},
         request::Request,
     },
--- a/src/state/replay/settings_call.rs
+++ b/src/state/replay/settings_call.rs
@@ -1,7 +1,8 @@
 //! A call in a trial of settings replicas.
 
 use crate::state::{
-    proposal::Creation, replay::settings_step::Fault, replica_action::Action, replica_event::Event,
+    replay::settings_step::Fault, settings::proposal::Creation, settings::replica_action::Action,
+    settings::replica_event::Event,
 };
 
 /// A call in progress.
--- a/src/state/replay/settings_oracle.rs
+++ b/src/state/replay/settings_oracle.rs
@@ -2,9 +2,9 @@
 //! replicas.
 
 use crate::state::{
-    change::Outcome,
     replay::settings_trace::World,
     replay::settings_violation::{BehindSnafu, MisreportedSnafu, Violation},
+    settings::change::Outcome,
 };
 
 impl World {
--- a/src/state/replay/settings_store.rs
+++ b/src/state/replay/settings_store.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::state::{
-        change::Change,
-        proposal::Creation,
         replay::settings_violation::Violation,
-        replica_event::Event,
-        snapshot::{Floor, Snapshot},
-        tree::Tree,
+        settings::change::Change,
+        settings::proposal::Creation,
+        settings::replica_event::Event,
+        settings::snapshot::{Floor, Snapshot},
+        settings::tree::Tree,
     },
     std::collections::{BTreeMap, btree_map::Entry},
 };
--- a/src/state/replay/settings_trace.rs
+++ b/src/state/replay/settings_trace.rs
@@ -8,17 +8,17 @@
 
 use {
     crate::state::{
-        change::Draft,
         clock::Time,
-        edit::Wish,
+        fleet::watchers::watchers,
         id,
         replay::settings_call::Call,
         replay::settings_store::Store,
         replay::settings_violation::{DiffersSnafu, FellSnafu, UnansweredSnafu},
-        replica::{Limits, Replica},
-        replica_action::Action,
-        replica_event::Event,
-        watchers::watchers,
+        settings::change::Draft,
+        settings::edit::Wish,
+        settings::replica::{Limits, Replica},
+        settings::replica_action::Action,
+        settings::replica_event::Event,
     },
     std::{collections::BTreeMap, time::Duration},
 };
--- a/src/state/serving/directory.rs
+++ b/src/state/serving/directory.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::state::{
+        fleet::member::{Member, Phase},
         id,
-        member::{Member, Phase},
     },
     std::net::SocketAddr,
 };
--- a/src/state/serving/readers.rs
+++ b/src/state/serving/readers.rs
@@ -5,7 +5,7 @@
 //! readers for a moment, which costs calls and nothing else.
 
 use {
-    crate::state::{id, member::Member, rendezvous},
+    crate::state::{fleet::member::Member, id, rendezvous},
     std::{cmp::Reverse, net::SocketAddr},
 };
 
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -3,7 +3,7 @@
 use {
     crate::state::{
         clock::Time,
-        member::{Member, Phase},
+        fleet::member::{Member, Phase},
         serving::{config::Config, roster::Roster},
     },
     std::sync::Arc,
--- a/src/state/change.rs
+++ b/src/state/settings/change.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::state::{
-        edit::{Edit, Wish},
         fault::Fault,
-        tree::Tree,
+        settings::edit::{Edit, Wish},
+        settings::tree::Tree,
     },
     serde::{Deserialize, Serialize},
 };
--- a/src/state/log.rs
+++ b/src/state/settings/log.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::state::{
-        change::Change,
-        snapshot::{Batch, Snapshot},
-        tree::Tree,
+        settings::change::Change,
+        settings::snapshot::{Batch, Snapshot},
+        settings::tree::Tree,
     },
     std::{
         collections::{BTreeMap, HashMap},
--- a/src/state/proposal.rs
+++ b/src/state/settings/proposal.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::state::{
-        change::{Change, Draft, Outcome},
         clock::Time,
-        log::Log,
+        settings::change::{Change, Draft, Outcome},
+        settings::log::Log,
     },
     std::mem,
 };
--- a/src/state/replica.rs
+++ b/src/state/settings/replica.rs
@@ -3,15 +3,15 @@
 
 use {
     crate::state::{
-        change::{Change, Draft, Outcome},
         clock::Time,
         id,
-        log::Log,
-        proposal::{Next, Proposal},
-        replica_action::Action,
-        replica_event::Event,
-        replica_peers::Peers,
-        snapshot::{Batch, Floor},
+        settings::change::{Change, Draft, Outcome},
+        settings::log::Log,
+        settings::proposal::{Next, Proposal},
+        settings::replica_action::Action,
+        settings::replica_event::Event,
+        settings::replica_peers::Peers,
+        settings::snapshot::{Batch, Floor},
     },
     std::{collections::VecDeque, time::Duration},
 };
--- a/src/state/replica_action.rs
+++ b/src/state/settings/replica_action.rs
@@ -1,9 +1,9 @@
 //! What a replica of the settings wants done.
 
 use crate::state::{
-    change::{Change, Outcome},
     id,
-    snapshot::{Floor, Snapshot},
+    settings::change::{Change, Outcome},
+    settings::snapshot::{Floor, Snapshot},
 };
 
 /// What the replica wants done.
--- a/src/state/replica_event.rs
+++ b/src/state/settings/replica_event.rs
@@ -1,10 +1,10 @@
 //! What a replica of the settings is told.
 
 use crate::state::{
-    change::{Change, Draft},
     id,
-    proposal::Creation,
-    snapshot::{Batch, Floor, Snapshot},
+    settings::change::{Change, Draft},
+    settings::proposal::Creation,
+    settings::snapshot::{Batch, Floor, Snapshot},
 };
 
 /// An event for the replica.
--- a/src/state/snapshot.rs
+++ b/src/state/settings/snapshot.rs
@@ -1,7 +1,7 @@
 //! The settings at one version, and what a host tells another.
 
 use {
-    crate::state::{change::Change, tree::Tree},
+    crate::state::{settings::change::Change, settings::tree::Tree},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
--- a/src/state/tree.rs
+++ b/src/state/settings/tree.rs
@@ -1,7 +1,7 @@
 //! The settings tree: values on nodes, inherited downwards.
 
 use {
-    crate::state::{edit::Edit, key, path},
+    crate::state::{key, settings::edit::Edit, settings::path},
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
 };
--- a/src/state/validation.rs
+++ b/src/state/settings/validation.rs
@@ -1,11 +1,11 @@
 //! Checks of a settings tree and of a change as a whole.
 
 use crate::state::{
-    change::Draft,
     fault::Fault,
     key,
-    path::{self, PATHS, Subtree},
-    tree::Tree,
+    settings::change::Draft,
+    settings::path::{self, PATHS, Subtree},
+    settings::tree::Tree,
 };
 
 /// Most bytes of the tree. The snapshot must fit into one object of the object
--- a/src/state/standing.rs
+++ b/src/state/standing.rs
@@ -2,8 +2,8 @@
 
 use crate::state::{
     clock::Time,
+    fleet::member::{Member, Phase},
     id,
-    member::{Member, Phase},
 };
 
 /// Whether peers know this host's incarnation.
--- a/src/state/targets.rs
+++ b/src/state/targets.rs
@@ -1,7 +1,7 @@
 //! Chooses which hosts to probe in a period.
 
 use {
-    crate::state::peers::Peers,
+    crate::state::fleet::peers::Peers,
     rand::{
         Rng,
         seq::{IteratorRandom, SliceRandom},
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -1,7 +1,7 @@
 //! The facts that request threads and the parts of the control thread share.
 
 use {
-    crate::state::{clock::Time, endpoint::Endpoint, id, member::Member, policy::Policy},
+    crate::state::{clock::Time, endpoint::Endpoint, fleet::member::Member, id, policy::Policy},
     std::sync::Arc,
 };
 
--- a/src/transport/incoming.rs
+++ b/src/transport/incoming.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::state::{
-        gossip::Message,
+        claims::witness::{Subject, Verdict},
+        fleet::gossip::Message,
         id,
         serving::{
             mirror::Relayed,
             piece::{Job, JobId, Outcome, Output},
         },
-        witness::{Subject, Verdict},
     },
     std::{net::SocketAddr, sync::mpsc, time::Duration},
     tokio::sync::oneshot,
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -6,8 +6,8 @@
     crate::{
         protocol::ticket::Ticket,
         state::{
-            gossip::Message,
-            witness::{Subject, Verdict},
+            claims::witness::{Subject, Verdict},
+            fleet::gossip::Message,
         },
         transport::{
             error::{BrokenSnafu, ConnectSnafu, Error, TimeoutSnafu},
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -3,15 +3,15 @@
 use {
     crate::{
         state::{
+            claims::witness::{Subject, Verdict},
             clock::Time,
-            gossip::Message,
+            fleet::gossip::Message,
+            fleet::member::{Member, Phase},
             id,
-            member::{Member, Phase},
             serving::{
                 mirror::{Changes, Object, Relayed},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
             },
-            witness::{Subject, Verdict},
         },
         transport::peer_capnp::{self, changes, job, member, message, outcome, output, subject},
     },
--- a/tests/claims_fuzz.rs
+++ b/tests/claims_fuzz.rs
@@ -5,7 +5,7 @@
 
 use {
     persimmoncleat::state::{
-        refusal::Outcome,
+        claims::refusal::Outcome,
         replay::claims_trace::{Endpoint, Step},
         replay::claims_world::World,
     },
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -12,8 +12,8 @@
         state::{
             clock::Time,
             endpoint::{Endpoint, Phase},
+            fleet::member::{self, Member},
             id,
-            member::{self, Member},
             policy::Policy,
             pool::{Fencing, Kind, Pool},
             view::View,
--- a/tests/gateway/peers.rs
+++ b/tests/gateway/peers.rs
@@ -8,7 +8,7 @@
     persimmoncleat::{
         protocol::daemon_file::Limits,
         state::{
-            member::{Member, Phase},
+            fleet::member::{Member, Phase},
             pool::Kind,
         },
     },
--- a/tests/gateway/runner.rs
+++ b/tests/gateway/runner.rs
@@ -255,8 +255,8 @@
     // A scheduler with a fault asks for another attempt.
     script.dispatch(2, other.address, TIMEOUT);
     assert_eq!(script.finished(2), End::Failed);
-    let refusal = persimmoncleat::state::refusal::Refusal::not_run(
-        persimmoncleat::state::refusal::Reason::Stage,
+    let refusal = persimmoncleat::state::claims::refusal::Refusal::not_run(
+        persimmoncleat::state::claims::refusal::Reason::Stage,
         "no endpoint is left",
     );
     script.act(Action::Failed {
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -20,8 +20,9 @@
         state::{
             clock::Time,
             endpoint::{Endpoint, Phase},
-            event, id,
-            member::{self, Member},
+            event,
+            fleet::member::{self, Member},
+            id,
             pipeline::{Pipeline, Stage},
             policy::{Policy, Team},
             pool::{Kind, Pool},
--- a/tests/hosts.rs
+++ b/tests/hosts.rs
@@ -21,9 +21,9 @@
         },
         protocol::{caller::TicketBody, ticket::Ticket},
         state::{
+            claims::refusal::Outcome,
             clock::Time,
-            member::{Member, Phase},
-            refusal::Outcome,
+            fleet::member::{Member, Phase},
             scheduler::Scheduler,
             view::View,
         },
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -9,12 +9,12 @@
     fleet::member,
     persimmoncleat::state::{
         clock::Time,
-        gossip::Message,
+        fleet::gossip::Message,
+        fleet::member::{Member, Phase},
+        fleet::membership::Membership,
+        fleet::membership_action::Action,
+        fleet::membership_event::Event,
         id::Incarnation,
-        member::{Member, Phase},
-        membership::Membership,
-        membership_action::Action,
-        membership_event::Event,
     },
     simulation::Simulation,
 };
--- a/tests/membership_fuzz.rs
+++ b/tests/membership_fuzz.rs
@@ -8,7 +8,7 @@
 mod simulation;
 
 use {
-    persimmoncleat::state::{member::Phase, membership::PERIOD},
+    persimmoncleat::state::{fleet::member::Phase, fleet::membership::PERIOD},
     proptest::prelude::*,
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
     simulation::Simulation,
--- a/tests/scheduler_parts.rs
+++ b/tests/scheduler_parts.rs
@@ -10,7 +10,7 @@
         endpoint::{Cache, Change, Endpoint, Phase},
         event::{Demand, Event},
         fair_queue::{FairQueue, Flow, Item},
-        hints::Hints,
+        fleet::hints::Hints,
         limit::{Limits, Verdict},
         pipeline::Stage,
         request::Request,
--- a/tests/serving/directory.rs
+++ b/tests/serving/directory.rs
@@ -2,7 +2,7 @@
 
 use persimmoncleat::state::{
     clock::Time,
-    member::{Member, Phase},
+    fleet::member::{Member, Phase},
     serving::directory,
 };
 
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -3,7 +3,7 @@
 
 use persimmoncleat::state::{
     clock::Time,
-    member::{Member, Phase},
+    fleet::member::{Member, Phase},
     serving::readers::{READERS, Role, role},
 };
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,7 +4,7 @@
     persimmoncleat::{
         coordination::settings_log::SettingsLog,
         protocol::object_api::ObjectApi,
-        state::snapshot::{Floor, Snapshot},
+        state::settings::snapshot::{Floor, Snapshot},
         transport::object_api::Calls,
     },
     serde_json::{Value, json},
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -3,8 +3,8 @@
 use {
     persimmoncleat::state::{
         clock::Time,
+        fleet::member::{Member, Phase},
         id::Incarnation,
-        member::{Member, Phase},
     },
     std::{collections::BTreeMap, net::SocketAddr},
 };
--- a/tests/support/simulation.rs
+++ b/tests/support/simulation.rs
@@ -5,12 +5,12 @@
     crate::fleet::member,
     persimmoncleat::state::{
         clock::Time,
-        gossip::Message,
+        fleet::gossip::Message,
+        fleet::member::{Member, Phase},
+        fleet::membership::Membership,
+        fleet::membership_action::Action,
+        fleet::membership_event::Event,
         id::{Host, Incarnation},
-        member::{Member, Phase},
-        membership::Membership,
-        membership_action::Action,
-        membership_event::Event,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
--- a/tests/support/view.rs
+++ b/tests/support/view.rs
@@ -1,7 +1,7 @@
 //! Views for tests.
 
 use {
-    persimmoncleat::state::{member::Member, view::View},
+    persimmoncleat::state::{fleet::member::Member, view::View},
     std::sync::Arc,
 };
 
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -12,7 +12,7 @@
         protocol::{caller::TicketBody, ticket::Ticket},
         state::{
             clock::Time,
-            member::{Member, Phase},
+            fleet::member::{Member, Phase},
         },
     },
     std::{collections::BTreeSet, time::Duration},
--- a/tests/tree.rs
+++ b/tests/tree.rs
@@ -4,12 +4,12 @@
     persimmoncleat::{
         protocol::tree_file,
         state::{
-            change::{Draft, Outcome},
-            edit::{Edit, Wish},
             fault::Fault,
             policy::Policy,
             pool::Kind,
-            tree::Tree,
+            settings::change::{Draft, Outcome},
+            settings::edit::{Edit, Wish},
+            settings::tree::Tree,
         },
     },
     std::time::Duration,
--- a/tests/watchers.rs
+++ b/tests/watchers.rs
@@ -1,6 +1,6 @@
 //! Which hosts watch the store.
 
-use persimmoncleat::state::{id, watchers::watchers};
+use persimmoncleat::state::{fleet::watchers::watchers, id};
 
 fn hosts(count: usize) -> Vec<(id::Host, id::Domain)> {
     (0..count)
--- a/tests/witness.rs
+++ b/tests/witness.rs
@@ -10,9 +10,9 @@
     persimmoncleat::{
         coordination::claims::{Claims, Event},
         state::{
+            claims::witness::{Subject, Verdict, Witness},
             clock::Time,
             id::Incarnation,
-            witness::{Subject, Verdict, Witness},
         },
     },
     tokio::sync::oneshot,
