--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -22,7 +22,7 @@
 const SERIES: u32 = 3;
 
 /// Requests that a worker's fault concerns.
-const FAULTY_REQUESTS: u32 = 4;
+pub const FAULTY_REQUESTS: u32 = 4;
 
 /// Event within which a worker breaks a stream off.
 const BROKEN_EVENT: usize = 3;
@@ -162,8 +162,3 @@
         _ => workers::Fault::Unproven,
     }
 }
-
-/// Returns how many of a worker's next requests its fault concerns.
-pub const fn faulty_requests() -> u32 {
-    FAULTY_REQUESTS
-}
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -79,7 +79,7 @@
     lines.into_iter().map(|(_, line)| line).collect()
 }
 
-/// Returns the time of a line, which every line ends with a field for.
+/// Returns the time field of a log line.
 fn time(line: &str) -> String {
     let value = serde_json::from_str::<serde_json::Value>(line).unwrap_or_default();
     value["time"].as_str().unwrap_or_default().to_owned()
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        plan::{Edge, Fault, Step, faulty_requests},
+        plan::{Edge, FAULTY_REQUESTS, Fault, Step},
         record::{Drain, Record, Target, key_text},
     },
     serde_json::json,
@@ -244,7 +244,7 @@
             Fault::WorkerFails(worker, ref fault) => {
                 lock(&self.record).disturb(Target::Workers);
 
-                for _ in 0..faulty_requests() {
+                for _ in 0..FAULTY_REQUESTS {
                     self.sites[worker].worker.fail_next(fault.clone());
                 }
             }
