Log the steps of each request and the callers that left

The line at the end of a request said how long it took, not where. It now lists each call to a dispatcher or an endpoint with its begin, duration, outcome and failure domains, and the wait that the caller allowed. A request whose caller left before the response got no line at all; it gets "caller left" with the same fields.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -19,4 +19,5 @@
 pub mod retries;
 pub mod stages;
 pub mod stream;
+pub mod timeline;
 pub mod traffic;
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -30,6 +30,28 @@
     Unreachable(String),
 }
 
+impl AttemptOutcome {
+    /// Returns the name of the outcome in logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Broken(_) => "broken",
+            Self::InputGone => "input_gone",
+            Self::NotRun => "not_run",
+            Self::Replaced => "replaced",
+            Self::Unreachable(_) => "unreachable",
+        }
+    }
+
+    /// Returns what is known about the failure.
+    fn detail(&self) -> &str {
+        match self {
+            Self::Broken(message) | Self::Unreachable(message) => message,
+            _ => "",
+        }
+    }
+}
+
 /// An endpoint's response whose body has not been read to the end.
 pub struct OpenResponse {
     pub answer: Answer,
@@ -90,8 +112,12 @@
     *message.headers_mut() = host.codec.forward_headers(&request.headers, &forward);
     let may_have_run_before = request.may_have_run.replace(true);
     *request.endpoint.borrow_mut() = Some(entry.endpoint.clone());
+    let step = request.timeline.begin(entry.endpoint.as_str().to_owned());
     let result = host.client.send(entry, message).await;
     let outcome = classify(host, request, load_guard, result);
+    request
+        .timeline
+        .end(step, outcome.name(), entry.domain.as_str().to_owned());
 
     if matches!(
         outcome,
@@ -187,19 +213,16 @@
 }
 
 fn log_failure(request: &Request, entry: &Entry, attempt_outcome: &AttemptOutcome) {
-    let (outcome, detail) = match attempt_outcome {
-        AttemptOutcome::Answered(_) => return,
-        AttemptOutcome::Broken(message) => ("broken", message.as_str()),
-        AttemptOutcome::InputGone => ("input_gone", ""),
-        AttemptOutcome::NotRun => ("not_run", ""),
-        AttemptOutcome::Replaced => ("replaced", ""),
-        AttemptOutcome::Unreachable(message) => ("unreachable", message.as_str()),
-    };
+    if matches!(attempt_outcome, AttemptOutcome::Answered(_)) {
+        return;
+    }
+
+    let detail = attempt_outcome.detail();
     log::info!(
         request = request.id(),
         endpoint = entry.endpoint.as_str(),
         service = entry.service.as_str(),
-        outcome = outcome,
+        outcome = attempt_outcome.name(),
         attempt = request.attempts.get(),
         left_ms = request.remaining().as_millis();
         "attempt failed: {detail}"
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -10,6 +10,7 @@
             request::Request,
             stages::{self, StageOutputs},
             stream::{self, ActiveRequest},
+            timeline::Timeline,
         },
         state::{
             id,
@@ -99,12 +100,41 @@
     host.retries
         .record_request(&host.settings().budget, &request.service);
     let time_limit = request.remaining().saturating_sub(CALLER_MARGIN);
+    let departure = Departure(Some((Rc::clone(host), Rc::clone(&request))));
     let result = timeout(time_limit, run(host, &config, &request)).await;
+    departure.disarm();
     let result = result.unwrap_or_else(|_| Err(relay::refusal_for(&request, Reason::Deadline)));
     record_outcome(host, &config, &request, &result);
     result
 }
 
+/// Reports a request whose caller left before the response, which drops the
+/// request's future.
+struct Departure(Option<(Rc<Host>, Rc<Request>)>);
+
+impl Departure {
+    fn disarm(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if let Some((host, request)) = &self.0 {
+            host.tally.count("requests", &[("outcome", "caller_left")]);
+            log::info!(
+                request = request.id(),
+                route = request.route.name.as_str(),
+                attempts = request.attempts.get(),
+                ms = request.age().as_millis(),
+                left_ms = request.remaining().as_millis(),
+                steps = request.timeline.to_string().as_str();
+                "caller left"
+            );
+        }
+    }
+}
+
 async fn run(
     host: &Rc<Host>,
     config: &Arc<Config>,
@@ -165,6 +195,7 @@
         deadline: started + wait,
         endpoint: Default::default(),
         headers: head.headers.clone(),
+        longest_gap: Default::default(),
         may_have_run: Default::default(),
         method: head.method.clone(),
         priority,
@@ -172,6 +203,7 @@
         service: service.clone(),
         started,
         team: team.map(|team| team.name.clone()),
+        timeline: Timeline::new(started),
         uri: head.uri.clone(),
         call,
     })
@@ -236,6 +268,8 @@
         outcome = outcome,
         status = status.as_u16(),
         ms = age.as_millis(),
+        wait_ms = request.deadline.since(request.started).as_millis(),
+        steps = request.timeline.to_string().as_str(),
         config = config.version;
         "request"
     );
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        coordination::serving::timeline::Timeline,
         protocol::adapter::Call,
         state::{
             clock::Time,
@@ -35,6 +36,8 @@
     /// The endpoint of the last attempt.
     pub endpoint: RefCell<Option<id::Endpoint>>,
     pub headers: HeaderMap,
+    /// Longest pause between two chunks of events.
+    pub longest_gap: Cell<Duration>,
     /// Whether an endpoint may have run the request.
     pub may_have_run: Cell<bool>,
     pub method: Method,
@@ -43,6 +46,7 @@
     pub service: id::Pool,
     pub started: Time,
     pub team: Option<id::Team>,
+    pub timeline: Timeline,
     pub uri: Uri,
 }
 
