Free a resumable stream's stage outputs once its engine has read them

Cause: outputs of a request that may be resumed were kept until its stream ended.

An attempt that follows, also in the middle of a stream, runs the stages again first. An engine that refuses because an input is gone gets the request a second time after the stages have run again, within the retry budget, instead of a refusal to the caller. A refusal after the engine may have run the request no longer says that it has not.

--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -40,6 +40,10 @@
 /// The failed attempts of one request.
 #[derive(Debug, Default)]
 pub struct RetryState {
+    /// The endpoint that refused the request because an input was gone. It
+    /// receives the request again once the stages have run again, so the
+    /// number of endpoints that receive the request does not grow.
+    awaiting_inputs: Option<Arc<Entry>>,
     /// Endpoints that were tried already.
     pub excluded: Vec<id::Endpoint>,
     /// Number of connections that failed.
@@ -55,6 +59,15 @@
         domain: Option<&id::Domain>,
     ) -> Option<Arc<Entry>> {
         let view = host.view();
+
+        if let Some(entry) = &self.awaiting_inputs
+            && let Some(listed) = view.roster.get(&entry.endpoint)
+            && listed.incarnation == entry.incarnation
+            && !listed.leaving
+        {
+            return Some(Arc::clone(listed));
+        }
+
         let criteria = Criteria {
             domain,
             exclude: &self.excluded,
@@ -73,9 +86,22 @@
         &mut self,
         host: &Host,
         request: &Request,
-        entry: &Entry,
+        entry: &Arc<Entry>,
         outcome: &AttemptOutcome,
     ) -> Next {
+        let inputs_gone_before = self.awaiting_inputs.take().is_some();
+
+        if matches!(outcome, AttemptOutcome::InputGone)
+            && !inputs_gone_before
+            && withdraw_retry(host, request)
+        {
+            request
+                .attempts
+                .set(request.attempts.get().saturating_sub(1));
+            self.awaiting_inputs = Some(Arc::clone(entry));
+            return Next::Retry;
+        }
+
         self.excluded.push(entry.endpoint.clone());
         let repeatable = request.route.retry_mode != RetryMode::Never;
 
@@ -107,9 +133,14 @@
 /// Withdraws a retry from the budget if the request's attempts, its time and the
 /// budget allow one. Returns whether it did.
 pub fn acquire_retry(host: &Host, request: &Request) -> bool {
+    request.attempts.get() < request.route.max_attempts && withdraw_retry(host, request)
+}
+
+/// Withdraws a retry from the budget if the request's time and the budget allow
+/// one, regardless of its attempts.
+fn withdraw_retry(host: &Host, request: &Request) -> bool {
     let hosts = host.view().hosts();
-    request.attempts.get() < request.route.max_attempts
-        && !request.endpoint_time().is_zero()
+    !request.endpoint_time().is_zero()
         && host
             .retries
             .withdraw(&host.settings().budget, &request.service, hosts)
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -6,7 +6,9 @@
             answer::{Reason, Refusal},
             dispatch,
             host::Host,
+            relay::refusal_for,
             request::{Request, handles},
+            timeline,
         },
         state::{
             id,
@@ -20,7 +22,7 @@
         transport::boot_clock,
     },
     futures::stream::{FuturesUnordered, StreamExt},
-    std::{rc::Rc, sync::Arc, time::Duration},
+    std::{rc::Rc, time::Duration},
 };
 
 /// Time from the end of the stages to a model engine's first event under
@@ -43,6 +45,8 @@
 pub struct StageOutputs {
     pub handles: Vec<String>,
     guard: OutputGuard,
+    /// Whether the outputs no longer exist.
+    released: bool,
 }
 
 /// Releases the existing outputs of all stages on drop.
@@ -74,6 +78,7 @@
                 graph: Graph::new(&[], &[]),
                 host: Rc::clone(host),
             },
+            released: false,
         }
     }
 }
@@ -85,8 +90,8 @@
 /// Returns the refusal if a stage failed.
 pub async fn run(
     host: &Rc<Host>,
-    config: &Arc<Config>,
-    request: &Rc<Request>,
+    config: &Config,
+    request: &Request,
 ) -> Result<StageOutputs, Refusal> {
     let stages = &request.route.stages;
     let mut guard = OutputGuard {
@@ -122,7 +127,7 @@
                     left_ms = request.remaining().as_millis();
                     "stage failed"
                 );
-                return Err(failed.refusal());
+                return Err(failed.refusal(request));
             }
         }
     }
@@ -130,6 +135,7 @@
     Ok(StageOutputs {
         handles: handles(&guard.graph.outputs()),
         guard,
+        released: false,
     })
 }
 
@@ -137,6 +143,30 @@
     /// Releases the outputs before the drop, once an endpoint has read them.
     pub fn release(&mut self) {
         self.guard.release();
+        self.released = true;
+    }
+
+    /// Runs the stages again if their outputs were released, so that another
+    /// endpoint can read them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if a stage failed.
+    pub async fn renew(&mut self, host: &Rc<Host>, request: &Request) -> Result<(), Refusal> {
+        if !self.released || request.route.stages.is_empty() {
+            return Ok(());
+        }
+
+        let config = host
+            .config()
+            .ok_or_else(|| refusal_for(request, Reason::Configuration))?;
+        log::info!(
+            request = request.id(),
+            ms = request.age().as_millis();
+            "stages run again: their outputs were released"
+        );
+        *self = run(host, &config, request).await?;
+        Ok(())
     }
 }
 
@@ -149,24 +179,28 @@
 }
 
 impl StageFailure {
-    fn refusal(&self) -> Refusal {
+    fn refusal(&self, request: &Request) -> Refusal {
         let reason = match self.failure {
             Failure::Overloaded => Reason::Overload,
             Failure::Late => Reason::Deadline,
             Failure::Unreachable => Reason::Unreachable,
             Failure::Cancelled | Failure::Failed | Failure::InputGone => Reason::StageFailed,
         };
-        Refusal::NotRun {
-            reason,
-            retry_after: self.retry_after,
+
+        match refusal_for(request, reason) {
+            Refusal::NotRun { reason, .. } => Refusal::NotRun {
+                reason,
+                retry_after: self.retry_after,
+            },
+            refusal => refusal,
         }
     }
 }
 
 async fn run_once(
     host: &Rc<Host>,
-    config: &Arc<Config>,
-    request: &Rc<Request>,
+    config: &Config,
+    request: &Request,
     guard: &mut OutputGuard,
     domain: Option<&id::Domain>,
 ) -> Result<(), StageFailure> {
@@ -178,17 +212,34 @@
             let job = build_job(host, config, request, &guard.graph, &start, first, domain);
             let stage = start.stage;
             let host = Rc::clone(host);
-            running.push(async move { (stage, dispatch::run(&host, job).await) });
+            let step = request.timeline.begin(format!(
+                "{stage} {} x{}",
+                job.service.as_str(),
+                start.pieces
+            ));
+            running.push(async move { (stage, step, dispatch::run(&host, job).await) });
         }
 
         first = false;
-        let Some((stage, outcome)) = running.next().await else {
+        let Some((stage, step, outcome)) = running.next().await else {
             return Ok(());
         };
+        record_step(host, request, step, &outcome);
         finish(host, request, guard, stage, outcome)?;
     }
 }
 
+fn record_step(host: &Host, request: &Request, step: usize, outcome: &Outcome) {
+    let view = host.view();
+    let entries = outcome.outputs.iter();
+    let entries = entries.filter_map(|output| view.roster.get(&output.endpoint));
+    request.timeline.end(
+        step,
+        outcome.failure.map_or("done", Failure::name),
+        timeline::count_domains(entries.map(|entry| &entry.domain)),
+    );
+}
+
 fn finish(
     host: &Rc<Host>,
     request: &Request,
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -51,8 +51,9 @@
 }
 
 /// Serves a request whose response is a stream. `stage_outputs` are released
-/// once an endpoint has read them, or at the end of a stream that may be
-/// resumed.
+/// once an endpoint has read them: a stream lasts many times as long, and large
+/// outputs that are kept for its resumption would fill the storage of the
+/// pools. A later attempt runs the stages again.
 ///
 /// # Errors
 ///
@@ -63,9 +64,10 @@
     mut stage_outputs: StageOutputs,
 ) -> Result<Response<Body>, Refusal> {
     let mut retry_state = RetryState::default();
-    let handles = stage_outputs.handles.clone();
 
     loop {
+        stage_outputs.renew(host, &request).await?;
+        let handles = stage_outputs.handles.clone();
         let Some(entry) = retry_state.choose(host, &request, None) else {
             return Err(refusal_for(&request, Reason::NoEndpoint));
         };
@@ -80,10 +82,7 @@
             match timeout(INPUT_READ_TIME, attempt.as_mut()).await {
                 Ok(outcome) => outcome,
                 Err(_) => {
-                    if request.route.retry_mode == RetryMode::Never {
-                        stage_outputs.release();
-                    }
-
+                    stage_outputs.release();
                     attempt.await
                 }
             }
@@ -91,9 +90,8 @@
         let outcome = match outcome {
             AttemptOutcome::Answered(open) => match start_response(host, &request, *open).await {
                 Ok(ResponseStart::Stream(stream)) => {
-                    let held_outputs =
-                        (request.route.retry_mode == RetryMode::Resume).then_some(stage_outputs);
-                    return Ok(forward(host, request, *stream, retry_state, held_outputs));
+                    stage_outputs.release();
+                    return Ok(forward(host, request, *stream, retry_state, stage_outputs));
                 }
                 Ok(ResponseStart::Whole(response)) => return Ok(response),
                 Err(outcome) => outcome,
@@ -101,6 +99,10 @@
             outcome => outcome,
         };
 
+        if matches!(outcome, AttemptOutcome::InputGone) {
+            stage_outputs.release();
+        }
+
         match retry_state.next_step(host, &request, &entry, &outcome) {
             Next::Retry => {}
             Next::Refuse(refusal) => return Err(refusal),
@@ -208,7 +210,7 @@
     request: Rc<Request>,
     stream: Stream,
     retry_state: RetryState,
-    stage_outputs: Option<StageOutputs>,
+    mut stage_outputs: StageOutputs,
 ) -> Response<Body> {
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE_LENGTH);
     let status = stream.open.exchange.response.status();
@@ -222,16 +224,22 @@
 
     spawn_local(async move {
         let guard = ActiveRequest::new(&host);
-        let inputs = stage_outputs
-            .as_ref()
-            .map_or(&[][..], |stage_outputs| &stage_outputs.handles);
-        let end = run(&host, &request, stream, retry_state, inputs, &sender).await;
+        let end = run(
+            &host,
+            &request,
+            stream,
+            retry_state,
+            &mut stage_outputs,
+            &sender,
+        )
+        .await;
         log::info!(
             request = request.id(),
             route = request.route.name.as_str(),
             endpoint = request.endpoint.borrow().as_ref().map(id::Endpoint::as_str),
             attempts = request.attempts.get(),
             outcome = end.name(),
+            longest_gap_ms = request.longest_gap.get().as_millis(),
             ms = request.age().as_millis();
             "stream ended"
         );
@@ -267,7 +275,7 @@
     request: &Request,
     mut stream: Stream,
     mut retry_state: RetryState,
-    inputs: &[String],
+    stage_outputs: &mut StageOutputs,
     sender: &Sender<io::Result<Bytes>>,
 ) -> StreamEnd {
     loop {
@@ -317,7 +325,7 @@
             host,
             request,
             &mut retry_state,
-            inputs,
+            stage_outputs,
             last_event,
             splitter,
         )
@@ -338,7 +346,7 @@
     host: &Rc<Host>,
     request: &Request,
     retry_state: &mut RetryState,
-    inputs: &[String],
+    stage_outputs: &mut StageOutputs,
     last_event: Option<String>,
     mut splitter: Splitter,
 ) -> Option<Stream> {
@@ -347,9 +355,18 @@
     }
 
     while acquire_retry(host, request) {
+        if let Err(refusal) = stage_outputs.renew(host, request).await {
+            log::info!(
+                request = request.id(),
+                reason = refusal.reason().name();
+                "stream not resumed: its stages failed"
+            );
+            return None;
+        }
+
         let entry = retry_state.choose(host, request, None)?;
         let options = AttemptOptions {
-            inputs,
+            inputs: &stage_outputs.handles,
             last_event: last_event.as_deref(),
         };
         let outcome = attempt(host, request, &entry, options).await;
@@ -366,6 +383,7 @@
         }
 
         retry_state.excluded.push(entry.endpoint.clone());
+        stage_outputs.release();
     }
 
     None
@@ -392,6 +410,8 @@
         .event_gap
         .map_or(DEFAULT_EVENT_TIMEOUT, |gap| gap * GAP_FACTOR);
 
+    let mut last_chunk = boot_clock::now();
+
     loop {
         let events = std::mem::take(&mut stream.events);
 
@@ -415,7 +435,13 @@
 
         match next {
             Ok(Some(bytes)) => match stream.splitter.push(&bytes) {
-                Some(events) => stream.events = events,
+                Some(events) => {
+                    let now = boot_clock::now();
+                    let gap = now.since(last_chunk);
+                    last_chunk = now;
+                    request.longest_gap.set(request.longest_gap.get().max(gap));
+                    stream.events = events;
+                }
                 None => return CopyEnd::Broken("an event exceeds the length limit".into()),
             },
             Ok(None) if stream.splitter.is_partial() => {
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -28,6 +28,8 @@
     Extra,
     /// Refuses the request because the worker is full.
     Full,
+    /// Refuses the request because an input no longer exists.
+    InputGone,
     /// Sends a response that belongs to another request.
     Other,
     /// Sends a response without a proof.
@@ -52,6 +54,8 @@
 #[derive(Default)]
 struct State {
     faults: VecDeque<Fault>,
+    /// Handles of the outputs that were freed.
+    freed: Vec<String>,
     pieces: Vec<Piece>,
     runs: Vec<Run>,
     /// Added to the execution time of every request.
@@ -123,6 +127,11 @@
         lock(&self.service.state).pieces.clone()
     }
 
+    /// Returns the handles of the outputs that were freed, in order.
+    pub fn freed(&self) -> Vec<String> {
+        lock(&self.service.state).freed.clone()
+    }
+
     /// Returns the worker's entry for the store.
     pub fn entry(&self, service: &str, state: &str) -> Value {
         entry(self.address(), service, state)
@@ -159,6 +168,16 @@
         Reply::ok(json!({ "items": results.collect::<Vec<Value>>() }))
     }
 
+    fn free(&self, request: &Request) -> Reply {
+        let Ok(body) = request.json::<Value>() else {
+            return Reply::problem(400, "the body cannot be read as JSON");
+        };
+        let handles = body["handles"].as_array().cloned().unwrap_or_default();
+        let handles = handles.iter().filter_map(Value::as_str).map(str::to_owned);
+        lock(&self.state).freed.extend(handles);
+        Reply::ok(json!({}))
+    }
+
     fn run(&self, request: &Request) -> Reply {
         let attempt = request.headers.get("x-attempt-id").cloned();
         let attempt = attempt.unwrap_or_default();
@@ -170,6 +189,10 @@
                 return refuse("503 Service Unavailable");
             }
 
+            if matches!(fault, Some(Fault::InputGone)) {
+                return refuse("409 Conflict");
+            }
+
             state.runs.push(Run {
                 at: Instant::now(),
                 headers: request.headers.clone(),
@@ -235,7 +258,7 @@
 
         match request.path.as_str() {
             "/stage-run" => self.stage(&request),
-            "/stage-free" => Reply::ok(json!({})),
+            "/stage-free" => self.free(&request),
             _ => self.run(&request),
         }
     }
