Count the time of a stage by its own pieces

Cause: the latest start of a job counted every stage with full calls, so a chain of three stages was late on arrival at a goal of 1.5 s (1.58 s of work and reserves). Late jobs never wait for an endpoint of the domain of their inputs, and order by deadline. The estimate moved to state::serving::chain, with its test.

--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -13,6 +13,7 @@
         state::{
             id,
             serving::{
+                chain,
                 config::Config,
                 graph::{Graph, Start},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
@@ -25,18 +26,6 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Time from the end of the stages to a model engine's first event under
-/// normal load.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(300);
-
-/// Round trip of a call to a dispatcher in another failure domain.
-const DISPATCH_ROUND_TRIP: Duration = Duration::from_millis(15);
-
-/// Time reserved before each later stage to wait for a free endpoint. Without
-/// it, jobs of a busy pool start so late that the next wait makes them miss
-/// their goal.
-const STAGE_QUEUE_TIME: Duration = Duration::from_millis(200);
-
 /// Maximum number of times that all stages run again because outputs no longer
 /// exist.
 const MAX_RESTARTS: u32 = 1;
@@ -282,13 +271,6 @@
         Input::Outputs(handles(&start.inputs))
     };
     let path = graph.longest_path(start.stage);
-    let call_times = path
-        .iter()
-        .map(|(service, pieces)| call_time(config, service, *pieces) + DISPATCH_ROUND_TRIP)
-        .sum::<Duration>();
-    let later_stages = u32::try_from(path.len().saturating_sub(1)).unwrap_or(u32::MAX);
-    let stages_time = call_times + STAGE_QUEUE_TIME * later_stages;
-
     Job {
         // Prefers the domain of the inputs: every piece reads all of them, and
         // they are larger than its output.
@@ -306,25 +288,10 @@
         request: request.id().to_owned(),
         service: start.service.clone(),
         stage: u16::try_from(start.stage).unwrap_or(u16::MAX),
-        urgency: request
-            .time_to_goal()
-            .saturating_sub(stages_time + FIRST_EVENT_TIME),
+        urgency: chain::latest_start(config, &path, request.time_to_goal()),
     }
 }
 
-/// Returns the time that a stage's pieces take at its service in full calls,
-/// one after the other.
-fn call_time(config: &Config, service: &id::Pool, pieces: usize) -> Duration {
-    let pool = config.services.get(service);
-    let pool = pool.and_then(|service| service.pool.as_ref());
-
-    pool.map_or(Duration::ZERO, |pool| {
-        let calls = pieces.div_ceil(pool.batch.max(1)).max(1);
-        let batch = u32::try_from(pool.batch).unwrap_or(u32::MAX);
-        (pool.call + pool.item * batch) * u32::try_from(calls).unwrap_or(1)
-    })
-}
-
 /// Returns the domain of the engine that would be chosen for the request now.
 fn target_domain(host: &Host, request: &Request) -> Option<id::Domain> {
     let view = host.view();
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -4,6 +4,7 @@
 
 pub mod batch;
 pub mod budget;
+pub mod chain;
 pub mod config;
 pub mod directory;
 pub mod graph;
--- /dev/null
+++ b/tests/serving/chain.rs
@@ -0,0 +1,70 @@
+//! How long the stages of a request may wait.
+
+use {
+    persimmoncleat::state::{
+        id,
+        serving::{
+            chain,
+            config::{Config, Limits, Pool, Service},
+        },
+    },
+    std::time::Duration,
+};
+
+const GOAL: Duration = Duration::from_millis(1500);
+
+fn pool(batch: usize, item_micros: u64) -> Service {
+    Service {
+        engine: None,
+        max_connections: 100,
+        pool: Some(Pool {
+            batch,
+            call: Duration::from_millis(150),
+            item: Duration::from_micros(item_micros),
+            queue: 2,
+            retention: Duration::from_secs(4),
+            storage_bytes: 36_000_000,
+            slots: 1,
+        }),
+    }
+}
+
+fn config() -> Config {
+    let services = [
+        ("first", pool(8, 16_000)),
+        ("second", pool(18, 7100)),
+        ("third", pool(36, 3600)),
+    ];
+    let services = services.map(|(name, service)| (id::Pool::from(name), service));
+    let limits = Limits {
+        body_bytes: 1024,
+        header_bytes: 1024,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    Config::new(1, Vec::new(), services.into(), None, limits)
+}
+
+macro_rules! latest_starts {
+    ($($name:ident: $path:expr, $goal:expr => $latest:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let path = $path.map(|(service, pieces)| (id::Pool::from(service), pieces));
+                let latest = chain::latest_start(&config(), &path, $goal);
+                assert_eq!(latest.as_micros() / 100, $latest);
+            }
+        )*
+    };
+}
+
+latest_starts! {
+    // With the time of full calls, a request with three stages counted as late
+    // on arrival: it never waited for its own domain, and was served last.
+    chain_of_small_jobs_has_time_to_wait:
+        [("first", 1), ("second", 8), ("third", 16)], GOAL => 1746;
+    large_job_takes_several_calls: [("first", 10)], GOAL => 7250;
+    stage_of_an_unknown_service_takes_no_time: [("other", 3)], GOAL => 11_850;
+    chain_without_time_starts_at_once:
+        [("first", 1), ("second", 8), ("third", 16)], Duration::from_secs(1) => 0;
+}
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod batch_fuzz;
 mod budget;
+mod chain;
 mod config;
 mod directory;
 mod event_stream;
