Choose the engines of prompts on one host for the fleet

A host chose an engine by the session's hash, bounded by its own requests. With 89 hosts it has two or three in progress, so it sees neither a hot engine nor a long prompt of another host.

Change: the host that comes first in the dispatch order of the service chooses for all (state::serving::balance): the engine with the fewest tokens ahead of the prompt's end, with what its own prefix cache already holds, where a shared token to read weighs five times. Failures that one host sees pause the engine for all. A host that gets no answer in 80 ms chooses alone for 0.6 s. The order of dispatchers is ranked once a view instead of for each job and release.

long_prompts_of_two_hosts_go_to_different_engines needs the balancer; the tests of state::serving::balance name the load that each guards against.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -98,6 +98,28 @@
   backlogMs @3 :UInt32;
 }
 
+struct Part {
+  # A part of a prompt.
+
+  prefix @0 :UInt64;
+  # Hash of this part and all parts before it.
+  tokens @1 :UInt32;
+}
+
+struct Placement {
+  # A prompt for which a host asks for an engine.
+
+  home @0 :Text;
+  id @1 :UInt64;
+  # Unique within the home's incarnation.
+  service @2 :Text;
+  parts @3 :List(Part);
+  exclude @4 :List(Text);
+  # Engines that must not be chosen.
+  domain @5 :Text;
+  # Where the inputs are; empty if there are none.
+}
+
 struct Object {
   name @0 :Text;
   revision @1 :UInt64;
@@ -137,4 +159,8 @@
   ping @8 ();
   objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32) -> (changes :Changes);
   # Waits for a change after the revision, at most `waitMs`.
+  placePrompt @10 (placement :Placement) -> (endpoint :Text);
+  # Chooses the engine of a prompt; empty if there is none.
+  reportPrompt @11 (service :Text, home :Text, id :UInt64, result :Text);
+  # Tells how the prompt fared at its engine.
 }
--- a/src/coordination/incoming.rs
+++ b/src/coordination/incoming.rs
@@ -12,7 +12,9 @@
         Some(match call {
             PeerCall::CancelJob(_)
             | PeerCall::ObjectChanges { .. }
+            | PeerCall::PlacePrompt { .. }
             | PeerCall::ReleaseOutputs { .. }
+            | PeerCall::ReportPrompt { .. }
             | PeerCall::RunJob { .. } => return None,
             PeerCall::ChangesAfter { reply, version } => {
                 Self::Settings(settings::Event::ChangesAfter { reply, version })
--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod auxiliary;
+pub mod balancing;
 pub mod control;
 pub mod dispatch;
 pub mod drain;
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -4,7 +4,10 @@
     crate::{
         coordination::serving::{host::Host, request::Request},
         protocol::adapter::{Answer, Forward},
-        state::{clock::Time, serving::roster::Entry},
+        state::{
+            clock::Time,
+            serving::{balance::Report, roster::Entry},
+        },
         transport::{
             boot_clock,
             http::client::{Exchange, Failure},
@@ -43,6 +46,16 @@
         }
     }
 
+    /// Returns what a failed attempt says about its engine.
+    pub const fn report(&self) -> Report {
+        match self {
+            Self::Answered(_) | Self::Broken(_) => Report::Failed,
+            Self::InputGone => Report::Abandoned,
+            Self::NotRun => Report::Full,
+            Self::Replaced | Self::Unreachable(_) => Report::Unreachable,
+        }
+    }
+
     /// Returns what is known about the failure.
     fn detail(&self) -> &str {
         match self {
--- /dev/null
+++ b/src/coordination/serving/balancing.rs
@@ -0,0 +1,214 @@
+//! Finds the engine of a prompt: asks the host that balances the service's
+//! engines for the whole fleet, and chooses one from this host's own
+//! observations if that host does not answer.
+
+use {
+    crate::{
+        coordination::serving::{dispatch, host::Host, request::Request},
+        state::{
+            clock::Time,
+            id,
+            serving::{
+                balance::{Balancer, Prompt, Report},
+                piece::JobId,
+                placement::Criteria,
+                roster::Entry,
+            },
+        },
+        transport::boot_clock,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Time limit of a question to the balancing host. A prompt that waits longer
+/// loses more than a balanced engine gains.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Time for which the balancing host is not asked after it has not answered.
+const SILENCE_PAUSE: Duration = Duration::from_millis(600);
+
+/// Timeout of a report, which needs no answer.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The balancers that run on this host.
+#[derive(Default)]
+pub struct Balancing {
+    balancers: RefCell<HashMap<id::Pool, Balancer>>,
+    /// Until when no other host is asked.
+    silent_until: Cell<Time>,
+}
+
+impl Balancing {
+    /// Updates the balancers with the engines that are listed now.
+    pub fn update(&self, host: &Host) {
+        for (service, balancer) in self.balancers.borrow_mut().iter_mut() {
+            update(host, service, balancer);
+        }
+    }
+}
+
+/// Reports to the balancing host how a prompt fared, at the latest on drop.
+pub struct PlacementGuard {
+    /// Address of the balancing host; `None` stands for this host.
+    address: Option<SocketAddr>,
+    host: Rc<Host>,
+    /// The service and the prompt; `None` once the report was sent.
+    prompt: Option<(id::Pool, JobId)>,
+}
+
+impl PlacementGuard {
+    /// Sends the report.
+    pub fn report(mut self, report: Report) {
+        self.send(report);
+    }
+
+    fn send(&mut self, report: Report) {
+        let Some((service, id)) = self.prompt.take() else {
+            return;
+        };
+
+        match self.address {
+            Some(address) => {
+                let links = &self.host.links;
+                links.report_prompt(address, &service, &id, report, REPORT_TIMEOUT);
+            }
+            None => record(&self.host, &service, &id, report),
+        }
+    }
+}
+
+impl Drop for PlacementGuard {
+    fn drop(&mut self) {
+        self.send(Report::Abandoned);
+    }
+}
+
+/// An engine for a prompt, and the guard that reports how it fared if the
+/// balancing host chose the engine.
+pub struct Chosen {
+    pub entry: Arc<Entry>,
+    pub guard: Option<PlacementGuard>,
+}
+
+/// Chooses the engine for a request, except those in `exclude`. Returns `None`
+/// if no engine is left.
+pub async fn choose(
+    host: &Rc<Host>,
+    request: &Request,
+    exclude: &[id::Endpoint],
+    domain: Option<id::Domain>,
+) -> Option<Chosen> {
+    let parts = request.prompt_parts();
+
+    if !parts.is_empty() {
+        let prompt = Prompt {
+            domain,
+            exclude: exclude.to_vec(),
+            id: JobId {
+                home: host.settings().host.clone(),
+                number: host.next_job(),
+            },
+            parts,
+            service: request.service.clone(),
+        };
+
+        if let Some(chosen) = ask(host, request, prompt).await {
+            return Some(chosen);
+        }
+    }
+
+    choose_alone(host, request, exclude)
+}
+
+/// Chooses the engine of a prompt of any host.
+pub fn place(host: &Host, prompt: &Prompt) -> Option<Arc<Entry>> {
+    let view = host.view();
+    let mut balancers = host.balancing.balancers.borrow_mut();
+    let balancer = balancers.entry(prompt.service.clone()).or_insert_with(|| {
+        let mut balancer = Balancer::default();
+        update(host, &prompt.service, &mut balancer);
+        balancer
+    });
+    let open = view.roster.open(&prompt.service);
+    balancer.place(boot_clock::now(), open, prompt).cloned()
+}
+
+/// Records how a prompt of any host fared.
+pub fn record(host: &Host, service: &id::Pool, id: &JobId, report: Report) {
+    if let Some(balancer) = host.balancing.balancers.borrow_mut().get_mut(service) {
+        balancer.report(boot_clock::now(), id, report);
+    }
+}
+
+fn update(host: &Host, service: &id::Pool, balancer: &mut Balancer) {
+    let view = host.view();
+    let config = view.config.as_ref();
+    let engine = config.and_then(|config| config.services.get(service)?.engine.as_ref());
+    let capacity = engine.map_or(0, |engine| engine.capacity);
+    balancer.update(view.roster.service(service).iter(), capacity);
+}
+
+/// Asks the balancing host. Returns `None` if it does not answer in time or
+/// names an engine that this host does not know.
+async fn ask(host: &Rc<Host>, request: &Request, prompt: Prompt) -> Option<Chosen> {
+    let address = *dispatch::dispatchers(host, &prompt.service).first()?;
+    let id = prompt.id.clone();
+    let endpoint = match address {
+        None => Some(place(host, &prompt)?.endpoint.clone()),
+        Some(_) if boot_clock::now() < host.balancing.silent_until.get() => return None,
+        Some(address) => {
+            let answer = host.links.place_prompt(address, &prompt, PLACE_TIMEOUT);
+
+            match answer.await {
+                Ok(endpoint) => endpoint,
+                Err(error) => {
+                    let silent_until = boot_clock::now() + SILENCE_PAUSE;
+                    host.balancing.silent_until.set(silent_until);
+                    host.tally.count("balancer_silent", &[]);
+                    log::info!(
+                        request = request.id(),
+                        service = prompt.service.as_str(),
+                        balancer = address.to_string().as_str();
+                        "no engine from the balancing host: {error}"
+                    );
+                    return None;
+                }
+            }
+        }
+    };
+    let guard = PlacementGuard {
+        address,
+        host: Rc::clone(host),
+        prompt: Some((prompt.service, id)),
+    };
+    let view = host.view();
+    let entry = view.roster.get(&endpoint?).filter(|entry| !entry.leaving)?;
+    Some(Chosen {
+        entry: Arc::clone(entry),
+        guard: Some(guard),
+    })
+}
+
+/// Chooses an engine from the observations of this host alone.
+fn choose_alone(host: &Host, request: &Request, exclude: &[id::Endpoint]) -> Option<Chosen> {
+    let view = host.view();
+    let criteria = Criteria {
+        domain: None,
+        exclude,
+        session: request.session(),
+    };
+    let open = view.roster.open(&request.service);
+    let placement = host.placement.borrow();
+    let entry = placement.choose(boot_clock::now(), open, criteria)?;
+    Some(Chosen {
+        entry: Arc::clone(entry),
+        guard: None,
+    })
+}
--- a/src/coordination/serving/dispatch.rs
+++ b/src/coordination/serving/dispatch.rs
@@ -11,11 +11,14 @@
         state::{
             fleet::member::Member,
             id, rendezvous,
-            serving::piece::{Failure, Job, JobId, Outcome, Output},
+            serving::{
+                piece::{Failure, Job, JobId, Outcome, Output},
+                view::View,
+            },
         },
         transport::boot_clock,
     },
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -40,7 +43,7 @@
     let urgency = job.urgency;
     let dispatchers = dispatchers(host, &job.service);
 
-    for dispatcher in dispatchers.iter().take(MAX_DISPATCHERS) {
+    for dispatcher in dispatchers.iter() {
         let age = boot_clock::now().since(started);
         job.remaining = remaining.saturating_sub(age);
         job.urgency = urgency.saturating_sub(age);
@@ -88,27 +91,55 @@
     member.capacity.saturating_pow(3)
 }
 
+/// The order of the dispatchers of each service under the current view. Ranking
+/// every host for every job would take most of a small host's time in a fleet
+/// of some hundred hosts.
+#[derive(Default)]
+pub struct Orders(RefCell<HashMap<id::Pool, Rc<[Option<SocketAddr>]>>>);
+
+impl Orders {
+    /// Forgets the orders, after the view has changed.
+    pub fn clear(&self) {
+        self.0.borrow_mut().clear();
+    }
+}
+
 /// Returns the peer addresses of the dispatchers for a service, in order of
 /// preference; `None` stands for this host.
-fn dispatchers(host: &Host, service: &id::Pool) -> Vec<Option<SocketAddr>> {
-    let view = host.view();
-    let mut members = view.alive().collect::<Vec<&Member>>();
-    let score = |member: &Member| {
-        let (service, host) = (service.as_str(), member.host.as_str());
-        rendezvous::score(&service, &host, dispatch_weight(member))
-    };
-    members.sort_by(|a, b| score(b).total_cmp(&score(a)));
+pub(super) fn dispatchers(host: &Host, service: &id::Pool) -> Rc<[Option<SocketAddr>]> {
+    let mut orders = host.dispatch_orders.0.borrow_mut();
+
+    if let Some(order) = orders.get(service) {
+        return Rc::clone(order);
+    }
+
+    let order = rank_dispatchers(&host.view(), service);
+    orders.insert(service.clone(), Rc::clone(&order));
+    order
+}
+
+fn rank_dispatchers(view: &View, service: &id::Pool) -> Rc<[Option<SocketAddr>]> {
+    let mut members = view
+        .alive()
+        .map(|member| {
+            let (service, host) = (service.as_str(), member.host.as_str());
+            let score = rendezvous::score(&service, &host, dispatch_weight(member));
+            (score, member)
+        })
+        .collect::<Vec<(f64, &Member)>>();
+    members.sort_by(|(a, _), (b, _)| b.total_cmp(a));
     let local = &view.local.host;
     let mut order = members
         .iter()
-        .map(|member| (member.host != *local).then_some(member.peer_address))
+        .take(MAX_DISPATCHERS)
+        .map(|(_, member)| (member.host != *local).then_some(member.peer_address))
         .collect::<Vec<Option<SocketAddr>>>();
 
-    if !order.contains(&None) {
+    if order.is_empty() {
         order.push(None);
     }
 
-    order
+    order.into()
 }
 
 async fn run_locally(host: &Rc<Host>, job: &Job) -> Result<Outcome, String> {
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::serving::{pools::Pools, retries::Retries},
+        coordination::serving::{balancing::Balancing, dispatch, pools::Pools, retries::Retries},
         protocol::{adapter::Codec, serving_file::File},
         state::{
             clock::Time,
@@ -39,9 +39,11 @@
 pub struct Host {
     /// Number of requests in progress.
     pub active: Cell<usize>,
+    pub balancing: Balancing,
     pub caller_bounds: Rc<Cell<Bounds>>,
     pub client: Client,
     pub codec: Arc<dyn Codec>,
+    pub dispatch_orders: dispatch::Orders,
     pub links: Links,
     pub placement: RefCell<Placement>,
     pub pools: Pools,
@@ -64,9 +66,11 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             active: Cell::new(0),
+            balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
             client: Client::default(),
             codec,
+            dispatch_orders: dispatch::Orders::default(),
             leaving_since: Cell::new(None),
             links,
             next_job: Cell::new(1),
@@ -142,7 +146,9 @@
         }
 
         host.view.replace(view);
+        host.dispatch_orders.clear();
         host.pools.update(&host);
+        host.balancing.update(&host);
 
         if views.changed().await.is_err() {
             return;
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -6,6 +6,7 @@
         coordination::serving::{
             answer::{Reason, Refusal},
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt},
+            balancing::{self, Chosen},
             host::Host,
             request::Request,
         },
@@ -59,15 +60,6 @@
         domain: Option<&id::Domain>,
     ) -> Option<Arc<Entry>> {
         let view = host.view();
-
-        if let Some(entry) = &self.awaiting_inputs
-            && let Some(listed) = view.roster.get(&entry.endpoint)
-            && listed.incarnation == entry.incarnation
-            && !listed.leaving
-        {
-            return Some(Arc::clone(listed));
-        }
-
         let criteria = Criteria {
             domain,
             exclude: &self.excluded,
@@ -80,6 +72,28 @@
             .map(Arc::clone)
     }
 
+    /// Returns the engine for the next attempt of a stream whose inputs are in
+    /// `domain`, if an engine is left.
+    pub async fn choose_engine(
+        &self,
+        host: &Rc<Host>,
+        request: &Request,
+        domain: Option<id::Domain>,
+    ) -> Option<Chosen> {
+        match self.awaiting_entry(host) {
+            Some(entry) => Some(Chosen { entry, guard: None }),
+            None => balancing::choose(host, request, &self.excluded, domain).await,
+        }
+    }
+
+    /// Returns the endpoint that awaits its inputs, if it is still open.
+    fn awaiting_entry(&self, host: &Host) -> Option<Arc<Entry>> {
+        let view = host.view();
+        let entry = self.awaiting_inputs.as_ref()?;
+        let listed = view.roster.get(&entry.endpoint)?;
+        (listed.incarnation == entry.incarnation && !listed.leaving).then(|| Arc::clone(listed))
+    }
+
     /// Records an attempt without a usable response and decides what follows.
     /// A retry that counts as an attempt is withdrawn from the budget.
     pub fn next_step(
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -7,7 +7,11 @@
         state::{
             clock::Time,
             id,
-            serving::{config::Route, piece::Output},
+            serving::{
+                balance::{self, Part},
+                config::Route,
+                piece::Output,
+            },
         },
         transport::boot_clock,
     },
@@ -76,15 +80,26 @@
         boot_clock::now().since(self.started)
     }
 
-    /// Returns the hash of the prompt part that requests of a session share. It
-    /// routes them to the engine that has this part cached.
+    /// Returns the hash of the prompt that requests of a session share. It
+    /// routes them to the engine that has this prompt cached.
     pub fn session(&self) -> Option<u64> {
-        let parts = &self.call.prompt.as_ref()?.parts;
-        let shared = parts.len().saturating_sub(2);
-        let part = parts.get(shared)?;
+        balance::session(&self.prompt_parts())
+    }
+
+    /// Returns the parts of the prompt, each with the hash of the prompt up to
+    /// its end.
+    pub fn prompt_parts(&self) -> Vec<Part> {
         let mut hasher = DefaultHasher::new();
-        part.id.hash(&mut hasher);
-        Some(hasher.finish())
+        let parts = self.call.prompt.iter().flat_map(|prompt| &prompt.parts);
+        parts
+            .map(|part| {
+                part.id.hash(&mut hasher);
+                Part {
+                    prefix: hasher.finish(),
+                    tokens: u32::try_from(part.tokens).unwrap_or(u32::MAX),
+                }
+            })
+            .collect()
     }
 }
 
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -23,7 +23,7 @@
         transport::boot_clock,
     },
     futures::stream::{FuturesUnordered, StreamExt},
-    std::{rc::Rc, time::Duration},
+    std::{collections::BTreeMap, rc::Rc, time::Duration},
 };
 
 /// Maximum number of times that all stages run again because outputs no longer
@@ -129,6 +129,11 @@
 }
 
 impl StageOutputs {
+    /// Returns the failure domain that holds most of the outputs.
+    pub fn domain(&self) -> Option<id::Domain> {
+        outputs_domain(&self.guard.host, self.guard.graph.sized_outputs())
+    }
+
     /// Releases the outputs before the drop, once an endpoint has read them.
     pub fn release(&mut self) {
         self.guard.release();
@@ -271,10 +276,11 @@
         Input::Outputs(handles(&start.inputs))
     };
     let path = graph.longest_path(start.stage);
+    let inputs = start.inputs.iter().map(|output| (output, 1));
     Job {
         // Prefers the domain of the inputs: every piece reads all of them, and
         // they are larger than its output.
-        domain: outputs_domain(host, &start.inputs).or(domain.cloned()),
+        domain: outputs_domain(host, inputs).or(domain.cloned()),
         first: first && !request.may_have_run.get(),
         id: JobId {
             home: host.settings().host.clone(),
@@ -309,17 +315,20 @@
     Some(entry.domain.clone())
 }
 
-/// Returns the domain that holds most of the outputs.
-fn outputs_domain(host: &Host, outputs: &[Output]) -> Option<id::Domain> {
+/// Returns the domain that holds most of the bytes of the outputs.
+fn outputs_domain<'a>(
+    host: &Host,
+    outputs: impl Iterator<Item = (&'a Output, u64)>,
+) -> Option<id::Domain> {
     let view = host.view();
-    let mut domains = std::collections::BTreeMap::<&id::Domain, usize>::new();
+    let mut domains = BTreeMap::<&id::Domain, u64>::new();
 
-    for output in outputs {
+    for (output, bytes) in outputs {
         if let Some(entry) = view.roster.get(&output.endpoint) {
-            *domains.entry(&entry.domain).or_default() += 1;
+            *domains.entry(&entry.domain).or_default() += bytes;
         }
     }
 
-    let (domain, _) = domains.into_iter().max_by_key(|(_, count)| *count)?;
+    let (domain, _) = domains.into_iter().max_by_key(|(_, bytes)| *bytes)?;
     Some(domain.clone())
 }
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -6,13 +6,17 @@
         coordination::serving::{
             answer::{Reason, Refusal},
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt},
+            balancing::{Chosen, PlacementGuard},
             host::Host,
             relay::{Next, RetryState, acquire_retry, refusal_for},
             request::Request,
             stages::StageOutputs,
         },
         protocol::{adapter::Answer, event_stream::Splitter},
-        state::{id, serving::config::RetryMode},
+        state::{
+            id,
+            serving::{balance::Report, config::RetryMode},
+        },
         transport::{
             boot_clock,
             http::{body::Body, client::Failure},
@@ -68,7 +72,9 @@
     loop {
         stage_outputs.renew(host, &request).await?;
         let handles = stage_outputs.handles.clone();
-        let Some(entry) = retry_state.choose(host, &request, None) else {
+        let domain = stage_outputs.domain();
+        let chosen = retry_state.choose_engine(host, &request, domain).await;
+        let Some(Chosen { entry, guard }) = chosen else {
             return Err(refusal_for(&request, Reason::NoEndpoint));
         };
         let options = AttemptOptions {
@@ -90,15 +96,21 @@
         let outcome = match outcome {
             AttemptOutcome::Answered(open) => match start_response(host, &request, *open).await {
                 Ok(ResponseStart::Stream(stream)) => {
+                    report(guard, Report::Started);
                     stage_outputs.release();
                     return Ok(forward(host, request, *stream, retry_state, stage_outputs));
                 }
-                Ok(ResponseStart::Whole(response)) => return Ok(response),
+                Ok(ResponseStart::Whole(response)) => {
+                    report(guard, Report::Failed);
+                    return Ok(response);
+                }
                 Err(outcome) => outcome,
             },
             outcome => outcome,
         };
 
+        report(guard, outcome.report());
+
         if matches!(outcome, AttemptOutcome::InputGone) {
             stage_outputs.release();
         }
@@ -110,6 +122,13 @@
     }
 }
 
+/// Sends the report about a prompt, if the balancing host chose its engine.
+fn report(guard: Option<PlacementGuard>, report: Report) {
+    if let Some(guard) = guard {
+        guard.report(report);
+    }
+}
+
 /// The start of an endpoint's response.
 enum ResponseStart {
     Stream(Box<Stream>),
@@ -364,16 +383,20 @@
             return None;
         }
 
-        let entry = retry_state.choose(host, request, None)?;
+        let domain = stage_outputs.domain();
+        let chosen = retry_state.choose_engine(host, request, domain).await?;
+        let Chosen { entry, guard } = chosen;
         let options = AttemptOptions {
             inputs: &stage_outputs.handles,
             last_event: last_event.as_deref(),
         };
         let outcome = attempt(host, request, &entry, options).await;
+        let failure = outcome.report();
 
         if let AttemptOutcome::Answered(open) = outcome
             && open.exchange.response.status().is_success()
         {
+            report(guard, Report::Started);
             splitter.discard_partial();
             return Some(Stream {
                 events: Vec::new(),
@@ -382,6 +405,7 @@
             });
         }
 
+        report(guard, failure);
         retry_state.excluded.push(entry.endpoint.clone());
         stage_outputs.release();
     }
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -7,7 +7,7 @@
             error::{Error, ListenSnafu, SignalsSnafu, ThreadSnafu},
             membership::Membership,
             serving::{
-                auxiliary,
+                auxiliary, balancing,
                 control::{self, Call, Control, Event},
                 drain,
                 host::{self, Host},
@@ -225,6 +225,16 @@
     while let Some(call) = calls.recv().await {
         match call {
             PeerCall::CancelJob(id) => pools::cancel(&host, &id),
+            PeerCall::PlacePrompt { prompt, reply } => {
+                let entry = balancing::place(&host, &prompt);
+                // Fails only if the asking host no longer waits.
+                let _ = reply.send(entry.map(|entry| entry.endpoint.clone()));
+            }
+            PeerCall::ReportPrompt {
+                id,
+                report,
+                service,
+            } => balancing::record(&host, &service, &id, report),
             PeerCall::ReleaseOutputs { outputs, service } => {
                 releases::release(&host, &service, outputs);
             }
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -2,6 +2,7 @@
 //! a request, in which order its pieces run, which endpoint is chosen and what
 //! may be retried.
 
+pub mod balance;
 pub mod batch;
 pub mod budget;
 pub mod chain;
--- /dev/null
+++ b/src/state/serving/balance.rs
@@ -0,0 +1,331 @@
+//! Balances the prompts of the whole fleet over the engines of one service.
+//!
+//! A single host sees too few requests to know how busy an engine is, and the
+//! time that an engine needs for a prompt varies a hundredfold. One host
+//! therefore chooses the engines for all hosts. It counts the prompt tokens that
+//! each engine still has to read and remembers the prefixes that it has read
+//! before. A prompt goes to the engine that is expected to reach its end first.
+
+use {
+    crate::state::{
+        clock::Time,
+        id, rendezvous,
+        serving::{health::Health, piece::JobId, roster::Entry},
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Tokens that are added to the work of each prompt: the engine's fixed time
+/// until a first event, in prompt tokens.
+const FIXED_TOKENS: u64 = 1500;
+
+/// Tokens that are added at engines in another failure domain than the inputs.
+const OTHER_DOMAIN_TOKENS: u64 = 3000;
+
+/// Weight of a token that an engine has to read for the prompt, relative to one
+/// that it reads for others before: reading a prefix again also takes time from
+/// later prompts, and memory from the prefixes of other sessions.
+const UNREAD_WEIGHT: u64 = 5;
+
+/// Share of an engine's memory that cached prefixes are assumed to take. The
+/// running requests take the rest.
+const CACHE_SHARE: f64 = 0.6;
+
+/// Time after which a prompt without a report is forgotten: its host has ended,
+/// or the report was lost.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Weight of the newest prompt in the moving average of the time until a first
+/// event.
+const TYPICAL_WEIGHT: f64 = 0.05;
+
+/// Bounds of an engine's time for a prompt, relative to that of the service.
+const RATIO_BOUNDS: (f64, f64) = (0.5, 10.0);
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Hash of this part and all parts before it. An engine reuses a part only
+    /// after the same parts.
+    pub prefix: u64,
+    pub tokens: u32,
+}
+
+/// Returns the hash of the prompt up to the end of the last part that requests
+/// of a session share, or `None` without a prompt.
+pub fn session(parts: &[Part]) -> Option<u64> {
+    let part = parts.get(parts.len().saturating_sub(2))?;
+    Some(part.prefix)
+}
+
+/// A prompt for which a host needs an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Prompt {
+    /// Failure domain that holds the inputs, if there are any.
+    pub domain: Option<id::Domain>,
+    /// Engines that must not be chosen.
+    pub exclude: Vec<id::Endpoint>,
+    pub id: JobId,
+    pub parts: Vec<Part>,
+    pub service: id::Pool,
+}
+
+/// How a prompt fared at its engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Report {
+    /// The request ended before the engine answered, for a reason that says
+    /// nothing about the engine.
+    Abandoned,
+    /// The engine broke off or its response was unusable.
+    Failed,
+    /// The engine refused because it is full or leaving.
+    Full,
+    /// The engine sent its first event.
+    Started,
+    /// The engine could not be reached.
+    Unreachable,
+}
+
+impl Report {
+    /// All reports, for decoding.
+    pub const ALL: [Self; 5] = [
+        Self::Abandoned,
+        Self::Failed,
+        Self::Full,
+        Self::Started,
+        Self::Unreachable,
+    ];
+
+    /// Returns the name of the report in messages and logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Abandoned => "abandoned",
+            Self::Failed => "failed",
+            Self::Full => "full",
+            Self::Started => "started",
+            Self::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// A prompt that was placed and has no first event yet.
+#[derive(Clone, Debug)]
+struct Pending {
+    endpoint: id::Endpoint,
+    placed: Time,
+    /// Tokens that the engine had to read for the prompt.
+    tokens: u64,
+    /// Tokens ahead of the first event, including those of other prompts.
+    work: u64,
+}
+
+/// The state of one engine.
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    /// Tokens and last use of the prefixes that the engine has read.
+    cached: HashMap<u64, (u32, Time)>,
+    cached_tokens: u64,
+    health: Health,
+    incarnation: u64,
+    /// Tokens that the engine still has to read.
+    pending: u64,
+}
+
+/// Chooses the engines of one service.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    /// Tokens that fit into an engine's memory.
+    capacity: u64,
+    engines: BTreeMap<id::Endpoint, Engine>,
+    /// Mean time until a first event over all engines, in seconds, by the
+    /// binary logarithm of the tokens ahead of the event.
+    typical: BTreeMap<u32, f64>,
+    pending: HashMap<JobId, Pending>,
+    /// Prompts by the time at which they were placed.
+    placed: VecDeque<(Time, JobId)>,
+}
+
+impl Balancer {
+    /// Updates the listed engines and the number of tokens that fit into the
+    /// memory of each. What is known about an engine is kept as long as its
+    /// incarnation stays the same.
+    pub fn update<'a>(&mut self, entries: impl Iterator<Item = &'a Arc<Entry>>, capacity: u64) {
+        self.capacity = capacity;
+        let mut engines = BTreeMap::new();
+
+        for entry in entries {
+            let previous = self.engines.remove(&entry.endpoint);
+            let unchanged = previous.filter(|engine| engine.incarnation == entry.incarnation);
+            let engine = unchanged.unwrap_or_else(|| Engine {
+                incarnation: entry.incarnation,
+                ..Engine::default()
+            });
+            engines.insert(entry.endpoint.clone(), engine);
+        }
+
+        self.engines = engines;
+    }
+
+    /// Chooses the engine of a prompt, or `None` if all engines are leaving or
+    /// excluded. Paused engines are used only when no other one is left.
+    pub fn place<'a>(
+        &mut self,
+        now: Time,
+        entries: impl Iterator<Item = &'a Arc<Entry>>,
+        prompt: &Prompt,
+    ) -> Option<&'a Arc<Entry>> {
+        self.expire(now);
+        let entry = entries
+            .filter(|entry| !entry.leaving && !prompt.exclude.contains(&entry.endpoint))
+            .min_by_key(|entry| self.rank(now, entry, prompt))?;
+        self.record_placement(now, entry, prompt);
+        Some(entry)
+    }
+
+    /// Records how a prompt fared. Unknown prompts are ignored: another host
+    /// placed them, or their report came too late.
+    pub fn report(&mut self, now: Time, id: &JobId, report: Report) {
+        let Some(pending) = self.pending.remove(id) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(&pending.endpoint) else {
+            return;
+        };
+        engine.pending = engine.pending.saturating_sub(pending.tokens);
+
+        match report {
+            Report::Abandoned => {}
+            Report::Failed => {
+                engine.health.record_failure(now);
+            }
+            Report::Full => engine.health.record_full(now),
+            Report::Unreachable => engine.health.record_unreachable(now),
+            Report::Started => {
+                let elapsed = now.since(pending.placed).as_secs_f64();
+                let size = pending.work.max(1).ilog2();
+                let typical = self.typical.entry(size).or_insert(elapsed);
+                *typical += TYPICAL_WEIGHT * (elapsed - *typical);
+                let (low, high) = RATIO_BOUNDS;
+                let ratio = (elapsed / typical.max(f64::MIN_POSITIVE)).clamp(low, high);
+                engine.health.record_success(ratio);
+            }
+        }
+    }
+
+    /// Returns the number of prompts without a first event.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Returns the sort key of an engine for a prompt, best first: the expected
+    /// time until the end of the prompt, in tokens. Equal engines are ordered by
+    /// the session, like those that a host chooses alone.
+    fn rank(&self, now: Time, entry: &Entry, prompt: &Prompt) -> (bool, u64, Reverse<u64>) {
+        let session = session(&prompt.parts).unwrap_or_default();
+        let order = Reverse(rendezvous::weight(&session, &entry.endpoint.as_str()));
+        let Some(engine) = self.engines.get(&entry.endpoint) else {
+            return (true, u64::MAX, order);
+        };
+        let elsewhere = (prompt.domain.as_ref()).is_some_and(|domain| *domain != entry.domain);
+        let distance = if elsewhere { OTHER_DOMAIN_TOKENS } else { 0 };
+        let own = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
+        let shared = engine.unread(prompt).saturating_sub(own) * UNREAD_WEIGHT;
+        let work = engine.pending + own + shared + FIXED_TOKENS + distance;
+        let slowness = if engine.health.is_slow() {
+            engine.health.latency_ratio()
+        } else {
+            1.0
+        };
+        let cost = work as f64 * slowness;
+        (engine.health.is_paused(now), cost as u64, order)
+    }
+
+    fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
+        // A restarted host numbers its prompts from the start again.
+        self.report(now, &prompt.id, Report::Abandoned);
+        let Some(engine) = self.engines.get_mut(&entry.endpoint) else {
+            return;
+        };
+        let tokens = engine.unread(prompt) + FIXED_TOKENS;
+        let work = engine.pending + tokens;
+        engine.pending = work;
+        let limit = (self.capacity as f64 * CACHE_SHARE) as u64;
+        engine.remember(now, prompt, limit);
+        self.placed.push_back((now, prompt.id.clone()));
+        self.pending.insert(
+            prompt.id.clone(),
+            Pending {
+                endpoint: entry.endpoint.clone(),
+                placed: now,
+                tokens,
+                work,
+            },
+        );
+    }
+
+    /// Forgets prompts whose report has not arrived in time.
+    fn expire(&mut self, now: Time) {
+        while let Some((placed, id)) = self.placed.front()
+            && now.since(*placed) > REPORT_TIMEOUT
+        {
+            let (placed, id) = (*placed, id.clone());
+            self.placed.pop_front();
+
+            if self
+                .pending
+                .get(&id)
+                .is_some_and(|pending| pending.placed == placed)
+            {
+                self.report(now, &id, Report::Abandoned);
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// Returns the number of the prompt's tokens that the engine has to read.
+    fn unread(&self, prompt: &Prompt) -> u64 {
+        let parts = prompt.parts.iter();
+        let unread = parts.skip_while(|part| self.cached.contains_key(&part.prefix));
+        unread.map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Adds the prompt's parts to the cached prefixes and drops the least
+    /// recently used ones above `limit` tokens.
+    fn remember(&mut self, now: Time, prompt: &Prompt, limit: u64) {
+        for part in &prompt.parts {
+            if self
+                .cached
+                .insert(part.prefix, (part.tokens, now))
+                .is_none()
+            {
+                self.cached_tokens += u64::from(part.tokens);
+            }
+        }
+
+        if self.cached_tokens <= limit {
+            return;
+        }
+
+        let mut by_use = self
+            .cached
+            .iter()
+            .map(|(prefix, (tokens, used))| (*used, *prefix, *tokens))
+            .collect::<Vec<(Time, u64, u32)>>();
+        by_use.sort_unstable();
+
+        for (_, prefix, tokens) in by_use {
+            if self.cached_tokens <= limit {
+                return;
+            }
+
+            self.cached.remove(&prefix);
+            self.cached_tokens -= u64::from(tokens);
+        }
+    }
+}
--- a/src/state/serving/graph.rs
+++ b/src/state/serving/graph.rs
@@ -15,8 +15,8 @@
 struct Node {
     /// Stages whose outputs this one needs.
     after: Vec<usize>,
-    /// Whether the outputs take a large part of an endpoint's storage.
-    large: bool,
+    /// Expected size of one output.
+    output_bytes: u64,
     /// Outputs in the order of the pieces. Empty until the stage is done.
     outputs: Vec<Output>,
     /// Number of pieces.
@@ -47,7 +47,7 @@
     pub fn new(stages: &[Stage], pieces: &[usize]) -> Self {
         let nodes = stages.iter().enumerate().map(|(index, stage)| Node {
             after: stage.after.clone(),
-            large: stage.output_bytes >= LARGE_OUTPUT_BYTES,
+            output_bytes: stage.output_bytes,
             outputs: Vec::new(),
             pieces: pieces.get(index).copied().unwrap_or(0),
             released: false,
@@ -107,7 +107,14 @@
     /// Returns the outputs that the request itself consumes: those of the
     /// stages without successors.
     pub fn outputs(&self) -> Vec<Output> {
-        let is_last = |stage: usize| {
+        let outputs = self.sized_outputs();
+        outputs.map(|(output, _)| output.clone()).collect()
+    }
+
+    /// Returns the outputs that the request itself consumes, with their
+    /// expected sizes in bytes.
+    pub fn sized_outputs(&self) -> impl Iterator<Item = (&Output, u64)> {
+        let is_last = move |stage: usize| {
             let mut successors = Vec::new();
             self.successors(stage, &mut successors);
             successors.is_empty()
@@ -116,9 +123,11 @@
         self.0
             .iter()
             .enumerate()
-            .filter(|(stage, _)| is_last(*stage))
-            .flat_map(|(_, node)| node.outputs.iter().cloned())
-            .collect()
+            .filter(move |(stage, _)| is_last(*stage))
+            .flat_map(|(_, node)| {
+                let outputs = node.outputs.iter();
+                outputs.map(|output| (output, node.output_bytes))
+            })
     }
 
     /// Returns the outputs that all of their successors have consumed and marks
@@ -183,7 +192,8 @@
                 .after
                 .iter()
                 .all(|&predecessor| self.is_stage_done(predecessor))
-            && !(node.large && self.remaining_depth() > self.longest_path(stage).len())
+            && !(node.output_bytes >= LARGE_OUTPUT_BYTES
+                && self.remaining_depth() > self.longest_path(stage).len())
     }
 
     /// Returns the number of stages on the longest unfinished path.
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -5,6 +5,7 @@
         state::{
             id,
             serving::{
+                balance::{Prompt, Report},
                 mirror::RelayedChanges,
                 piece::{Job, JobId, Outcome, Output},
             },
@@ -85,6 +86,59 @@
         });
     }
 
+    /// Asks the balancing host at `address` for the engine of a prompt. Returns
+    /// `None` if there is no engine for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no reply arrived in time, or the connection broke.
+    pub async fn place_prompt(
+        &self,
+        address: SocketAddr,
+        prompt: &Prompt,
+        timeout: Duration,
+    ) -> Result<Option<id::Endpoint>, Error> {
+        let prompt = prompt.clone();
+
+        self.call(address, timeout, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.place_prompt_request();
+                wire::write_prompt(request.get().init_placement(), &prompt);
+                let response = request.send().promise.await?;
+                let endpoint = response.get()?.get_endpoint()?.to_str()?;
+                Ok((!endpoint.is_empty()).then(|| endpoint.into()))
+            })
+        })
+        .await
+    }
+
+    /// Reports to the balancing host at `address` how a prompt fared, without
+    /// blocking.
+    pub fn report_prompt(
+        &self,
+        address: SocketAddr,
+        service: &id::Pool,
+        id: &JobId,
+        report: Report,
+        timeout: Duration,
+    ) {
+        let service = service.clone();
+        let id = id.clone();
+        let done = move |result| log_failure("report_prompt", address, result);
+
+        self.submit(address, timeout, done, move |peer| {
+            Box::pin(async move {
+                let mut request = peer.report_prompt_request();
+                request.get().set_service(service.as_str());
+                request.get().set_home(id.home.as_str());
+                request.get().set_id(id.number);
+                request.get().set_result(report.name());
+                request.send().promise.await?;
+                Ok(())
+            })
+        });
+    }
+
     /// Checks that the host at `address` replies.
     ///
     /// # Errors
--- a/src/transport/peer_call.rs
+++ b/src/transport/peer_call.rs
@@ -6,6 +6,7 @@
         fleet::gossip::Message,
         id,
         serving::{
+            balance::{Prompt, Report},
             mirror::RelayedChanges,
             piece::{Job, JobId, Outcome, Output},
         },
@@ -39,6 +40,11 @@
         reply: oneshot::Sender<WitnessAnswer>,
         subject: Subject,
     },
+    /// Asks for the engine of a prompt. The reply is `None` if there is none.
+    PlacePrompt {
+        prompt: Prompt,
+        reply: oneshot::Sender<Option<id::Endpoint>>,
+    },
     /// Exchanges membership records.
     Probe {
         message: Message,
@@ -54,6 +60,12 @@
         outputs: Vec<Output>,
         service: id::Pool,
     },
+    /// Tells how a prompt fared at its engine.
+    ReportPrompt {
+        id: JobId,
+        report: Report,
+        service: id::Pool,
+    },
     /// Submits a job to the dispatcher of a pool.
     RunJob {
         job: Job,
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        state::serving::piece::JobId,
+        state::{id, serving::piece::JobId},
         transport::{
             link_server::{Activity, Deliver},
             peer_call::PeerCall,
@@ -146,6 +146,38 @@
         Ok(())
     }
 
+    async fn place_prompt(
+        self: Rc<Self>,
+        params: peer::PlacePromptParams,
+        mut results: peer::PlacePromptResults,
+    ) -> capnp::Result<()> {
+        let prompt = wire::read_prompt(params.get()?.get_placement()?)?;
+        let endpoint = self
+            .dispatch_and_wait(|reply| PeerCall::PlacePrompt { prompt, reply })
+            .await?;
+        let endpoint = endpoint.as_ref().map_or("", id::Endpoint::as_str);
+        results.get().set_endpoint(endpoint);
+        Ok(())
+    }
+
+    async fn report_prompt(
+        self: Rc<Self>,
+        params: peer::ReportPromptParams,
+        _results: peer::ReportPromptResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let home = params.get_home()?.to_str()?.into();
+        let number = params.get_id();
+        let report = wire::read_report(params.get_result()?.to_str()?)?;
+        let service = params.get_service()?.to_str()?.into();
+        self.dispatch(PeerCall::ReportPrompt {
+            id: JobId { home, number },
+            report,
+            service,
+        });
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: peer::PingParams,
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the serving path's state, without I/O.
 
+mod balance;
 mod batch;
 mod batch_fuzz;
 mod budget;
