Fail a job whose retry the budget refuses

Ruled out: waiting for its own domain and for storage (the job was late and its output small). The job now fails after 300 ms, so the caller gets its refusal and may come back.

Test: job_whose_retry_exceeds_the_budget_fails_soon.

--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -44,6 +44,10 @@
 /// sizes are approximate.
 const OUTPUT_MARGIN: f64 = 1.1;
 
+/// Time for which a failed piece may wait for the retry budget. The budget
+/// grows with new requests, so it either recovers soon or not in time.
+const MAX_BUDGET_WAIT: Duration = Duration::from_millis(300);
+
 /// Minimum `retry_after` of a refused or failed job.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -222,6 +226,7 @@
             deadline: now + job.remaining,
             output_bytes: (job.output_bytes as f64 * OUTPUT_MARGIN) as u64,
             pieces: pieces.collect(),
+            starved_since: None,
             start_by: now + job.urgency,
             waiting: job.pieces.len(),
             job,
@@ -332,7 +337,8 @@
         self.dispatch_queued(now, actions);
     }
 
-    /// Fails jobs whose deadline has passed, drops expired outputs and hedges
+    /// Fails jobs whose deadline has passed or whose failed pieces get no retry
+    /// from the budget, drops expired outputs and hedges
     /// the pieces of stragglers.
     pub fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
         let late = self
@@ -345,6 +351,15 @@
             self.fail_job(now, &id, Failure::Late, actions);
         }
 
+        let starved = self.active_jobs.values().filter(|active| {
+            (active.starved_since).is_some_and(|since| now.since(since) > MAX_BUDGET_WAIT)
+        });
+        let starved = starved.map(|active| active.job.id.clone());
+
+        for id in starved.collect::<Vec<JobId>>() {
+            self.fail_job(now, &id, Failure::Failed, actions);
+        }
+
         for state in self.endpoints.values_mut() {
             state.stored.retain(|_, (_, expiry)| *expiry > now);
         }
--- a/src/state/serving/batch/fill.rs
+++ b/src/state/serving/batch/fill.rs
@@ -187,9 +187,14 @@
                 let is_retry = piece.attempts > 0;
 
                 if is_retry && !self.budget.withdraw(now, &self.bounds, self.hosts, 1) {
+                    active.starved_since.get_or_insert(now);
                     continue;
                 }
 
+                if is_retry {
+                    active.starved_since = None;
+                }
+
                 piece.attempts += 1;
                 piece.running += 1;
                 active.queue(index, false);
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -315,3 +315,26 @@
     let next = sent(&actions).remove(0).2;
     assert!(next.iter().any(|item| item.request == "r1"), "{next:?}");
 }
+
+/// A host that dispatches little has almost no retry budget, so a failed piece
+/// would hold its request until the caller leaves.
+#[test]
+fn job_whose_retry_exceeds_the_budget_fails_soon() {
+    let mut dispatcher = dispatcher(2);
+    dispatcher.set_budget_bounds(Bounds {
+        slack: 0.0,
+        ..BOUNDS
+    });
+    let mut actions = Vec::new();
+    dispatcher.add(at(0), job(0, 1), &mut actions);
+    let call = sent(&actions)[0].0;
+    actions.clear();
+    dispatcher.finish(at(200), call, CallOutcome::Broken, &mut actions);
+    dispatcher.tick(at(400), &mut actions);
+    assert!(actions.is_empty());
+    dispatcher.tick(at(600), &mut actions);
+    let [(0, outcome)] = &outcomes(&actions)[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(outcome.failure, Some(Failure::Failed));
+}
