Presume a new session at the engine that its hash names

Cause: a balancer that does not know a session chose its engine by load alone, so each change of the balancing host scattered the sessions, and every engine read their prefixes again.

Change: the engine that comes first in the session's rendezvous order counts as holding the prefix until the balancer knows better.

Test: new_balancer_sends_a_session_where_the_one_before_did.

--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -13,7 +13,6 @@
         serving::{health::Health, piece::JobId, roster::Entry},
     },
     std::{
-        cmp::Reverse,
         collections::{BTreeMap, HashMap, VecDeque},
         sync::Arc,
         time::Duration,
@@ -180,9 +179,13 @@
         prompt: &Prompt,
     ) -> Option<&'a Arc<Entry>> {
         self.expire(now);
-        let entry = entries
+        let open = entries
             .filter(|entry| !entry.leaving && !prompt.exclude.contains(&entry.endpoint))
-            .min_by_key(|entry| self.rank(now, entry, prompt))?;
+            .collect::<Vec<&Arc<Entry>>>();
+        let presumed = self.presumed_engine(&open, prompt);
+        let entry = open
+            .into_iter()
+            .min_by_key(|entry| self.rank(now, entry, prompt, presumed.as_ref()))?;
         self.record_placement(now, entry, prompt);
         Some(entry)
     }
@@ -222,19 +225,44 @@
         self.pending.len()
     }
 
+    /// Returns the engine that presumably holds the prefix of a session that is
+    /// new to this balancer: the one to which the balancers before, and hosts
+    /// that choose alone, send it unless that engine is busy.
+    fn presumed_engine(&self, open: &[&Arc<Entry>], prompt: &Prompt) -> Option<id::Endpoint> {
+        let session = session(&prompt.parts)?;
+        let mut engines = self.engines.values();
+
+        if engines.any(|engine| engine.cached.contains_key(&session)) {
+            return None;
+        }
+
+        let entry = open
+            .iter()
+            .max_by_key(|entry| rendezvous::weight(&session, &entry.endpoint.as_str()))?;
+        Some(entry.endpoint.clone())
+    }
+
     /// Returns the sort key of an engine for a prompt, best first: the expected
-    /// time until the end of the prompt, in tokens. Equal engines are ordered by
-    /// the session, like those that a host chooses alone.
-    fn rank(&self, now: Time, entry: &Entry, prompt: &Prompt) -> (bool, u64, Reverse<u64>) {
-        let session = session(&prompt.parts).unwrap_or_default();
-        let order = Reverse(rendezvous::weight(&session, &entry.endpoint.as_str()));
+    /// time until the end of the prompt, in tokens. The `presumed` engine counts
+    /// as holding the prefix.
+    fn rank(
+        &self,
+        now: Time,
+        entry: &Entry,
+        prompt: &Prompt,
+        presumed: Option<&id::Endpoint>,
+    ) -> (bool, u64) {
         let Some(engine) = self.engines.get(&entry.endpoint) else {
-            return (true, u64::MAX, order);
+            return (true, u64::MAX);
         };
         let elsewhere = (prompt.domain.as_ref()).is_some_and(|domain| *domain != entry.domain);
         let distance = if elsewhere { OTHER_DOMAIN_TOKENS } else { 0 };
         let own = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
-        let shared = engine.unread(prompt).saturating_sub(own) * UNREAD_WEIGHT;
+        let shared = if presumed == Some(&entry.endpoint) {
+            0
+        } else {
+            engine.unread(prompt).saturating_sub(own) * UNREAD_WEIGHT
+        };
         let work = engine.pending + own + shared + FIXED_TOKENS + distance;
         let slowness = if engine.health.is_slow() {
             engine.health.latency_ratio()
@@ -242,7 +270,7 @@
             1.0
         };
         let cost = work as f64 * slowness;
-        (engine.health.is_paused(now), cost as u64, order)
+        (engine.health.is_paused(now), cost as u64)
     }
 
     fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -122,6 +122,23 @@
     }
 }
 
+/// The prefixes are still at the engines when another host takes over, so a
+/// balancer without knowledge must not scatter the sessions by its load.
+#[test]
+fn new_balancer_sends_a_session_where_the_one_before_did() {
+    let entries = entries();
+    let mut before = balancer(&entries);
+    let mut after = balancer(&entries);
+
+    for number in 0..20 {
+        let prompt = prompt(number, number, 6000, 1000);
+        let first = place(&mut before, number * 1000, &entries, &prompt);
+        report(&mut before, number * 1000 + 100, number, Report::Started);
+        // All prompts are still pending at the new one.
+        assert_eq!(place(&mut after, 0, &entries, &prompt), first);
+    }
+}
+
 /// Guards against one session that is sent far more often than usual: its
 /// engine alone cannot read all of the prompts.
 #[test]
