--- a/benches/control.rs
+++ b/benches/control.rs
@@ -9,6 +9,8 @@
 mod allocation;
 #[path = "control/endpoints.rs"]
 mod endpoints;
+#[path = "control/engines.rs"]
+mod engines;
 #[path = "control/hosts.rs"]
 mod hosts;
 #[path = "control/meter.rs"]
@@ -26,6 +28,7 @@
 static ALLOCATOR: allocation::CountingAllocator = allocation::CountingAllocator;
 
 fn main() {
+    engines::print(&[9, 60, 160, 890]);
     hosts::print(&[2, 4, 8, 16, 64, 256, 890]);
     settings::print(&[10, 100, 1000, 8500]);
     endpoints::print(&[18, 100, 896, 12_000]);
