Replace readers of the store that it turns away

Each notices after its watch and the timeout, 3.45 s; its followers leave it only when its copy is 4 s old, and read the store themselves after three such failures.

Change: a reader whose call failed tells its followers at once. Followers turn to the next reader; after four failures the first twelve hosts of the ranking read, then 36, and so on, until a reader is up to date again. A followed watch waits 0.8 s. Four readers in different domains instead of eight, since every change of an object ends every reader's call, and listings that may lag, at a tenth of the price. The ranking is computed when the members change (4 times a second) and not 20 times.

Ruled out: peers that are ahead but not asked (nobody was ahead), and late roster updates (0.03 s from the first to the last host otherwise).

--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -18,6 +18,7 @@
             fleet::member::Member,
             serving::{
                 mirror::{Changes, RelayedChanges},
+                readers::Ranking,
                 view::View,
             },
             view,
@@ -28,7 +29,6 @@
         collections::BTreeMap,
         sync::{
             Arc,
-            atomic::AtomicBool,
             mpsc::{Receiver, RecvTimeoutError, Sender},
         },
         time::Duration,
@@ -39,10 +39,16 @@
 /// Interval between ticks of the control thread.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Age of the store's last confirmation at which a copy of the objects is stale
-/// and a host that reads the store requests changes from its peers. A watch
-/// without changes returns sooner.
-const STORE_STALE_AFTER: Duration = Duration::from_millis(4000);
+/// Maximum wait of a watch by a host that others follow. A store that falls silent
+/// is noticed only after this time and the timeout of an answer.
+const MAX_FOLLOWED_WATCH_WAIT: Duration = Duration::from_millis(800);
+
+/// Time after the end of a watch's wait at which a copy is stale.
+const STALE_MARGIN: Duration = Duration::from_millis(1400);
+
+/// Time after the start at which a host decides whether it reads the store. By
+/// then it knows whether the fleet is large.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
 
 /// An event for the control thread.
 #[derive(Debug)]
@@ -61,10 +67,12 @@
     PeerChanges {
         kind: Kind,
         relayed: RelayedChanges,
+        request: peers::Request,
     },
     /// A request to a peer failed.
     PeerFailed {
         kind: Kind,
+        request: peers::Request,
     },
     /// The store sent changed objects to a follower.
     StoreChanges {
@@ -84,13 +92,19 @@
     links: Links,
     membership: Membership,
     published: watch::Sender<Arc<View>>,
-    /// Whether the followers read the store.
-    reading: follower::ReadsStore,
+    /// The order in which the live hosts become readers of the store.
+    ranking: Ranking,
+    /// The members of which `ranking` consists.
+    ranked_members: Option<Arc<Vec<Member>>>,
     /// The view that the membership updates. Its members are copied to `view`.
     member_view: view::View,
     sender: Sender<Event>,
+    started: Time,
     store: Arc<dyn Store>,
     view: View,
+    /// Time for which a watch waits in a fleet in which every host reads the
+    /// store.
+    watch_wait: Duration,
 }
 
 impl Control {
@@ -100,6 +114,7 @@
         membership: Membership,
         links: Links,
         store: Arc<dyn Store>,
+        watch_wait: Duration,
         published: watch::Sender<Arc<View>>,
         sender: Sender<Event>,
     ) -> Self {
@@ -110,7 +125,8 @@
             links,
             membership,
             published,
-            reading: Arc::new(AtomicBool::new(true)),
+            ranking: Ranking::default(),
+            ranked_members: None,
             member_view: view::View {
                 endpoints: Arc::default(),
                 had_peers: false,
@@ -121,8 +137,10 @@
                 policy: Arc::default(),
             },
             sender,
+            started: boot_clock::now(),
             store,
             view,
+            watch_wait,
         }
     }
 
@@ -142,9 +160,9 @@
     /// Starts the followers of the store and handles events until every
     /// sender has been dropped.
     pub fn run(mut self, receiver: &Receiver<Event>) {
-        for kind in Kind::ALL {
-            let reading = Arc::clone(&self.reading);
-            follower::start(kind, Arc::clone(&self.store), reading, self.sender.clone());
+        for (kind, replica) in &self.replicas {
+            let mode = replica.mode.clone();
+            follower::start(*kind, Arc::clone(&self.store), mode, self.sender.clone());
         }
 
         follower::announce(
@@ -193,11 +211,14 @@
                 self.publish();
             }
             Event::Membership(event) => self.membership.handle(now, event, &mut self.member_view),
-            Event::PeerChanges { kind, relayed } => {
+            Event::PeerChanges {
+                kind,
+                relayed,
+                request,
+            } => {
+                let fresh = relayed.age < self.stale_after();
                 let replica = self.replicas.entry(kind).or_default();
-                let fresh = relayed.age < STORE_STALE_AFTER;
-                replica.request_pending = false;
-                replica.peer_failures = if fresh { 0 } else { replica.peer_failures + 1 };
+                replica.record_request(request, fresh);
 
                 if fresh {
                     replica.confirmed_at = replica.confirmed_at.max(now.before(relayed.age));
@@ -205,10 +226,9 @@
 
                 self.apply(now, kind, &relayed.changes, "peer");
             }
-            Event::PeerFailed { kind } => {
+            Event::PeerFailed { kind, request } => {
                 let replica = self.replicas.entry(kind).or_default();
-                replica.request_pending = false;
-                replica.peer_failures += 1;
+                replica.record_request(request, false);
             }
             Event::StoreChanges { changes, kind } => {
                 let replica = self.replicas.entry(kind).or_default();
@@ -234,6 +254,8 @@
                         "store lost: {message}"
                     );
                 }
+
+                replica.answer_waiters(now);
             }
         }
     }
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -3,28 +3,43 @@
 
 use {
     crate::{
-        coordination::serving::control::{Control, Event, STORE_STALE_AFTER, replica::Waiter},
+        coordination::serving::control::{
+            Control, Event, MAX_FOLLOWED_WATCH_WAIT, SETTLE_TIME, STALE_MARGIN, replica::Waiter,
+        },
+        protocol::adapter::Kind,
         state::{
             clock::Time,
             fleet::member::Phase,
-            serving::readers::{self, Role},
+            serving::readers::{self, Ranking, Role},
         },
     },
     rand::seq::IteratorRandom,
-    std::{sync::atomic::Ordering, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Minimum interval between requests to peers for the same kind, unless this
-/// host follows a peer that answers.
-const PEER_INTERVAL: Duration = Duration::from_millis(400);
+/// Minimum interval between requests for changes that a peer should have.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Maximum time for which a followed host holds a request until a change
 /// arrives. Its answer also shows that it is still alive.
-const PEER_WAIT: Duration = Duration::from_millis(2000);
+const FOLLOW_WAIT: Duration = Duration::from_millis(1000);
+
+/// Why a host asks a peer for changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Request {
+    /// The peer reads the store for this host.
+    Follow,
+    /// The peer may have changes that this host lacks.
+    Once,
+}
 
-/// Number of consecutive failures to follow a peer at which a host reads the
-/// store itself.
-const FOLLOW_FAILURE_LIMIT: u32 = 3;
+/// A request to send to a peer.
+struct Question {
+    address: SocketAddr,
+    interval: Duration,
+    request: Request,
+    wait: Duration,
+}
 
 impl Control {
     pub(super) fn answer(&mut self, now: Time, kind: &str, waiter: Waiter) {
@@ -40,79 +55,151 @@
         }
     }
 
-    /// Requests changes from a peer that reports a newer revision. Otherwise
-    /// requests them from a host that reads the store, if this host has to follow
-    /// one, or from any live peer, if this host reads the store itself and its
-    /// last call failed or its copy is stale.
+    /// Returns the age of the store's last confirmation from which a copy is
+    /// stale.
+    pub(super) fn stale_after(&self) -> Duration {
+        self.watch_wait() + STALE_MARGIN
+    }
+
+    /// Returns the time for which a watch waits.
+    fn watch_wait(&self) -> Duration {
+        if self.ranking.has_followers() {
+            self.watch_wait.min(MAX_FOLLOWED_WATCH_WAIT)
+        } else {
+            self.watch_wait
+        }
+    }
+
+    /// Decides for each kind whether this host reads the store, and requests
+    /// changes from other hosts.
     pub(super) fn ask_peers(&mut self, now: Time) {
-        let alive = self.member_view.members.iter();
-        let alive = alive.filter(|member| member.phase == Phase::Alive);
-        let local = (!self.view.leaving).then_some(&self.member_view.local);
-        let role = readers::role(&self.member_view.local.host, alive.clone().chain(local));
+        self.rank_readers();
+        let settled = now.since(self.started) >= SETTLE_TIME;
+        let members = self.member_view.members.iter();
         let newest_revision = self.newest_revision();
-        let ahead = self.member_view.members.iter();
-        let ahead =
-            ahead.filter(|member| member.settings > newest_revision && member.phase != Phase::Gone);
-        let ahead = ahead
+        let ahead = (members.clone())
+            .filter(|member| member.settings > newest_revision && member.phase != Phase::Gone)
             .choose(&mut rand::rng())
             .map(|member| member.peer_address);
-        let any = alive
+        let any = members
+            .filter(|member| member.phase == Phase::Alive)
             .choose(&mut rand::rng())
             .map(|member| member.peer_address);
-        let mut reading = role == Role::Read;
+        let (watch_wait, stale_after) = (self.watch_wait(), self.stale_after());
+        let mut questions = Vec::new();
 
         for (kind, replica) in &mut self.replicas {
             replica.answer_waiters(now);
-            reading |= replica.peer_failures >= FOLLOW_FAILURE_LIMIT
-                || replica.mirror.revision().is_none();
-            let store_stale =
-                replica.store_failed || now.since(replica.confirmed_at) > STORE_STALE_AFTER;
-            let (address, wait) = match (&role, ahead) {
-                (_, Some(ahead)) => (Some(ahead), Duration::ZERO),
-                (Role::Follow(readers), None) => {
-                    let next = replica.peer_failures as usize % readers.len().max(1);
-                    (readers.get(next).copied(), PEER_WAIT)
-                }
-                (Role::Read, None) => (any.filter(|_| store_stale), Duration::ZERO),
-            };
-            let pause = if wait.is_zero() || replica.peer_failures > 0 {
-                PEER_INTERVAL
-            } else {
-                Duration::ZERO
-            };
-            let Some(address) = address else {
+            let role = self.ranking.role(replica.peer_failures);
+            let reads = settled && !matches!(role, Role::Follow(_));
+
+            if role == Role::Read {
+                replica.peer_failures = 0;
+            }
+
+            if replica.mode.set(reads.then_some(watch_wait)) {
+                replica.store_failed &= reads;
+                log::info!(
+                    kind = kind.name(),
+                    reading = reads.to_string().as_str(),
+                    failures = replica.peer_failures,
+                    age_ms = now.since(replica.confirmed_at).as_millis();
+                    "role at the store changed"
+                );
+            }
+
+            let stale = replica.store_failed || now.since(replica.confirmed_at) > stale_after;
+            let Some(question) = next_question(role, replica.peer_failures, ahead, any, stale)
+            else {
                 continue;
             };
 
-            if replica.request_pending || now.since(replica.last_asked) < pause {
-                continue;
+            if !replica.request_pending && now.since(replica.last_asked) >= question.interval {
+                replica.last_asked = now;
+                replica.request_pending = true;
+                questions.push((*kind, replica.mirror.revision().unwrap_or(0), question));
             }
+        }
 
-            replica.last_asked = now;
-            replica.request_pending = true;
-            let sender = self.sender.clone();
-            let kind = *kind;
-            let revision = replica.mirror.revision().unwrap_or(0);
-            self.links
-                .object_changes(address, kind.name(), revision, wait, move |answer| {
-                    let event = match answer {
-                        Ok(relayed) => Event::PeerChanges { kind, relayed },
-                        Err(error) => {
-                            log::info!(
-                                peer = address.to_string().as_str(),
-                                kind = kind.name();
-                                "cannot get changes from a peer: {error}"
-                            );
-                            Event::PeerFailed { kind }
-                        }
-                    };
-                    // Fails only after the control thread has stopped.
-                    drop(sender.send(event));
-                });
+        for (kind, revision, question) in questions {
+            self.ask(kind, revision, &question);
         }
+    }
+
+    /// Ranks the hosts again if the members have changed.
+    fn rank_readers(&mut self) {
+        let members = &self.member_view.members;
 
-        if self.reading.swap(reading, Ordering::Relaxed) != reading {
-            log::info!(reading = reading.to_string().as_str(); "role at the store changed");
+        if (self.ranked_members.as_ref()).is_some_and(|ranked| Arc::ptr_eq(ranked, members)) {
+            return;
         }
+
+        let alive = members.iter();
+        let alive = alive.filter(|member| member.phase == Phase::Alive);
+        let local = (!self.view.leaving).then_some(&self.member_view.local);
+        self.ranking = Ranking::new(&self.member_view.local.host, alive.chain(local));
+        self.ranked_members = Some(Arc::clone(members));
+    }
+
+    fn ask(&self, kind: Kind, revision: u64, question: &Question) {
+        let sender = self.sender.clone();
+        let (address, request) = (question.address, question.request);
+        self.links.object_changes(
+            address,
+            kind.name(),
+            revision,
+            question.wait,
+            move |answer| {
+                let event = match answer {
+                    Ok(relayed) => Event::PeerChanges {
+                        kind,
+                        relayed,
+                        request,
+                    },
+                    Err(error) => {
+                        log::info!(
+                            peer = address.to_string().as_str(),
+                            kind = kind.name();
+                            "cannot get changes from a peer: {error}"
+                        );
+                        Event::PeerFailed { kind, request }
+                    }
+                };
+                // Fails only after the control thread has stopped.
+                drop(sender.send(event));
+            },
+        );
+    }
+}
+
+/// Returns the request to send next: to a peer that reports a newer revision,
+/// to the host that this host follows, or, if this host reads the store and its
+/// copy is stale, to any peer.
+fn next_question(
+    role: Role,
+    failures: u32,
+    ahead: Option<SocketAddr>,
+    any: Option<SocketAddr>,
+    stale: bool,
+) -> Option<Question> {
+    let once = |address| Question {
+        address,
+        interval: CATCH_UP_INTERVAL,
+        request: Request::Once,
+        wait: Duration::ZERO,
+    };
+    let follow = |address, wait| Question {
+        address,
+        interval: readers::pause(role, failures),
+        request: Request::Follow,
+        wait,
+    };
+
+    match (role, ahead) {
+        (_, Some(ahead)) => Some(once(ahead)),
+        (Role::Follow(reader), None) => Some(follow(reader, FOLLOW_WAIT)),
+        (Role::ReadFor(reader), None) => Some(follow(reader, Duration::ZERO)),
+        (Role::Read, None) if stale => any.map(once),
+        (Role::Read, None) => None,
     }
 }
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -4,13 +4,13 @@
 use {
     crate::{
         coordination::{membership, serving::control::Event},
-        protocol::adapter::{Kind, Store, StoreError},
+        protocol::adapter::{Consistency, Kind, Store, StoreError},
         state::{fleet::member::Member, serving::mirror::Changes},
     },
     std::{
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicU32, Ordering},
             mpsc::Sender,
         },
         thread,
@@ -33,6 +33,9 @@
 /// Interval between attempts to write this host's record.
 const ANNOUNCE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Interval between listings of the hosts until one holds this host's record.
+const STALE_HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What a follower does after a call to the store.
 enum Next {
     /// List all objects.
@@ -47,14 +50,37 @@
 /// while other hosts do so.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Whether this host reads the store. Set by the control thread.
-pub type ReadsStore = Arc<AtomicBool>;
+/// Whether this host reads a kind from the store, and for how long a watch waits.
+/// Set by the control thread.
+#[derive(Clone, Debug, Default)]
+pub struct Mode(Arc<AtomicU32>);
+
+impl Mode {
+    /// Sets the maximum wait of a watch, or `None` if this host does not read the
+    /// store. Returns whether this host starts or stops reading.
+    pub fn set(&self, wait: Option<Duration>) -> bool {
+        let millis = wait.map_or(0, |wait| {
+            u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+        });
+        let previous = self.0.swap(millis, Ordering::Relaxed);
+        (previous == 0) != (millis == 0)
+    }
+
+    /// Returns the maximum wait of a watch, or `None` if this host does not read
+    /// the store.
+    pub fn get(&self) -> Option<Duration> {
+        match self.0.load(Ordering::Relaxed) {
+            0 => None,
+            millis => Some(Duration::from_millis(millis.into())),
+        }
+    }
+}
 
 /// Starts a thread that follows a kind. It lists the kind once even if this
 /// host does not have to read the store.
-pub fn start(kind: Kind, store: Arc<dyn Store>, reading: ReadsStore, events: Sender<Event>) {
+pub fn start(kind: Kind, store: Arc<dyn Store>, mode: Mode, events: Sender<Event>) {
     spawn("follower", move || {
-        follow(kind, store.as_ref(), &reading, &events);
+        follow(kind, store.as_ref(), &mode, &events);
     });
 }
 
@@ -71,8 +97,16 @@
         }
 
         loop {
-            match store.hosts() {
+            let mut pause = LIST_HOSTS_INTERVAL;
+
+            match store.hosts(Consistency::MayLag) {
                 Ok(addresses) => {
+                    // The listing is older than this host's record, and thus
+                    // than those of the hosts that started with it.
+                    if !addresses.contains(&peer) {
+                        pause = STALE_HOSTS_INTERVAL;
+                    }
+
                     let event = membership::Event::Listed(addresses);
 
                     if events.send(Event::Membership(event)).is_err() {
@@ -82,36 +116,35 @@
                 Err(error) => log::debug!("cannot list the hosts: {error}"),
             }
 
-            thread::sleep(LIST_HOSTS_INTERVAL);
+            thread::sleep(pause);
         }
     });
 }
 
-fn follow(kind: Kind, store: &dyn Store, reading: &ReadsStore, events: &Sender<Event>) {
+fn follow(kind: Kind, store: &dyn Store, mode: &Mode, events: &Sender<Event>) {
     let mut revision = None;
+    let mut consistency = Consistency::MayLag;
     let mut failures = 0u32;
-    let mut listed = false;
 
     loop {
-        if listed && !reading.load(Ordering::Relaxed) {
-            // Changes in the meantime are missed, so the next read is a list.
-            revision = None;
-            thread::sleep(IDLE_INTERVAL);
-            continue;
-        }
-
-        let answer = match revision {
-            Some(revision) => store.watch(kind, revision),
-            None => store.list(kind),
+        let answer = match (revision, mode.get()) {
+            (None, _) => store.list(kind, consistency),
+            (Some(revision), Some(wait)) => store.watch(kind, revision, wait),
+            (Some(_), None) => {
+                thread::sleep(IDLE_INTERVAL);
+                continue;
+            }
         };
 
         match next(&answer, revision) {
             Next::Watch(at) => {
-                listed = true;
                 failures = 0;
                 revision = Some(at);
             }
-            Next::List => revision = None,
+            Next::List => {
+                revision = None;
+                consistency = Consistency::Current;
+            }
             Next::Pause => {
                 let pause = INITIAL_BACKOFF * 2u32.pow(failures.min(8));
                 failures += 1;
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -153,7 +153,15 @@
         links.clone(),
         Arc::new(move |event| drop(events.send(Event::Membership(event)))),
     );
-    Control::new(local, membership, links, store, published, sender)
+    Control::new(
+        local,
+        membership,
+        links,
+        store,
+        settings.store.wait,
+        published,
+        sender,
+    )
 }
 
 fn listen(settings: &File) -> Result<Listeners, Error> {
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -187,6 +187,15 @@
     Unreadable { message: String },
 }
 
+/// How up to date a listing has to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Consistency {
+    /// The listing holds every change that the store has accepted.
+    Current,
+    /// The listing may be some seconds old, for a tenth of the price.
+    MayLag,
+}
+
 /// Client of the platform's store.
 pub trait Store: Send + Sync {
     /// Lists the objects of a kind.
@@ -194,16 +203,16 @@
     /// # Errors
     ///
     /// Returns an error if the listing is not complete.
-    fn list(&self, kind: Kind) -> Result<Changes, StoreError>;
+    fn list(&self, kind: Kind, consistency: Consistency) -> Result<Changes, StoreError>;
 
-    /// Waits for changes after a revision, at most for the time that the store
-    /// permits.
+    /// Waits for changes after a revision, at most for `wait` and for the time in
+    /// the settings.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not answer or no longer holds the
     /// changes.
-    fn watch(&self, kind: Kind, revision: u64) -> Result<Changes, StoreError>;
+    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> Result<Changes, StoreError>;
 
     /// Decodes the configuration from the value of its object.
     ///
@@ -231,5 +240,5 @@
     /// # Errors
     ///
     /// Returns an error if the listing is not complete.
-    fn hosts(&self) -> Result<Vec<std::net::SocketAddr>, StoreError>;
+    fn hosts(&self, consistency: Consistency) -> Result<Vec<std::net::SocketAddr>, StoreError>;
 }
