--- a/src/bin/persimmoncleatd.rs
+++ b/src/bin/persimmoncleatd.rs
@@ -41,13 +41,15 @@
         }
     };
 
-    match daemon::run(file) {
+    let code = match daemon::run(file) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    json_log::flush();
+    code
 }
 
 fn options() -> Result<Options, ExitCode> {
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -31,6 +31,7 @@
         transport::{
             boot_clock,
             client::Client,
+            json_log,
             links::Links,
             metrics::Metrics,
             object_api::CallCounters,
@@ -45,7 +46,6 @@
     std::{
         collections::BTreeMap,
         net::{SocketAddr, TcpListener},
-        process,
         sync::{
             Arc,
             mpsc::{self, Receiver, Sender},
@@ -224,7 +224,7 @@
 fn exit_after(control: thread::JoinHandle<()>) {
     let _ = control.join();
     log::error!("the control thread has stopped");
-    process::exit(1);
+    json_log::exit(1);
 }
 
 /// Handles SIGINT and SIGTERM: the first signal starts the drain, the second
@@ -239,7 +239,7 @@
         drain::leave(&gateway);
         signals.next();
         drain::log_abandoned(&gateway);
-        process::exit(1);
+        json_log::exit(1);
     });
 
     Ok(())
--- a/src/transport/json_log.rs
+++ b/src/transport/json_log.rs
@@ -14,12 +14,13 @@
     serde_json::{Map, json},
     std::{
         io::{self, Write},
+        process,
         sync::{
             atomic::{AtomicU64, Ordering},
             mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel},
         },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -33,6 +34,9 @@
 /// Time limit for writing the queued lines when the process ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Interval between attempts to queue a flush while the queue is full.
+const FLUSH_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Starts logging to the standard output.
 ///
 /// # Errors
@@ -51,6 +55,18 @@
     }
 }
 
+/// Waits for a bounded time until all queued lines are written. Call this before
+/// the process ends, which does not wait for the writer thread.
+pub fn flush() {
+    log::logger().flush();
+}
+
+/// Writes the queued lines and ends the process.
+pub fn exit(code: i32) -> ! {
+    flush();
+    process::exit(code)
+}
+
 fn specification(level: LevelFilter) -> String {
     // Below this level other crates log connection details that are not needed.
     let others = level.min(LevelFilter::Warn);
@@ -100,16 +116,25 @@
 
     fn flush(&self) -> io::Result<()> {
         let (done, written) = sync_channel(1);
+        let started = Instant::now();
+        let mut entry = Entry::Flush(done);
+
+        // A stalled reader of the log must not delay the end of the process
+        // for longer than the time limit.
+        while let Err(TrySendError::Full(unsent)) = self.0.try_send(entry) {
+            if started.elapsed() >= FLUSH_TIMEOUT {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
 
-        // A full queue or a stalled reader must not delay the end of the
-        // process.
-        if self.0.try_send(Entry::Flush(done)).is_ok()
-            && written.recv_timeout(FLUSH_TIMEOUT).is_err()
-        {
-            return Err(io::ErrorKind::TimedOut.into());
+            entry = unsent;
+            thread::sleep(FLUSH_RETRY_INTERVAL);
         }
 
-        Ok(())
+        match written.recv_timeout(FLUSH_TIMEOUT.saturating_sub(started.elapsed())) {
+            Err(RecvTimeoutError::Timeout) => Err(io::ErrorKind::TimedOut.into()),
+            // The writer thread has ended because the output is closed.
+            Ok(()) | Err(RecvTimeoutError::Disconnected) => Ok(()),
+        }
     }
 }
 
