--- a/src/state/rendezvous.rs
+++ b/src/state/rendezvous.rs
@@ -2,14 +2,18 @@
 //! coordination, and a change of the candidates reassigns as few keys as
 //! possible.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use {
+    siphasher::sip::SipHasher13,
+    std::hash::{Hash, Hasher},
+};
 
 /// Returns the weight of a candidate for a key; the highest weight wins.
 ///
-/// The weight is the same on every host and after a restart, because
-/// `DefaultHasher::new` uses fixed keys.
+/// The weight is the same on every host, in every build. The standard hasher may
+/// change with the compiler, and two builds of one fleet would then choose
+/// different hosts.
 pub fn weight(key: &impl Hash, candidate: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = SipHasher13::new();
     key.hash(&mut hasher);
     candidate.hash(&mut hasher);
     hasher.finish()
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::state::{clock::Time, id, pipeline::Stage},
-    std::hash::{DefaultHasher, Hash, Hasher},
+    siphasher::sip::SipHasher13,
+    std::hash::{Hash, Hasher},
 };
 
 /// A request without its body.
@@ -23,10 +24,10 @@
     pub team: id::Team,
 }
 
-/// Returns the hash of a prompt prefix's name, which is the same on every host.
+/// Returns the hash of a prompt prefix's name, which is the same on every host and
+/// in every build.
 pub fn prefix_hash(prefix: &str) -> u64 {
-    // `DefaultHasher::new` uses fixed keys.
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = SipHasher13::new();
     prefix.hash(&mut hasher);
     hasher.finish()
 }
