Serve late jobs before their callers leave

Late jobs came after all that were on time, in order of priority, so 594 late jobs waited while newer ones were served: 212 callers left between 22 and 24 s without a first stage, although the whole backlog was gone at 24.4 s. Ruled out: storage (650 of 1,813 MB used), and calls that are not full (6.3 to 7.5 of 8 pieces).

Change: a late job goes before others in the last three calls before its deadline, with at most half of a call's pieces; before that, late jobs are ordered by deadline alone. A job that would end too late with the jobs ahead of it is refused on arrival, and one that has not begun and can no longer end fails at once. A full endpoint or a reused address uses up no attempt of a piece.

--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -16,9 +16,10 @@
         transport::boot_clock,
     },
     hyper::{HeaderMap, Method, Uri, body::Bytes},
+    siphasher::sip::SipHasher13,
     std::{
         cell::{Cell, RefCell},
-        hash::{DefaultHasher, Hash, Hasher},
+        hash::{Hash, Hasher},
         sync::Arc,
         time::Duration,
     },
@@ -29,6 +30,11 @@
 /// deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(5);
 
+/// Time after which callers of a stream leave without a first event, relative to
+/// the route's time goal. Seen on the users' deployments, where it is often
+/// shorter than the deadline.
+const PATIENCE: u32 = 4;
+
 /// A request and its progress.
 #[derive(Debug)]
 pub struct Request {
@@ -65,6 +71,16 @@
         self.deadline.since(boot_clock::now())
     }
 
+    /// Returns the time until the caller leaves if the response has not begun.
+    pub fn time_to_respond(&self) -> Duration {
+        if !self.route.stream || self.may_have_run.get() {
+            return self.remaining();
+        }
+
+        let patience = self.started + self.route.goal * PATIENCE;
+        self.deadline.min(patience).since(boot_clock::now())
+    }
+
     /// Returns the time within which an endpoint has to respond.
     pub fn endpoint_time(&self) -> Duration {
         self.remaining().saturating_sub(RESPONSE_MARGIN)
@@ -89,7 +105,7 @@
     /// Returns the parts of the prompt, each with the hash of the prompt up to
     /// its end.
     pub fn prompt_parts(&self) -> Vec<Part> {
-        let mut hasher = DefaultHasher::new();
+        let mut hasher = SipHasher13::new();
         let parts = self.call.prompt.iter().flat_map(|prompt| &prompt.parts);
         parts
             .map(|part| {
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -290,7 +290,7 @@
         output_bytes: request.route.stages[start.stage].output_bytes,
         pieces: (0..).take(start.pieces).collect(),
         priority: request.priority,
-        remaining: request.remaining(),
+        remaining: chain::latest_end(config, &path, request.time_to_respond()),
         request: request.id().to_owned(),
         service: start.service.clone(),
         stage: u16::try_from(start.stage).unwrap_or(u16::MAX),
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -19,6 +19,7 @@
     self::{
         active_job::{ActiveJob, Piece},
         endpoint_state::EndpointState,
+        load::Forecast,
     },
     crate::state::{
         clock::Time,
@@ -198,16 +199,19 @@
             return;
         }
 
-        let backlog = self.backlog_before(now, &job);
+        let Forecast {
+            backlog,
+            is_hopeless,
+        } = self.forecast(now, &job);
 
-        if job.first && backlog + self.call_time(job.pieces.len()) > job.remaining {
+        if job.first && is_hopeless {
             actions.push(Action::Finish {
                 job: job.id,
                 outcome: Outcome {
                     backlog,
                     failure: Some(Failure::Overloaded),
                     outputs: Vec::new(),
-                    retry_after: (backlog.saturating_sub(job.remaining)).max(MIN_RETRY_AFTER),
+                    retry_after: backlog.saturating_sub(job.urgency).max(MIN_RETRY_AFTER),
                 },
             });
             return;
@@ -288,7 +292,10 @@
                 }
                 _ => piece::Result::Failed,
             };
-            let delivered = !matches!(outcome, CallOutcome::Unreachable);
+            let delivered = !matches!(
+                outcome,
+                CallOutcome::Full | CallOutcome::Replaced | CallOutcome::Unreachable
+            );
             let Some(active) = self.active_jobs.get_mut(id) else {
                 unused.extend(output(&call, 0, result));
                 continue;
@@ -337,14 +344,13 @@
         self.dispatch_queued(now, actions);
     }
 
-    /// Fails jobs whose deadline has passed or whose failed pieces get no retry
-    /// from the budget, drops expired outputs and hedges
-    /// the pieces of stragglers.
+    /// Fails jobs that cannot end before their deadline or whose failed pieces
+    /// get no retry from the budget, drops expired outputs and hedges the pieces
+    /// of stragglers.
     pub fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let late = self
-            .active_jobs
-            .values()
-            .filter(|active| active.deadline <= now);
+        let late = self.active_jobs.values().filter(|active| {
+            active.deadline <= now || active.is_hopeless(now, self.call_time(active.pieces.len()))
+        });
         let late = late.map(|active| active.job.id.clone());
 
         for id in late.collect::<Vec<JobId>>() {
--- a/src/state/serving/batch/active_job.rs
+++ b/src/state/serving/batch/active_job.rs
@@ -17,6 +17,11 @@
 /// moves it back in the dispatch order.
 const DOMAIN_PENALTY: Duration = Duration::from_millis(250);
 
+/// Time until its deadline, in full calls, at which a late job goes before others:
+/// its own call, the call in progress at the next endpoint, and others whose
+/// deadline is as near.
+pub(super) const LAST_CHANCE_CALLS: f64 = 3.0;
+
 #[derive(Clone, Debug)]
 pub(super) struct Piece {
     pub(super) attempts: u32,
@@ -71,39 +76,85 @@
         })
     }
 
+    /// Returns whether the job can still meet its goal.
+    pub(super) fn is_on_time(&self, now: Time) -> bool {
+        self.start_by >= now
+    }
+
+    /// Returns the urgency of the job.
+    fn urgency(&self, now: Time, call: Duration) -> Urgency {
+        if self.is_on_time(now) {
+            Urgency::OnTime
+        } else if self.deadline.since(now) <= call.mul_f64(LAST_CHANCE_CALLS) {
+            Urgency::LastChance
+        } else {
+            Urgency::Late
+        }
+    }
+
+    /// Returns the job's place in the dispatch order. `call` is the duration of a
+    /// full call. With a `domain`, a job that belongs to another domain is moved
+    /// back.
+    pub(super) fn rank(&self, now: Time, call: Duration, domain: Option<&id::Domain>) -> Rank {
+        let urgency = self.urgency(now, call);
+        let own_domain = self.job.domain.as_ref();
+        let in_other_domain = domain.is_some() && own_domain.is_some() && own_domain != domain;
+        let penalty = if in_other_domain {
+            DOMAIN_PENALTY
+        } else {
+            Duration::ZERO
+        };
+        let (priority, due) = match urgency {
+            Urgency::OnTime => (self.job.priority, self.start_by),
+            Urgency::LastChance | Urgency::Late => (0, self.deadline),
+        };
+
+        Rank {
+            waits_to_begin: !self.has_begun(),
+            urgency,
+            priority,
+            due: due + penalty,
+        }
+    }
+
+    /// Returns whether the job has not begun and would not end before its
+    /// deadline, given the duration of a call with its pieces.
+    pub(super) fn is_hopeless(&self, now: Time, call: Duration) -> bool {
+        !self.has_begun() && self.deadline < now + call
+    }
+
     /// Returns whether any piece has left the queue.
     pub(super) fn has_begun(&self) -> bool {
         self.waiting < self.pieces.len()
     }
 }
 
-/// Returns the sort key of a job in the dispatch order, lowest first: jobs that
-/// have begun, since their outputs occupy storage until the last one is made,
-/// then jobs that can still meet their goal, then by priority and due time.
-///
-/// With a `domain`, jobs that belong to another domain are moved back.
-pub(super) fn rank(
-    active: &ActiveJob,
-    now: Time,
-    domain: Option<&id::Domain>,
-) -> (bool, bool, u8, Time) {
-    let late = active.start_by < now;
-    let in_other_domain =
-        domain.is_some() && active.job.domain.is_some() && active.job.domain.as_ref() != domain;
-    let penalty = if in_other_domain {
-        DOMAIN_PENALTY
-    } else {
-        Duration::ZERO
-    };
-    let due = if late {
-        active.deadline
-    } else {
-        active.start_by
-    };
-    (
-        !active.has_begun(),
-        late,
-        active.job.priority,
-        due + penalty,
-    )
+/// How urgent a job is, most urgent first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Urgency {
+    /// Late, and soon too late to end before its deadline.
+    LastChance,
+    /// Can still meet its goal.
+    OnTime,
+    /// Too late for its goal, with time left until its deadline.
+    Late,
+}
+
+/// The place of a job in the dispatch order, lowest first: jobs that have begun,
+/// since their outputs occupy storage until the last one is made, then late jobs
+/// about to miss their deadline, then jobs that can still meet their goal.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Rank {
+    waits_to_begin: bool,
+    pub(super) urgency: Urgency,
+    /// 0 for late jobs, among which only the deadline counts: every one is to be
+    /// served.
+    priority: u8,
+    due: Time,
+}
+
+impl Rank {
+    pub(super) const fn has_begun(&self) -> bool {
+        !self.waits_to_begin
+    }
 }
--- a/src/state/serving/batch/fill.rs
+++ b/src/state/serving/batch/fill.rs
@@ -7,7 +7,9 @@
         id,
         serving::{
             batch::{
-                Action, Call, Dispatcher, Item, active_job::rank, endpoint_state::EndpointState,
+                Action, Call, Dispatcher, Item,
+                active_job::{Rank, Urgency},
+                endpoint_state::EndpointState,
             },
             piece::JobId,
             roster::Entry,
@@ -16,6 +18,10 @@
     std::sync::Arc,
 };
 
+/// Share of a call's pieces for late jobs that are about to miss their deadline,
+/// before those of jobs that are on time.
+pub(super) const LAST_CHANCE_SHARE: f64 = 0.5;
+
 /// Number of queued pieces, relative to the capacity of all call slots of the
 /// pool, above which no piece waits for an endpoint in its own domain.
 const BACKLOGGED_RATIO: f64 = 0.4;
@@ -72,7 +78,8 @@
             .active_jobs
             .values()
             .filter(|active| active.waiting > 0);
-        let first = active_jobs.min_by_key(|active| rank(active, now, None))?;
+        let call = self.call_time(self.pool.batch);
+        let first = active_jobs.min_by_key(|active| active.rank(now, call, None))?;
         first.job.domain.clone()
     }
 
@@ -143,17 +150,17 @@
     /// wait for their own domain, whose output does not fit, or whose retry
     /// exceeds the budget.
     fn choose_pieces(&mut self, now: Time, entry: &Entry) -> Vec<(JobId, usize)> {
+        let call = self.call_time(self.pool.batch);
         let mut order = self
             .active_jobs
             .values()
             .filter(|active| active.waiting > 0)
             .map(|active| {
-                (
-                    rank(active, now, Some(&entry.domain)),
-                    active.job.id.clone(),
-                )
+                let rank = active.rank(now, call, Some(&entry.domain));
+                (rank, active.job.id.clone())
             })
-            .collect::<Vec<_>>();
+            .collect::<Vec<(Rank, JobId)>>();
+        self.limit_last_chances(&mut order);
         order.sort();
         let mut chosen = Vec::new();
         let state = self.endpoints.get(&entry.endpoint);
@@ -210,6 +217,24 @@
         chosen
     }
 
+    /// Moves last chances that exceed their share of a call behind the jobs that
+    /// are on time. Without a limit, a long overload makes every job late.
+    fn limit_last_chances(&self, order: &mut [(Rank, JobId)]) {
+        order.sort();
+        let limit = (self.pool.batch as f64 * LAST_CHANCE_SHARE).ceil() as usize;
+        let mut pieces = 0;
+
+        for (rank, id) in order {
+            if rank.urgency == Urgency::LastChance && !rank.has_begun() {
+                pieces += self.active_jobs[id].waiting;
+
+                if pieces > limit {
+                    rank.urgency = Urgency::Late;
+                }
+            }
+        }
+    }
+
     /// Returns whether the queue is so long that filling a free slot matters
     /// more than avoiding traffic between domains.
     fn is_backlogged(&self) -> bool {
--- a/src/state/serving/batch/load.rs
+++ b/src/state/serving/batch/load.rs
@@ -4,7 +4,12 @@
     crate::state::{
         clock::Time,
         serving::{
-            batch::{Dispatcher, endpoint_state::EndpointState},
+            batch::{
+                Dispatcher,
+                active_job::{ActiveJob, LAST_CHANCE_CALLS},
+                endpoint_state::EndpointState,
+                fill::LAST_CHANCE_SHARE,
+            },
             piece::Job,
         },
     },
@@ -108,22 +113,71 @@
         total_slots as f64 * self.pool.batch as f64 / call.max(0.001)
     }
 
-    /// Returns the expected time until a job would start, given the queued
-    /// pieces of equal or higher priority that are not late.
-    pub(super) fn backlog_before(&self, now: Time, job: &Job) -> Duration {
+    /// Returns when a job would start at the latest, or `None` if that is too
+    /// late to end before its deadline.
+    ///
+    /// A job that the pieces ahead of it make late has to wait for its last
+    /// chance. These get only a share of each call, so a limited number of them
+    /// can have the same deadline.
+    pub(super) fn forecast(&self, now: Time, job: &Job) -> Forecast {
         let rate = self.rate(now);
 
         if rate <= 0.0 {
-            return Duration::ZERO;
+            return Forecast::default();
         }
 
-        let ahead = self
+        let pieces = |jobs: &[&ActiveJob]| jobs.iter().map(|active| active.waiting).sum::<usize>();
+        let (on_time, late) = self
             .active_jobs
             .values()
-            .filter(|active| active.start_by > now && active.job.priority <= job.priority)
-            .map(|active| active.waiting)
-            .sum::<usize>();
-        let waiting = ahead.saturating_sub(self.idle(now) * self.pool.batch);
-        Duration::from_secs_f64(waiting as f64 / rate)
+            .partition::<Vec<&ActiveJob>, _>(|active| active.is_on_time(now));
+        let idle = self.idle(now) * self.pool.batch;
+        let share = if pieces(&late) > idle {
+            1.0 - LAST_CHANCE_SHARE
+        } else {
+            1.0
+        };
+        let (ahead, _) = on_time
+            .iter()
+            .partition::<Vec<&ActiveJob>, _>(|active| active.job.priority <= job.priority);
+        let wait = pieces(&ahead).saturating_sub(idle) as f64 / (rate * share);
+        let urgency = job.urgency.as_secs_f64();
+        let backlog = Duration::from_secs_f64(wait);
+
+        if wait <= urgency {
+            let end = backlog + self.call_time(job.pieces.len());
+            return Forecast {
+                backlog,
+                is_hopeless: end > job.remaining,
+            };
+        }
+
+        // The jobs ahead of this one turn late with it.
+        let excess = (wait - urgency) * rate * share;
+        let deadline = now + job.remaining;
+        let earlier = late.iter().filter(|active| active.deadline <= deadline);
+        let earlier = earlier.map(|active| active.waiting).sum::<usize>();
+        let last_chance = (earlier as f64 + excess) / (rate * LAST_CHANCE_SHARE);
+        let end = Duration::from_secs_f64(last_chance) + self.call_time(job.pieces.len());
+        let window = self.call_time(self.pool.batch).mul_f64(LAST_CHANCE_CALLS);
+        let is_near = |active: &&&ActiveJob| {
+            active.deadline <= deadline && active.deadline + window > deadline
+        };
+        let near = late.iter().chain(&ahead).filter(is_near);
+        let near = near.map(|active| active.waiting).sum::<usize>();
+
+        Forecast {
+            backlog,
+            is_hopeless: end > job.remaining || near as f64 > rate * window.as_secs_f64(),
+        }
     }
 }
+
+/// The expected course of a new job.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Forecast {
+    /// Expected time until the job would start if it did not turn late.
+    pub(super) backlog: Duration,
+    /// Whether the job would not end before its deadline.
+    pub(super) is_hopeless: bool,
+}
--- a/src/state/serving/chain.rs
+++ b/src/state/serving/chain.rs
@@ -29,19 +29,34 @@
     path: &[(id::Pool, usize)],
     time_to_goal: Duration,
 ) -> Duration {
-    let calls = path
-        .iter()
-        .map(|(service, pieces)| {
-            let pool = config.services.get(service);
-            let pool = pool.and_then(|service| service.pool.as_ref());
-            let call = pool.map_or(Duration::ZERO, |pool| stage_time(pool, *pieces));
-            call + DISPATCH_ROUND_TRIP
-        })
-        .sum::<Duration>();
     let later_stages = u32::try_from(path.len().saturating_sub(1)).unwrap_or(u32::MAX);
+    let calls = calls_time(config, path);
     time_to_goal.saturating_sub(calls + STAGE_QUEUE_TIME * later_stages + FIRST_EVENT_TIME)
 }
 
+/// Returns the time until the end of the first stage of `path` at which the
+/// request can still be served within `time_to_deadline`, if no later stage has
+/// to wait.
+pub fn latest_end(
+    config: &Config,
+    path: &[(id::Pool, usize)],
+    time_to_deadline: Duration,
+) -> Duration {
+    let later = path.get(1..).unwrap_or_default();
+    time_to_deadline.saturating_sub(calls_time(config, later) + FIRST_EVENT_TIME)
+}
+
+/// Returns the time that the calls of stages take, one after the other.
+fn calls_time(config: &Config, path: &[(id::Pool, usize)]) -> Duration {
+    let times = path.iter().map(|(service, pieces)| {
+        let pool = config.services.get(service);
+        let pool = pool.and_then(|service| service.pool.as_ref());
+        let call = pool.map_or(Duration::ZERO, |pool| stage_time(pool, *pieces));
+        call + DISPATCH_ROUND_TRIP
+    });
+    times.sum()
+}
+
 /// Returns the time that the pieces of one stage take in calls of their own,
 /// one after the other. Pieces of other requests in the same calls are not
 /// counted: in a busy pool they take the place of waiting.
--- a/tests/serving/chain.rs
+++ b/tests/serving/chain.rs
@@ -68,3 +68,13 @@
     chain_without_time_starts_at_once:
         [("first", 1), ("second", 8), ("third", 16)], Duration::from_secs(1) => 0;
 }
+
+/// Guards against a first stage that ends in time, but too late for the stages
+/// after it: the request would take their places in vain.
+#[test]
+fn first_stage_has_to_end_before_the_later_ones_need_to_start() {
+    let path = [("first", 1), ("second", 8), ("third", 16)];
+    let path = path.map(|(service, pieces)| (id::Pool::from(service), pieces));
+    let end = chain::latest_end(&config(), &path, Duration::from_secs(4));
+    assert_eq!(end, Duration::from_micros(3_255_600));
+}
