Find the dispatchers by the hosts registered in the store after a start

Cause: when all 295 hosts lose power, each knows only a few others in its first 1.5 s and dispatches on its own. Ruled out: the store and storage at the endpoints.

Change: the records in the store hold the hosts' capacity, and for 5 s after its start a host ranks the registered hosts as well as those it has heard of (state::serving::dispatchers). A registered host that cannot be reached is left out. The retry budget counts them, too. A host of a large fleet waits 1.5 s before it decides whether it reads the store; in a small one, or before the hosts are listed, it reads at once.

Tests: dispatchers; outage_of_eight_seconds_adds_few_readers.

--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -15,7 +15,7 @@
         protocol::adapter::{Kind, Store},
         state::{
             clock::Time,
-            fleet::member::Member,
+            fleet::{member::Member, record::Record},
             serving::{
                 mirror::{Changes, RelayedChanges},
                 readers::Ranking,
@@ -43,11 +43,24 @@
 /// is noticed only after this time and the timeout of an answer.
 const MAX_FOLLOWED_WATCH_WAIT: Duration = Duration::from_millis(800);
 
+/// Maximum pause between failed calls to the store. A host has to detect that the
+/// store is available again within the time in which a new configuration must
+/// come into force.
+const MAX_BACKOFF: Duration = Duration::from_millis(400);
+
+/// Maximum pause between failed calls of a host that reads the store in place of
+/// the readers, which detect the end of an outage themselves.
+const MAX_STANDBY_BACKOFF: Duration = Duration::from_millis(1600);
+
 /// Time after the end of a watch's wait at which a copy is stale.
 const STALE_MARGIN: Duration = Duration::from_millis(1400);
 
-/// Time after the start at which a host decides whether it reads the store. By
-/// then it knows whether the fleet is large.
+/// Time after the start by which a host has heard of all live hosts, even if all of
+/// a large fleet start at once.
+const JOIN_TIME: Duration = Duration::from_millis(5000);
+
+/// Time after the start at which a host of a large fleet decides whether it reads
+/// the store. By then it knows the others.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
 
 /// An event for the control thread.
@@ -69,6 +82,8 @@
         relayed: RelayedChanges,
         request: peers::Request,
     },
+    /// The hosts that are registered in the store were listed.
+    Registered(Vec<Record>),
     /// A request to a peer failed.
     PeerFailed {
         kind: Kind,
@@ -152,8 +167,10 @@
             leaving: false,
             local,
             members: Arc::default(),
+            registered: None,
             roster: Arc::default(),
             roster_loaded: false,
+            settled: false,
         }
     }
 
@@ -230,6 +247,13 @@
                 let replica = self.replicas.entry(kind).or_default();
                 replica.record_request(request, false);
             }
+            Event::Registered(records) => {
+                let addresses = records.iter().map(|record| record.peer_address);
+                let event = membership::Event::Listed(addresses.collect());
+                self.membership.handle(now, event, &mut self.member_view);
+                self.view.registered = Some(records.into());
+                self.publish();
+            }
             Event::StoreChanges { changes, kind } => {
                 let replica = self.replicas.entry(kind).or_default();
 
@@ -265,8 +289,13 @@
         self.membership.tick(now, &mut self.member_view);
         self.ask_peers(now);
         let local = &self.member_view.local;
+        let settled = now.since(self.started) >= JOIN_TIME;
+        let just_settled = settled && !self.view.settled;
+        self.view.settled = settled;
 
-        if !Arc::ptr_eq(&self.view.members, &self.member_view.members) || self.view.local != *local
+        if just_settled
+            || !Arc::ptr_eq(&self.view.members, &self.member_view.members)
+            || self.view.local != *local
         {
             self.publish();
         }
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -3,8 +3,12 @@
 
 use {
     crate::{
-        coordination::serving::control::{
-            Control, Event, MAX_FOLLOWED_WATCH_WAIT, SETTLE_TIME, STALE_MARGIN, replica::Waiter,
+        coordination::serving::{
+            control::{
+                Control, Event, MAX_BACKOFF, MAX_FOLLOWED_WATCH_WAIT, MAX_STANDBY_BACKOFF,
+                SETTLE_TIME, STALE_MARGIN, replica::Waiter,
+            },
+            follower::Reading,
         },
         protocol::adapter::Kind,
         state::{
@@ -74,7 +78,7 @@
     /// changes from other hosts.
     pub(super) fn ask_peers(&mut self, now: Time) {
         self.rank_readers();
-        let settled = now.since(self.started) >= SETTLE_TIME;
+        let settled = now.since(self.started) >= SETTLE_TIME || !self.may_join_large_fleet();
         let members = self.member_view.members.iter();
         let newest_revision = self.newest_revision();
         let ahead = (members.clone())
@@ -91,17 +95,17 @@
         for (kind, replica) in &mut self.replicas {
             replica.answer_waiters(now);
             let role = self.ranking.role(replica.peer_failures);
-            let reads = settled && !matches!(role, Role::Follow(_));
+            let reading = reading(role, watch_wait).filter(|_| settled);
 
             if role == Role::Read {
                 replica.peer_failures = 0;
             }
 
-            if replica.mode.set(reads.then_some(watch_wait)) {
-                replica.store_failed &= reads;
+            if replica.mode.set(reading) {
+                replica.store_failed &= reading.is_some();
                 log::info!(
                     kind = kind.name(),
-                    reading = reads.to_string().as_str(),
+                    reading = reading.is_some().to_string().as_str(),
                     failures = replica.peer_failures,
                     age_ms = now.since(replica.confirmed_at).as_millis();
                     "role at the store changed"
@@ -126,6 +130,16 @@
         }
     }
 
+    /// Returns whether the hosts registered in the store are too many for each to
+    /// read it, or too old a listing to tell: one without this host.
+    fn may_join_large_fleet(&self) -> bool {
+        let local = &self.member_view.local.host;
+        self.view.registered.as_ref().is_some_and(|records| {
+            records.len() > readers::SMALL_FLEET
+                || records.iter().all(|record| record.host != *local)
+        })
+    }
+
     /// Ranks the hosts again if the members have changed.
     fn rank_readers(&mut self) {
         let members = &self.member_view.members;
@@ -172,6 +186,16 @@
     }
 }
 
+/// Returns how a host with a role reads the store.
+fn reading(role: Role, wait: Duration) -> Option<Reading> {
+    let max_backoff = match role {
+        Role::Follow(_) => return None,
+        Role::Read => MAX_BACKOFF,
+        Role::ReadFor(_) => MAX_STANDBY_BACKOFF,
+    };
+    Some(Reading { max_backoff, wait })
+}
+
 /// Returns the request to send next: to a peer that reports a newer revision,
 /// to the host that this host follows, or, if this host reads the store and its
 /// copy is stale, to any peer.
--- a/src/coordination/serving/dispatch.rs
+++ b/src/coordination/serving/dispatch.rs
@@ -9,21 +9,30 @@
     crate::{
         coordination::serving::{host::Host, pools, releases},
         state::{
-            fleet::member::Member,
-            id, rendezvous,
+            id,
             serving::{
+                dispatchers,
                 piece::{Failure, Job, JobId, Outcome, Output},
-                view::View,
             },
         },
         transport::boot_clock,
     },
-    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::RefCell,
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
-/// Maximum number of dispatchers that are tried for one job.
-const MAX_DISPATCHERS: usize = 3;
+/// Maximum time for which a host that has just started waits for the list of
+/// registered hosts.
+const MAX_REGISTERED_WAIT: Duration = Duration::from_millis(300);
+
+/// Interval between checks for the list of registered hosts.
+const REGISTERED_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Interval between pings of a dispatcher that is running a job.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -41,6 +50,7 @@
     let started = boot_clock::now();
     let remaining = job.remaining;
     let urgency = job.urgency;
+    wait_for_registered(host).await;
     let dispatchers = dispatchers(host, &job.service);
 
     for dispatcher in dispatchers.iter() {
@@ -54,13 +64,19 @@
 
         match result {
             Ok(outcome) => return outcome,
-            Err(message) => log::warn!(
-                request = job.request.as_str(),
-                service = job.service.as_str(),
-                dispatcher = dispatcher.map_or_else(|| "local".into(), |a| a.to_string()).as_str(),
-                age_ms = boot_clock::now().since(started).as_millis();
-                "dispatcher lost: {message}"
-            ),
+            Err(message) => {
+                log::warn!(
+                    request = job.request.as_str(),
+                    service = job.service.as_str(),
+                    dispatcher = dispatcher.map_or_else(|| "local".into(), |a| a.to_string()).as_str(),
+                    age_ms = boot_clock::now().since(started).as_millis();
+                    "dispatcher lost: {message}"
+                );
+
+                if let Some(address) = dispatcher {
+                    host.dispatch_orders.record_unreachable(*address);
+                }
+            }
         }
     }
 
@@ -84,62 +100,72 @@
     }
 }
 
-/// Returns the weight of a host in the choice of a dispatcher. Dispatching one
-/// pool takes most of a small host's capacity, so large hosts are preferred by
-/// more than the ratio of their capacities.
-fn dispatch_weight(member: &Member) -> u32 {
-    member.capacity.saturating_pow(3)
-}
-
 /// The order of the dispatchers of each service under the current view. Ranking
 /// every host for every job would take most of a small host's time in a fleet
 /// of some hundred hosts.
 #[derive(Default)]
-pub struct Orders(RefCell<HashMap<id::Pool, Rc<[Option<SocketAddr>]>>>);
+pub struct Orders {
+    orders: RefCell<HashMap<id::Pool, Rc<[Option<SocketAddr>]>>>,
+    /// Registered hosts that could not be reached.
+    unreachable: RefCell<HashSet<SocketAddr>>,
+}
 
 impl Orders {
     /// Forgets the orders, after the view has changed.
     pub fn clear(&self) {
-        self.0.borrow_mut().clear();
+        self.orders.borrow_mut().clear();
+    }
+
+    fn record_unreachable(&self, address: SocketAddr) {
+        if self.unreachable.borrow_mut().insert(address) {
+            self.clear();
+        }
     }
 }
 
 /// Returns the peer addresses of the dispatchers for a service, in order of
 /// preference; `None` stands for this host.
 pub(super) fn dispatchers(host: &Host, service: &id::Pool) -> Rc<[Option<SocketAddr>]> {
-    let mut orders = host.dispatch_orders.0.borrow_mut();
+    let mut orders = host.dispatch_orders.orders.borrow_mut();
 
     if let Some(order) = orders.get(service) {
         return Rc::clone(order);
     }
 
-    let order = rank_dispatchers(&host.view(), service);
+    let view = host.view();
+    let unreachable = host.dispatch_orders.unreachable.borrow();
+    let fleet = dispatchers::Fleet {
+        local: (!view.leaving).then_some(&view.local),
+        members: &view.members,
+        registered: view.presumed(),
+        unreachable: &unreachable,
+    };
+    let mut order = dispatchers::rank(service, fleet);
+
+    if order.is_empty() {
+        order.push(None);
+    }
+
+    let order = Rc::<[Option<SocketAddr>]>::from(order);
     orders.insert(service.clone(), Rc::clone(&order));
     order
 }
 
-fn rank_dispatchers(view: &View, service: &id::Pool) -> Rc<[Option<SocketAddr>]> {
-    let mut members = view
-        .alive()
-        .map(|member| {
-            let (service, host) = (service.as_str(), member.host.as_str());
-            let score = rendezvous::score(&service, &host, dispatch_weight(member));
-            (score, member)
-        })
-        .collect::<Vec<(f64, &Member)>>();
-    members.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-    let local = &view.local.host;
-    let mut order = members
-        .iter()
-        .take(MAX_DISPATCHERS)
-        .map(|(_, member)| (member.host != *local).then_some(member.peer_address))
-        .collect::<Vec<Option<SocketAddr>>>();
+/// Waits for a bounded time until a host that has just started knows which hosts
+/// are registered in the store.
+async fn wait_for_registered(host: &Host) {
+    let started = boot_clock::now();
 
-    if order.is_empty() {
-        order.push(None);
-    }
+    loop {
+        let view = host.view();
+        let is_known = view.settled || view.registered.is_some();
 
-    order.into()
+        if is_known || boot_clock::now().since(started) >= MAX_REGISTERED_WAIT {
+            return;
+        }
+
+        sleep(REGISTERED_POLL_INTERVAL).await;
+    }
 }
 
 async fn run_locally(host: &Rc<Host>, job: &Job) -> Result<Outcome, String> {
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -3,16 +3,15 @@
 
 use {
     crate::{
-        coordination::{membership, serving::control::Event},
+        coordination::serving::control::Event,
         protocol::adapter::{Consistency, Kind, Store, StoreError},
-        state::{fleet::member::Member, serving::mirror::Changes},
+        state::{
+            fleet::{member::Member, record::Record},
+            serving::mirror::Changes,
+        },
     },
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-            mpsc::Sender,
-        },
+        sync::{Arc, Mutex, PoisonError, mpsc::Sender},
         thread,
         time::Duration,
     },
@@ -22,16 +21,16 @@
 /// further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Maximum pause. A host has to detect that the store is available again within
-/// the time in which a new configuration must come into force.
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
+/// Maximum pause of a host that has not listed a kind yet and does not have to
+/// read the store.
+const IDLE_BACKOFF: Duration = Duration::from_millis(400);
 
 /// Interval at which the hosts in the store are listed. Gossip between peers
 /// spreads changes much sooner.
 const LIST_HOSTS_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Interval between attempts to write this host's record.
-const ANNOUNCE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval between attempts to write this host's record, or to list the hosts.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Interval between listings of the hosts until one holds this host's record.
 const STALE_HOSTS_INTERVAL: Duration = Duration::from_secs(1);
@@ -50,29 +49,33 @@
 /// while other hosts do so.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Whether this host reads a kind from the store, and for how long a watch waits.
-/// Set by the control thread.
+/// How a host reads a kind from the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reading {
+    /// Maximum pause after failed calls.
+    pub max_backoff: Duration,
+    /// Maximum wait of a watch.
+    pub wait: Duration,
+}
+
+/// Whether and how this host reads a kind from the store. Set by the control
+/// thread.
 #[derive(Clone, Debug, Default)]
-pub struct Mode(Arc<AtomicU32>);
+pub struct Mode(Arc<Mutex<Option<Reading>>>);
 
 impl Mode {
-    /// Sets the maximum wait of a watch, or `None` if this host does not read the
-    /// store. Returns whether this host starts or stops reading.
-    pub fn set(&self, wait: Option<Duration>) -> bool {
-        let millis = wait.map_or(0, |wait| {
-            u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
-        });
-        let previous = self.0.swap(millis, Ordering::Relaxed);
-        (previous == 0) != (millis == 0)
+    /// Sets how this host reads the store, or `None` if it does not. Returns
+    /// whether it starts or stops reading.
+    pub fn set(&self, reading: Option<Reading>) -> bool {
+        let mut mode = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let changed = mode.is_some() != reading.is_some();
+        *mode = reading;
+        changed
     }
 
-    /// Returns the maximum wait of a watch, or `None` if this host does not read
-    /// the store.
-    pub fn get(&self) -> Option<Duration> {
-        match self.0.load(Ordering::Relaxed) {
-            0 => None,
-            millis => Some(Duration::from_millis(millis.into())),
-        }
+    /// Returns how this host reads the store, or `None` if it does not.
+    pub fn get(&self) -> Option<Reading> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -87,33 +90,37 @@
 /// Starts a thread that writes this host's record to the store and then lists
 /// the hosts regularly.
 pub fn announce(store: Arc<dyn Store>, local: &Member, events: Sender<Event>) {
-    let host = local.host.clone();
-    let peer = local.peer_address;
+    let record = Record {
+        capacity: local.capacity,
+        host: local.host.clone(),
+        peer_address: local.peer_address,
+    };
 
     spawn("announce", move || {
-        while let Err(error) = store.announce(host.as_str(), peer) {
+        while let Err(error) = store.announce(&record) {
             log::debug!("cannot write this host's record: {error}");
-            thread::sleep(ANNOUNCE_RETRY_INTERVAL);
+            thread::sleep(RETRY_INTERVAL);
         }
 
         loop {
             let mut pause = LIST_HOSTS_INTERVAL;
 
             match store.hosts(Consistency::MayLag) {
-                Ok(addresses) => {
+                Ok(records) => {
                     // The listing is older than this host's record, and thus
                     // than those of the hosts that started with it.
-                    if !addresses.contains(&peer) {
+                    if !records.contains(&record) {
                         pause = STALE_HOSTS_INTERVAL;
                     }
 
-                    let event = membership::Event::Listed(addresses);
-
-                    if events.send(Event::Membership(event)).is_err() {
+                    if events.send(Event::Registered(records)).is_err() {
                         return;
                     }
                 }
-                Err(error) => log::debug!("cannot list the hosts: {error}"),
+                Err(error) => {
+                    log::debug!("cannot list the hosts: {error}");
+                    pause = RETRY_INTERVAL;
+                }
             }
 
             thread::sleep(pause);
@@ -129,7 +136,7 @@
     loop {
         let answer = match (revision, mode.get()) {
             (None, _) => store.list(kind, consistency),
-            (Some(revision), Some(wait)) => store.watch(kind, revision, wait),
+            (Some(revision), Some(reading)) => store.watch(kind, revision, reading.wait),
             (Some(_), None) => {
                 thread::sleep(IDLE_INTERVAL);
                 continue;
@@ -146,9 +153,12 @@
                 consistency = Consistency::Current;
             }
             Next::Pause => {
+                let max_backoff = mode
+                    .get()
+                    .map_or(IDLE_BACKOFF, |reading| reading.max_backoff);
                 let pause = INITIAL_BACKOFF * 2u32.pow(failures.min(8));
                 failures += 1;
-                thread::sleep(pause.min(MAX_BACKOFF).mul_f64(rand::random_range(0.5..1.0)));
+                thread::sleep(pause.min(max_backoff).mul_f64(rand::random_range(0.5..1.0)));
             }
         }
 
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -4,7 +4,10 @@
 //! encode; every decision is made on the types here.
 
 use {
-    crate::state::serving::{batch::Item, config::Config, mirror::Changes, piece, roster::Entry},
+    crate::state::{
+        fleet::record::Record,
+        serving::{batch::Item, config::Config, mirror::Changes, piece, roster::Entry},
+    },
     hyper::{HeaderMap, StatusCode, http::request},
     snafu::Snafu,
     std::time::Duration,
@@ -228,17 +231,17 @@
     /// Returns the first fault.
     fn endpoint(&self, name: &str, value: &[u8]) -> Result<Entry, Fault>;
 
-    /// Registers this host under a name, so that other hosts find it.
+    /// Registers this host, so that other hosts find it.
     ///
     /// # Errors
     ///
     /// Returns an error if the store did not accept the record.
-    fn announce(&self, host: &str, peer: std::net::SocketAddr) -> Result<(), StoreError>;
+    fn announce(&self, record: &Record) -> Result<(), StoreError>;
 
-    /// Lists the peer addresses of the registered hosts.
+    /// Lists the registered hosts.
     ///
     /// # Errors
     ///
     /// Returns an error if the listing is not complete.
-    fn hosts(&self, consistency: Consistency) -> Result<Vec<std::net::SocketAddr>, StoreError>;
+    fn hosts(&self, consistency: Consistency) -> Result<Vec<Record>, StoreError>;
 }
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -10,4 +10,5 @@
 pub mod peers;
 pub mod pending_updates;
 pub mod probes;
+pub mod record;
 pub mod watchers;
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -8,6 +8,7 @@
 pub mod chain;
 pub mod config;
 pub mod directory;
+pub mod dispatchers;
 pub mod graph;
 pub mod health;
 pub mod mirror;
--- a/src/state/serving/readers.rs
+++ b/src/state/serving/readers.rs
@@ -25,9 +25,13 @@
 /// Pause after a failure to follow a reader, while another one is left.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause after further failures. An outage of the store fails all hosts that
+/// Pause after further failures, while the first hosts that replace the readers
+/// are asked.
+const REPLACEMENT_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause after failures of these, too. An outage of the store fails all hosts that
 /// read it, and the number of calls must not follow the size of the fleet.
-const OUTAGE_PAUSE: Duration = Duration::from_millis(400);
+const OUTAGE_PAUSE: Duration = Duration::from_millis(2000);
 
 /// Interval at which a host that reads the store in place of the readers asks
 /// whether one of them is up to date again.
@@ -127,8 +131,11 @@
     match role {
         Role::Read | Role::ReadFor(_) => RECHECK_INTERVAL,
         Role::Follow(_) if failures == 0 => Duration::ZERO,
-        Role::Follow(_) if (failures as usize) < READERS => RETRY_PAUSE,
-        Role::Follow(_) => OUTAGE_PAUSE,
+        Role::Follow(_) => match failures as usize / READERS {
+            0 => RETRY_PAUSE,
+            1 => REPLACEMENT_PAUSE,
+            _ => OUTAGE_PAUSE,
+        },
     }
 }
 
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -3,7 +3,10 @@
 use {
     crate::state::{
         clock::Time,
-        fleet::member::{Member, Phase},
+        fleet::{
+            member::{Member, Phase},
+            record::Record,
+        },
         serving::{config::Config, roster::Roster},
     },
     std::sync::Arc,
@@ -21,9 +24,13 @@
     pub local: Member,
     /// The other hosts that are not gone.
     pub members: Arc<Vec<Member>>,
+    /// The hosts registered in the store, once they have been listed.
+    pub registered: Option<Arc<[Record]>>,
     pub roster: Arc<Roster>,
     /// Whether the endpoints have been listed at least once.
     pub roster_loaded: bool,
+    /// Whether this host has had time to hear of all live hosts.
+    pub settled: bool,
 }
 
 impl View {
@@ -41,9 +48,18 @@
         others.chain(local)
     }
 
+    /// Returns the registered hosts that may be alive although nothing was heard
+    /// from them.
+    pub fn presumed(&self) -> &[Record] {
+        match &self.registered {
+            Some(records) if !self.settled => records,
+            _ => &[],
+        }
+    }
+
     /// Returns the number of hosts that may send work to endpoints, including
     /// this one.
     pub fn hosts(&self) -> usize {
-        self.members.len() + 1
+        (self.members.len() + 1).max(self.presumed().len())
     }
 }
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -7,11 +7,14 @@
 mod chain;
 mod config;
 mod directory;
+mod dispatchers;
 mod event_stream;
 mod graph;
 mod mirror;
+mod overload;
 mod placement;
 mod readers;
+mod rendezvous;
 mod tally;
 
 #[path = "../support/fuzz.rs"]
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -119,6 +119,22 @@
     assert_eq!(asked.collect::<BTreeSet<SocketAddr>>(), known);
 }
 
+/// Guards against a number of calls that follows the size of the fleet in an
+/// outage of the store of eight seconds.
+#[test]
+fn outage_of_eight_seconds_adds_few_readers() {
+    let members = members(295);
+    let ranking = Ranking::new(&members[0].host, members.iter());
+    let (mut failures, mut waited) = (1, Duration::ZERO);
+
+    while waited < Duration::from_secs(8) {
+        waited += pause(ranking.role(failures), failures);
+        failures += 1;
+    }
+
+    assert!(readers(&members, failures - 1).len() <= 9 * READERS);
+}
+
 /// Guards against hosts that learn too late that an endpoint leaves while the
 /// store ignores all readers: from the first failure on, the next hosts have to
 /// read the store within a second.
