--- a/tests/gateway/runner.rs
+++ b/tests/gateway/runner.rs
@@ -12,8 +12,10 @@
         state::{action::Action, attempt::End, event::Event},
     },
     rouille::Response,
+    rustix::net::{self, AddressFamily, SocketType},
     serde_json::json,
     std::{
+        net::SocketAddr,
         sync::{Arc, Mutex},
         thread,
         time::Duration,
@@ -277,9 +279,10 @@
 
 #[test]
 fn order_is_sent_again_after_a_refused_connection() {
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let refused = gone.local_addr().unwrap();
-    drop(gone);
+    // Bound but not listening, so that no other test can use the port.
+    let closed = net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    net::bind(&closed, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let refused = SocketAddr::try_from(net::getsockname(&closed).unwrap()).unwrap();
     let healthy = Fake::start(|_, call| done(call, "published"));
     let mut script = ScriptedHost::start(&[refused, healthy.address]);
     let host = Arc::clone(&script.host);
