--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -33,7 +33,7 @@
     window: Duration::from_secs(10),
 };
 
-fn entry(number: u16) -> Arc<Entry> {
+pub fn entry(number: u16) -> Arc<Entry> {
     Arc::new(Entry {
         address: ([127, 0, 0, 1], 1000 + number).into(),
         domain: format!("d{number}").into(),
@@ -52,7 +52,7 @@
     dispatcher
 }
 
-fn job(number: u64, pieces: u16) -> Job {
+pub fn job(number: u64, pieces: u16) -> Job {
     Job {
         domain: None,
         first: true,
--- a/tests/serving/overload.rs
+++ b/tests/serving/overload.rs
@@ -1,13 +1,14 @@
 //! Loads above the capacity of a stage pool, on virtual time.
 
 use {
+    crate::batch,
     persimmoncleat::state::{
         clock::Time,
         serving::{
             batch::{Action, CallId, CallOutcome, Dispatcher, Item},
             budget::Bounds,
             config::Pool,
-            piece::{self, Failure, Input, Job, JobId},
+            piece::{self, Failure, Job},
             roster::Entry,
         },
     },
@@ -60,18 +61,6 @@
     report: Report,
 }
 
-fn entry(number: u16) -> Arc<Entry> {
-    Arc::new(Entry {
-        address: ([127, 0, 0, 1], 1000 + number).into(),
-        domain: "d".into(),
-        endpoint: format!("e{number}").into(),
-        incarnation: 1,
-        leaving: false,
-        service: "s".into(),
-        slots: 1,
-    })
-}
-
 fn call_ms(pieces: usize) -> u64 {
     150 + 16 * pieces as u64
 }
@@ -79,7 +68,9 @@
 impl Simulation {
     fn new() -> Self {
         let mut dispatcher = Dispatcher::new(POOL, BOUNDS);
-        let entries = (0..ENDPOINTS).map(entry).collect::<Vec<Arc<Entry>>>();
+        let entries = (0..ENDPOINTS)
+            .map(batch::entry)
+            .collect::<Vec<Arc<Entry>>>();
         dispatcher.update(&POOL, entries.iter(), 1);
 
         Self {
@@ -157,23 +148,13 @@
     }
 }
 
+/// Returns a job of a request with a goal of about a second and an impatient
+/// caller.
 fn job(number: u64, pieces: u16) -> Job {
     Job {
-        domain: None,
-        first: true,
-        id: JobId {
-            home: "h".into(),
-            number,
-        },
-        input: Input::Key("k".into()),
-        output_bytes: 8000,
-        pieces: (0..pieces).collect(),
-        priority: 1,
         remaining: Duration::from_millis(4500),
-        request: format!("r{number}"),
-        service: "s".into(),
-        stage: 0,
         urgency: Duration::from_millis(700),
+        ..batch::job(number, pieces)
     }
 }
 
