Let the largest hosts read the store

The four readers were drawn in proportion to their capacity, so most of them are small hosts with links of 10 or 20 Mbit/s, and each sends the configuration to 22 followers; eight readers had 10. Ruled out by reading: a reader that is behind the store (the store served all hosts then).

Change: the largest hosts come first, in different failure domains as far as there are any of that size.

--- a/src/state/serving/batch/load.rs
+++ b/src/state/serving/batch/load.rs
@@ -113,12 +113,11 @@
         total_slots as f64 * self.pool.batch as f64 / call.max(0.001)
     }
 
-    /// Returns when a job would start at the latest, or `None` if that is too
-    /// late to end before its deadline.
+    /// Forecasts how a new job would fare behind the queued pieces.
     ///
-    /// A job that the pieces ahead of it make late has to wait for its last
-    /// chance. These get only a share of each call, so a limited number of them
-    /// can have the same deadline.
+    /// A job that the pieces ahead of it make late may have to wait for its last
+    /// chance. These get only a share of each call, and no more of them can have
+    /// the same deadline than the pool can take.
     pub(super) fn forecast(&self, now: Time, job: &Job) -> Forecast {
         let rate = self.rate(now);
 
--- a/src/state/serving/readers.rs
+++ b/src/state/serving/readers.rs
@@ -66,21 +66,20 @@
 
 impl Ranking {
     /// Ranks the members that are alive, including the local host unless it is
-    /// leaving. The first readers are in different failure domains.
+    /// leaving. The largest hosts come first, since a reader sends every change
+    /// to all of its followers and a configuration may take some hundred
+    /// kilobytes. The first of them are in different failure domains.
     pub fn new<'a>(local: &id::Host, alive: impl Iterator<Item = &'a Member>) -> Self {
-        let mut members = alive
-            .map(|member| {
-                let host = member.host.as_str();
-                let score = rendezvous::score(&"store reader", &host, member.capacity);
-                (score, member)
-            })
-            .collect::<Vec<(f64, &Member)>>();
-        members.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        let mut members = alive.collect::<Vec<&Member>>();
+        members.sort_by_cached_key(|member| {
+            let weight = rendezvous::weight(&"store reader", &member.host.as_str());
+            Reverse((member.capacity, weight))
+        });
+        let largest = members.first().map_or(0, |member| member.capacity);
         let mut domains = BTreeSet::new();
-        let (mut ranked, others) = members
-            .into_iter()
-            .map(|(_, member)| member)
-            .partition::<Vec<&Member>, _>(|member| domains.insert(&member.domain));
+        let (mut ranked, others) = members.into_iter().partition::<Vec<&Member>, _>(|member| {
+            member.capacity == largest && domains.insert(&member.domain)
+        });
         ranked.extend(others);
 
         Self {
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -82,6 +82,20 @@
     assert_eq!(domains.collect::<BTreeSet<_>>().len(), READERS);
 }
 
+/// Guards against a reader whose link takes longer to send a large configuration
+/// to its followers than hosts may take to apply it.
+#[test]
+fn readers_are_the_largest_hosts() {
+    let mut members = members(295);
+
+    for member in members.iter_mut().step_by(16) {
+        member.capacity = 4;
+    }
+
+    let readers = readers(&members, 0);
+    assert!(readers.iter().all(|reader| reader.capacity == 4));
+}
+
 #[test]
 fn followers_spread_over_all_readers() {
     let members = members(300);
