Remove the list of live hosts that nothing reads any more

state::serving::dispatchers ranks members and registered hosts itself since, so View::alive lost its last caller. No behaviour changes.

--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -3,10 +3,7 @@
 use {
     crate::state::{
         clock::Time,
-        fleet::{
-            member::{Member, Phase},
-            record::Record,
-        },
+        fleet::{member::Member, record::Record},
         serving::{config::Config, roster::Roster},
     },
     std::sync::Arc,
@@ -39,15 +36,6 @@
         !self.leaving && self.config.is_some() && self.roster_loaded
     }
 
-    /// Returns the hosts that are alive, including this one unless it is
-    /// leaving.
-    pub fn alive(&self) -> impl Iterator<Item = &Member> {
-        let others = self.members.iter();
-        let others = others.filter(|member| member.phase == Phase::Alive);
-        let local = (!self.leaving).then_some(&self.local);
-        others.chain(local)
-    }
-
     /// Returns the registered hosts that may be alive although nothing was heard
     /// from them.
     pub fn presumed(&self) -> &[Record] {
