Send a peer only the last version of an object that it missed

What callers saw: hosts that were behind handled requests by an older configuration for longer than the bound.

Cause: a copy of the store kept the value of each of the last 1,024 changes and sent a peer all versions after the one it had. A host that missed ten versions of a configuration of half a megabyte received five megabytes, four seconds on a link of 10 Mbit/s, and missed more versions meanwhile. The values also took memory without a bound in bytes.

Change: the history names the changed objects, and a peer receives each in its current state. Class: a log sent where the state is enough. Looked for elsewhere: the settings log sends changes, which do build on each other.

Test: follower_receives_only_the_last_version_of_an_object failed before (28 copies of one object).

--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-/// Maximum number of changes kept for peers that follow this copy.
+/// Maximum number of changes kept for peers that follow this copy. Their values
+/// are those of the objects, so that large objects that change often take no
+/// further memory.
 const MAX_HISTORY: usize = 1024;
 
 /// An object, or the removal of one.
@@ -37,6 +39,14 @@
     pub changes: Changes,
 }
 
+/// A change of an object, without its value.
+#[derive(Clone, Debug)]
+struct Change {
+    name: String,
+    removed: bool,
+    revision: u64,
+}
+
 /// A copy of the objects of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
@@ -45,7 +55,7 @@
     /// Revision after which `history` is complete.
     history_start: u64,
     /// The most recent changes, oldest first.
-    history: VecDeque<Object>,
+    history: VecDeque<Change>,
     objects: BTreeMap<String, Object>,
     revision: Option<u64>,
 }
@@ -99,18 +109,20 @@
         changed
     }
 
-    /// Returns the changes after a revision, or all objects if the history does
-    /// not reach back that far.
+    /// Returns the objects that changed after a revision, each in its current
+    /// state, or all objects if the history does not reach back that far. A peer
+    /// that missed many versions of a large object receives only the last one.
     pub fn since(&self, revision: u64) -> Changes {
         let current = self.revision.unwrap_or(0);
 
         if revision >= self.history_start && revision > 0 {
-            let objects = self.history.iter();
+            let changes = self.history.iter();
+            let newest = changes
+                .filter(|change| change.revision > revision)
+                .map(|change| (change.name.as_str(), change))
+                .collect::<BTreeMap<&str, &Change>>();
             return Changes {
-                objects: objects
-                    .filter(|object| object.revision > revision)
-                    .cloned()
-                    .collect(),
+                objects: newest.values().map(|change| self.current(change)).collect(),
                 revision: current,
                 whole: false,
             };
@@ -123,6 +135,20 @@
         }
     }
 
+    /// Returns the state of an object after its last change.
+    fn current(&self, change: &Change) -> Object {
+        let removed = || Object {
+            name: change.name.clone(),
+            removed: change.removed,
+            revision: change.revision,
+            value: Vec::new(),
+        };
+        self.objects
+            .get(&change.name)
+            .cloned()
+            .unwrap_or_else(removed)
+    }
+
     /// Removes the objects that a complete listing does not contain.
     fn remove_missing(&mut self, changes: &Changes) -> bool {
         let missing = self
@@ -171,7 +197,11 @@
             self.objects.insert(object.name.clone(), object.clone());
         }
 
-        self.history.push_back(object.clone());
+        self.history.push_back(Change {
+            name: object.name.clone(),
+            removed: object.removed,
+            revision: object.revision,
+        });
 
         if self.history.len() > MAX_HISTORY
             && let Some(oldest) = self.history.pop_front()
--- a/tests/serving/mirror.rs
+++ b/tests/serving/mirror.rs
@@ -174,3 +174,22 @@
     assert!(!mirror.apply(&changes(10, false, &[object("a", 4, true)])));
     assert_eq!(mirrored(&mirror)["a"].revision, 5);
 }
+
+/// Guards against hosts that fall further behind the more versions of a large
+/// configuration they miss, because a peer sends them every one of these.
+#[test]
+fn follower_receives_only_the_last_version_of_an_object() {
+    let mut reader = Mirror::default();
+    reader.apply(&changes(1, true, &[object("a", 1, false)]));
+
+    for revision in 2..30 {
+        reader.apply(&changes(revision, false, &[object("a", revision, false)]));
+    }
+
+    reader.apply(&changes(30, false, &[object("b", 30, false)]));
+    let missed = reader.since(1);
+    assert_eq!(
+        missed.objects,
+        [object("a", 29, false), object("b", 30, false)]
+    );
+}
