Ask hosts that have a change while the reader is silent

What callers saw: requests handled by an older configuration more than 3 s after a newer one was acknowledged, while some hosts were silent.

Cause: a host had one request to peers in progress for each kind of objects. At a reader that had fallen silent it waited 2 s, and then as long at the next. It asked a host that was ahead only if no request waited, and members told one revision, the highest of all kinds, so a later change of the endpoints hid that the configuration was missing. Class: a summary that hides a part, and a single request that blocks the alternative.

Ruled out: the membership, which drops silent hosts 2 to 3.5 s after their last answer, later than the bound allows.

Change: members tell the revisions of the configuration and of the endpoints. A host that lacks a change for 500 ms asks one that has it, beside the request that waits at its reader; a stale one asks at once. A host whose reader delivers asks nobody else, so a large configuration is not sent twice. The decision is in state::serving::catch_up. The log line of a failed request tells its purpose.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -43,6 +43,8 @@
   demand @9 :List(Demand);
   capacity @10 :UInt32;
   # What the member can carry, relative to others.
+  endpoints @11 :UInt64;
+  # Revision of the newest entry in the member's list of endpoints.
 }
 
 struct Message {
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -192,6 +192,7 @@
         clock: boot_clock::now(),
         demand: BTreeMap::new(),
         domain: file.host.domain.clone(),
+        endpoints: 0,
         host: file.host.id.clone(),
         incarnation: incarnation(),
         outstanding: 0,
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -17,6 +17,7 @@
             clock::Time,
             fleet::{member::Member, record::Record},
             serving::{
+                catch_up::Purpose,
                 mirror::{Changes, RelayedChanges},
                 readers::Ranking,
                 view::View,
@@ -79,15 +80,15 @@
     /// A peer sent changed objects.
     PeerChanges {
         kind: Kind,
+        purpose: Purpose,
         relayed: RelayedChanges,
-        request: peers::Request,
     },
     /// The hosts that are registered in the store were listed.
     Registered(Vec<Record>),
     /// A request to a peer failed.
     PeerFailed {
         kind: Kind,
-        request: peers::Request,
+        purpose: Purpose,
     },
     /// The store sent changed objects to a follower.
     StoreChanges {
@@ -230,12 +231,12 @@
             Event::Membership(event) => self.membership.handle(now, event, &mut self.member_view),
             Event::PeerChanges {
                 kind,
+                purpose,
                 relayed,
-                request,
             } => {
                 let fresh = relayed.age < self.stale_after();
                 let replica = self.replicas.entry(kind).or_default();
-                replica.record_request(request, fresh);
+                replica.catch_up.record(purpose, fresh);
 
                 if fresh {
                     replica.confirmed_at = replica.confirmed_at.max(now.before(relayed.age));
@@ -243,9 +244,9 @@
 
                 self.apply(now, kind, &relayed.changes, "peer");
             }
-            Event::PeerFailed { kind, request } => {
+            Event::PeerFailed { kind, purpose } => {
                 let replica = self.replicas.entry(kind).or_default();
-                replica.record_request(request, false);
+                replica.catch_up.record(purpose, false);
             }
             Event::Registered(records) => {
                 let addresses = records.iter().map(|record| record.peer_address);
@@ -285,7 +286,9 @@
     }
 
     fn tick(&mut self, now: Time) {
-        self.member_view.local.settings = self.newest_revision();
+        let newest = |kind| self.replicas.get(&kind).map_or(0, Replica::newest_revision);
+        self.member_view.local.settings = newest(Kind::Config);
+        self.member_view.local.endpoints = newest(Kind::Endpoints);
         self.membership.tick(now, &mut self.member_view);
         self.ask_peers(now);
         let local = &self.member_view.local;
@@ -301,15 +304,6 @@
         }
     }
 
-    /// Returns the highest revision among the local copies of the objects.
-    fn newest_revision(&self) -> u64 {
-        let objects = self
-            .replicas
-            .values()
-            .flat_map(|replica| replica.mirror.objects());
-        objects.map(|object| object.revision).max().unwrap_or(0)
-    }
-
     fn publish(&mut self) {
         self.view.members = Arc::clone(&self.member_view.members);
         self.view.local = self.member_view.local.clone();
--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -23,6 +23,8 @@
             return;
         }
 
+        replica.catch_up.record_change();
+
         match kind {
             Kind::Config => self.apply_config(now, source),
             Kind::Endpoints => self.apply_endpoints(source, changes),
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -13,38 +13,17 @@
         protocol::adapter::Kind,
         state::{
             clock::Time,
-            fleet::member::Phase,
-            serving::readers::{self, Ranking, Role},
+            fleet::member::{Member, Phase},
+            serving::{
+                catch_up::{Request, Sources},
+                readers::{self, Ranking, Role},
+            },
         },
     },
     rand::seq::IteratorRandom,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Minimum interval between requests for changes that a peer should have.
-const CATCH_UP_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Maximum time for which a followed host holds a request until a change
-/// arrives. Its answer also shows that it is still alive.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1000);
-
-/// Why a host asks a peer for changes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Request {
-    /// The peer reads the store for this host.
-    Follow,
-    /// The peer may have changes that this host lacks.
-    Once,
-}
-
-/// A request to send to a peer.
-struct Question {
-    address: SocketAddr,
-    interval: Duration,
-    request: Request,
-    wait: Duration,
-}
-
 impl Control {
     pub(super) fn answer(&mut self, now: Time, kind: &str, waiter: Waiter) {
         let replica = (self.replicas.iter_mut()).find(|(candidate, _)| candidate.name() == kind);
@@ -79,26 +58,18 @@
     pub(super) fn ask_peers(&mut self, now: Time) {
         self.rank_readers();
         let settled = now.since(self.started) >= SETTLE_TIME || !self.may_join_large_fleet();
-        let members = self.member_view.members.iter();
-        let newest_revision = self.newest_revision();
-        let ahead = (members.clone())
-            .filter(|member| member.settings > newest_revision && member.phase != Phase::Gone)
-            .choose(&mut rand::rng())
-            .map(|member| member.peer_address);
-        let any = members
-            .filter(|member| member.phase == Phase::Alive)
-            .choose(&mut rand::rng())
-            .map(|member| member.peer_address);
+        let members = Arc::clone(&self.member_view.members);
+        let any = choose(&members, |member| member.phase == Phase::Alive);
         let (watch_wait, stale_after) = (self.watch_wait(), self.stale_after());
-        let mut questions = Vec::new();
+        let mut requests = Vec::new();
 
         for (kind, replica) in &mut self.replicas {
             replica.answer_waiters(now);
-            let role = self.ranking.role(replica.peer_failures);
+            let role = self.ranking.role(replica.catch_up.failures());
             let reading = reading(role, watch_wait).filter(|_| settled);
 
             if role == Role::Read {
-                replica.peer_failures = 0;
+                replica.catch_up.clear_failures();
             }
 
             if replica.mode.set(reading) {
@@ -106,27 +77,29 @@
                 log::info!(
                     kind = kind.name(),
                     reading = reading.is_some().to_string().as_str(),
-                    failures = replica.peer_failures,
+                    failures = replica.catch_up.failures(),
                     age_ms = now.since(replica.confirmed_at).as_millis();
                     "role at the store changed"
                 );
             }
 
-            let stale = replica.store_failed || now.since(replica.confirmed_at) > stale_after;
-            let Some(question) = next_question(role, replica.peer_failures, ahead, any, stale)
-            else {
-                continue;
+            let newest = replica.newest_revision();
+            let ahead = choose(&members, |member| {
+                revision(member, *kind) > newest && member.phase != Phase::Gone
+            });
+            let sources = Sources {
+                ahead,
+                any,
+                role,
+                stale: replica.store_failed || now.since(replica.confirmed_at) > stale_after,
             };
-
-            if !replica.request_pending && now.since(replica.last_asked) >= question.interval {
-                replica.last_asked = now;
-                replica.request_pending = true;
-                questions.push((*kind, replica.mirror.revision().unwrap_or(0), question));
-            }
+            let known = replica.mirror.revision().unwrap_or(0);
+            let due = replica.catch_up.requests(now, &sources);
+            requests.extend(due.into_iter().map(|request| (*kind, known, request)));
         }
 
-        for (kind, revision, question) in questions {
-            self.ask(kind, revision, &question);
+        for (kind, revision, request) in requests {
+            self.ask(kind, revision, &request);
         }
     }
 
@@ -155,28 +128,29 @@
         self.ranked_members = Some(Arc::clone(members));
     }
 
-    fn ask(&self, kind: Kind, revision: u64, question: &Question) {
+    fn ask(&self, kind: Kind, revision: u64, request: &Request) {
         let sender = self.sender.clone();
-        let (address, request) = (question.address, question.request);
+        let (address, purpose) = (request.address, request.purpose);
         self.links.object_changes(
             address,
             kind.name(),
             revision,
-            question.wait,
+            request.wait,
             move |answer| {
                 let event = match answer {
                     Ok(relayed) => Event::PeerChanges {
                         kind,
+                        purpose,
                         relayed,
-                        request,
                     },
                     Err(error) => {
                         log::info!(
                             peer = address.to_string().as_str(),
-                            kind = kind.name();
+                            kind = kind.name(),
+                            purpose = purpose.name();
                             "cannot get changes from a peer: {error}"
                         );
-                        Event::PeerFailed { kind, request }
+                        Event::PeerFailed { kind, purpose }
                     }
                 };
                 // Fails only after the control thread has stopped.
@@ -196,34 +170,17 @@
     Some(Reading { max_backoff, wait })
 }
 
-/// Returns the request to send next: to a peer that reports a newer revision,
-/// to the host that this host follows, or, if this host reads the store and its
-/// copy is stale, to any peer.
-fn next_question(
-    role: Role,
-    failures: u32,
-    ahead: Option<SocketAddr>,
-    any: Option<SocketAddr>,
-    stale: bool,
-) -> Option<Question> {
-    let once = |address| Question {
-        address,
-        interval: CATCH_UP_INTERVAL,
-        request: Request::Once,
-        wait: Duration::ZERO,
-    };
-    let follow = |address, wait| Question {
-        address,
-        interval: readers::pause(role, failures),
-        request: Request::Follow,
-        wait,
-    };
-
-    match (role, ahead) {
-        (_, Some(ahead)) => Some(once(ahead)),
-        (Role::Follow(reader), None) => Some(follow(reader, FOLLOW_WAIT)),
-        (Role::ReadFor(reader), None) => Some(follow(reader, Duration::ZERO)),
-        (Role::Read, None) if stale => any.map(once),
-        (Role::Read, None) => None,
+/// Returns the highest revision of a kind's objects that a member reported.
+const fn revision(member: &Member, kind: Kind) -> u64 {
+    match kind {
+        Kind::Config => member.settings,
+        Kind::Endpoints => member.endpoints,
     }
 }
+
+/// Returns the address of a random member for which a condition holds.
+fn choose(members: &[Member], condition: impl Fn(&Member) -> bool) -> Option<SocketAddr> {
+    let members = members.iter().filter(|member| condition(member));
+    let chosen = members.choose(&mut rand::rng());
+    chosen.map(|member| member.peer_address)
+}
--- a/src/coordination/serving/control/replica.rs
+++ b/src/coordination/serving/control/replica.rs
@@ -3,10 +3,13 @@
 
 use {
     crate::{
-        coordination::serving::{control::peers::Request, follower},
+        coordination::serving::follower,
         state::{
             clock::Time,
-            serving::mirror::{Mirror, RelayedChanges},
+            serving::{
+                catch_up::CatchUp,
+                mirror::{Mirror, RelayedChanges},
+            },
         },
     },
     std::time::Duration,
@@ -20,10 +23,8 @@
 /// The local copy of one kind and the state of its updates.
 #[derive(Debug, Default)]
 pub(super) struct Replica {
-    /// When a peer was last asked for changes.
-    pub(super) last_asked: Time,
-    /// Whether a request to a peer is in flight.
-    pub(super) request_pending: bool,
+    /// The requests to peers.
+    pub(super) catch_up: CatchUp,
     /// Whether this host reads the store.
     pub(super) mode: follower::Mode,
     /// Whether the last call to the store failed.
@@ -32,9 +33,6 @@
     /// peer that it follows.
     pub(super) confirmed_at: Time,
     pub(super) mirror: Mirror,
-    /// Number of consecutive failures to follow a peer: requests that failed or
-    /// returned a stale copy.
-    pub(super) peer_failures: u32,
     /// Requests of peers that are held until a change arrives.
     pub(super) waiting: Vec<Waiter>,
 }
@@ -48,15 +46,10 @@
 }
 
 impl Replica {
-    /// Records the end of a request to a peer.
-    pub(super) fn record_request(&mut self, request: Request, fresh: bool) {
-        self.request_pending = false;
-
-        match (request, fresh) {
-            (Request::Once, _) => {}
-            (Request::Follow, true) => self.peer_failures = 0,
-            (Request::Follow, false) => self.peer_failures = self.peer_failures.saturating_add(1),
-        }
+    /// Returns the highest revision of the objects.
+    pub(super) fn newest_revision(&self) -> u64 {
+        let objects = self.mirror.objects();
+        objects.map(|object| object.revision).max().unwrap_or(0)
     }
 
     /// Answers the waiting peers for which a change has arrived or whose
--- a/src/state/fleet/member.rs
+++ b/src/state/fleet/member.rs
@@ -44,13 +44,17 @@
     /// Requests in progress by team, for the largest teams only.
     pub demand: BTreeMap<id::Team, u32>,
     pub domain: id::Domain,
+    /// Revision of the newest entry in the member's list of endpoints.
+    #[serde(default)]
+    pub endpoints: u64,
     pub host: id::Host,
     pub incarnation: id::Incarnation,
     /// Requests in progress.
     pub outstanding: u32,
     pub peer_address: SocketAddr,
     pub phase: Phase,
-    /// Version of the settings tree that is in effect on the member.
+    /// Version of the settings tree, or revision of the configuration, that is in
+    /// effect on the member.
     pub settings: u64,
 }
 
--- a/src/state/replay/claims_host.rs
+++ b/src/state/replay/claims_host.rs
@@ -125,6 +125,7 @@
         clock: Time::ZERO,
         demand: BTreeMap::new(),
         domain: "".into(),
+        endpoints: 0,
         host: name(host),
         incarnation,
         outstanding: 0,
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -5,6 +5,7 @@
 pub mod balance;
 pub mod batch;
 pub mod budget;
+pub mod catch_up;
 pub mod chain;
 pub mod config;
 pub mod directory;
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -63,6 +63,7 @@
         clock: Time::ZERO,
         demand: Default::default(),
         domain: "is-1".into(),
+        endpoints: 0,
         host: host.into(),
         incarnation: id::Incarnation(1),
         outstanding: 0,
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -319,6 +319,7 @@
             clock: boot_clock::now(),
             demand: BTreeMap::new(),
             domain: "d1".into(),
+            endpoints: 0,
             host: "h1".into(),
             incarnation: id::Incarnation(1),
             outstanding: 0,
--- a/tests/serving/directory.rs
+++ b/tests/serving/directory.rs
@@ -13,6 +13,7 @@
         clock: Time::ZERO,
         demand: Default::default(),
         domain: domain.into(),
+        endpoints: 0,
         host: format!("h{host}").into(),
         incarnation: Default::default(),
         outstanding: 0,
--- a/tests/serving/dispatchers.rs
+++ b/tests/serving/dispatchers.rs
@@ -24,6 +24,7 @@
         clock: Time::ZERO,
         demand: Default::default(),
         domain: "d".into(),
+        endpoints: 0,
         host: format!("h{number}").into(),
         incarnation: Default::default(),
         outstanding: 0,
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod batch;
 mod batch_fuzz;
 mod budget;
+mod catch_up;
 mod chain;
 mod config;
 mod directory;
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -24,6 +24,7 @@
             clock: Time::ZERO,
             demand: Default::default(),
             domain: DOMAINS[usize::from(host) % DOMAINS.len()].into(),
+            endpoints: 0,
             host: format!("h{host}").into(),
             incarnation: Default::default(),
             outstanding: 0,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -19,6 +19,7 @@
         clock: Time::from_millis(u64::from(port)),
         demand: BTreeMap::new(),
         domain: domain.into(),
+        endpoints: 0,
         host: host.into(),
         incarnation: Incarnation(1),
         outstanding: 0,
