Stay with the reader that answers, the largest first

Cause: hosts chose among the twelve hosts that read the store then as if all were alike: the four readers that had just failed, and small hosts with links of 10 Mbit/s (19 requests to these timed out after 2 s). After each answer a host also returned to its first reader, and failed there four times again before the next change could reach it.

Change: after the readers, hosts turn to those that replace them, in proportion to their capacity, and stay with one that answers until 10 s after the last failure. Ruled out: fewer replacements, since the store may turn away any group.

Test: followers_turn_to_the_largest_replacements failed before (23 of 78 followers at small hosts).

--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -236,7 +236,7 @@
             } => {
                 let fresh = relayed.age < self.stale_after();
                 let replica = self.replicas.entry(kind).or_default();
-                replica.catch_up.record(purpose, fresh);
+                replica.catch_up.record(now, purpose, fresh);
 
                 if fresh {
                     replica.confirmed_at = replica.confirmed_at.max(now.before(relayed.age));
@@ -246,7 +246,7 @@
             }
             Event::PeerFailed { kind, purpose } => {
                 let replica = self.replicas.entry(kind).or_default();
-                replica.catch_up.record(purpose, false);
+                replica.catch_up.record(now, purpose, false);
             }
             Event::Registered(records) => {
                 let addresses = records.iter().map(|record| record.peer_address);
--- a/src/state/serving/catch_up.rs
+++ b/src/state/serving/catch_up.rs
@@ -24,6 +24,10 @@
 /// milliseconds over a small link and should not be sent twice.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(500);
 
+/// Time after the last failure after which a host returns to the readers that
+/// come first in its order.
+const RETURN_TIME: Duration = Duration::from_secs(10);
+
 /// Why a host asks another one for changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
@@ -93,14 +97,19 @@
     /// Since when other hosts have a newer object and no change has arrived.
     behind_since: Option<Time>,
     catch_up: Channel,
-    /// Number of consecutive failures to follow a reader: requests that failed
-    /// or returned a stale copy.
+    /// Number of failures to follow a reader: requests that failed or returned a
+    /// stale copy. It selects the reader, so it stays while one answers.
     failures: u32,
     follow: Channel,
+    last_failure: Option<Time>,
+    /// Whether the last request to a reader failed.
+    reader_failed: bool,
+    /// Whether the last request asked if a reader is up to date again.
+    rechecks: bool,
 }
 
 impl CatchUp {
-    /// Returns the number of consecutive failures to follow a reader.
+    /// Returns the number of failures to follow a reader.
     pub fn failures(&self) -> u32 {
         self.failures
     }
@@ -112,17 +121,22 @@
 
     /// Records the end of a request. `fresh` says whether it returned a copy that
     /// the store confirmed recently.
-    pub fn record(&mut self, purpose: Purpose, fresh: bool) {
-        match purpose {
-            Purpose::CatchUp => self.catch_up.in_progress = false,
-            Purpose::Follow => {
-                self.follow.in_progress = false;
-                self.failures = if fresh {
-                    0
-                } else {
-                    self.failures.saturating_add(1)
-                };
-            }
+    pub fn record(&mut self, now: Time, purpose: Purpose, fresh: bool) {
+        if purpose == Purpose::CatchUp {
+            self.catch_up.in_progress = false;
+            return;
+        }
+
+        self.follow.in_progress = false;
+        self.reader_failed = !fresh;
+
+        if !fresh {
+            self.failures = self.failures.saturating_add(1);
+            self.last_failure = Some(now);
+        } else if self.rechecks
+            || (self.last_failure).is_none_or(|failure| now.since(failure) >= RETURN_TIME)
+        {
+            self.failures = 0;
         }
     }
 
@@ -141,17 +155,26 @@
             .collect()
     }
 
+    /// Returns the pause before the next request to a reader.
+    fn pause(&self, role: Role) -> Duration {
+        let failures = if self.reader_failed { self.failures } else { 0 };
+        readers::pause(role, failures)
+    }
+
     fn follow(&mut self, now: Time, role: Role) -> Option<Request> {
         let (address, wait) = match role {
             Role::Follow(reader) => (reader, FOLLOW_WAIT),
             Role::Read => return None,
             Role::ReadFor(reader) => (reader, Duration::ZERO),
         };
-        let interval = readers::pause(role, self.failures);
-        self.follow.start(now, interval).then_some(Request {
-            address,
-            purpose: Purpose::Follow,
-            wait,
+        let interval = self.pause(role);
+        self.follow.start(now, interval).then(|| {
+            self.rechecks = matches!(role, Role::ReadFor(_));
+            Request {
+                address,
+                purpose: Purpose::Follow,
+                wait,
+            }
         })
     }
 
@@ -172,7 +195,7 @@
         // The number of requests during an outage of the store is limited like
         // that of the requests to readers.
         let interval = match sources.role {
-            Role::Follow(_) => CATCH_UP_INTERVAL.max(readers::pause(sources.role, self.failures)),
+            Role::Follow(_) => CATCH_UP_INTERVAL.max(self.pause(sources.role)),
             Role::Read | Role::ReadFor(_) => CATCH_UP_INTERVAL,
         };
         self.catch_up.start(now, interval).then_some(Request {
--- a/src/state/serving/readers.rs
+++ b/src/state/serving/readers.rs
@@ -52,8 +52,8 @@
 #[derive(Clone, Debug)]
 struct Candidate {
     peer_address: SocketAddr,
-    /// Order in which the local host turns to the candidates.
-    preference: u64,
+    /// Order in which the local host turns to the candidates, highest first.
+    preference: f64,
 }
 
 /// The live hosts in the order in which they become readers.
@@ -87,7 +87,11 @@
                 .iter()
                 .map(|member| Candidate {
                     peer_address: member.peer_address,
-                    preference: rendezvous::weight(&local.as_str(), &member.host.as_str()),
+                    preference: rendezvous::score(
+                        &local.as_str(),
+                        &member.host.as_str(),
+                        member.capacity,
+                    ),
                 })
                 .collect(),
             local: ranked.iter().position(|member| member.host == *local),
@@ -116,10 +120,17 @@
     }
 
     /// Returns the address of the candidate to turn to after a number of
-    /// failures, among the first `width`.
+    /// failures, among the first `width`: the readers, then those that replace
+    /// them, in proportion to their capacity.
     fn preferred(&self, width: usize, failures: usize) -> SocketAddr {
         let mut candidates = self.candidates.iter().take(width).collect::<Vec<_>>();
-        candidates.sort_unstable_by_key(|candidate| Reverse(candidate.preference));
+        let readers = candidates.len().min(READERS);
+        let (readers, replacements) = candidates.split_at_mut(readers);
+
+        for part in [readers, replacements] {
+            part.sort_by(|one, other| other.preference.total_cmp(&one.preference));
+        }
+
         candidates[failures % candidates.len()].peer_address
     }
 }
--- a/tests/serving/catch_up.rs
+++ b/tests/serving/catch_up.rs
@@ -72,7 +72,7 @@
     for _ in 0..100 {
         for request in catch_up.requests(now, &sources) {
             assert_eq!(request.purpose, Purpose::Follow);
-            catch_up.record(Purpose::Follow, true);
+            catch_up.record(now, Purpose::Follow, true);
             catch_up.record_change();
         }
         now = now + Duration::from_millis(300);
@@ -106,9 +106,27 @@
         let now = start + STEP * step;
         for request in catch_up.requests(now, &sources) {
             sent += 1;
-            catch_up.record(request.purpose, false);
+            catch_up.record(now, request.purpose, false);
         }
     }
 
     assert!(sent <= 45, "{sent} requests in 30 s");
 }
+
+/// Guards against a host that returns to its silent or rejected readers after
+/// each answer of the one that replaces them.
+#[test]
+fn host_stays_with_the_reader_that_answers() {
+    let mut catch_up = CatchUp::default();
+    let now = Time::from_micros(60_000_000);
+
+    for _ in 0..4 {
+        catch_up.record(now, Purpose::Follow, false);
+    }
+
+    catch_up.record(now, Purpose::Follow, true);
+    assert_eq!(catch_up.failures(), 4);
+    let later = now + Duration::from_secs(30);
+    catch_up.record(later, Purpose::Follow, true);
+    assert_eq!(catch_up.failures(), 0);
+}
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -161,3 +161,26 @@
     let wait = (1..READERS as u32).map(|failures| pause(ranking.role(failures), failures));
     assert!(wait.sum::<Duration>() < Duration::from_secs(1));
 }
+
+/// Guards against a large configuration that small links carry to many followers
+/// after all readers have failed.
+#[test]
+fn followers_turn_to_the_largest_replacements() {
+    let mut members = members(90);
+
+    for member in members.iter_mut().take(8) {
+        member.capacity = 50;
+    }
+
+    let mut followers = BTreeMap::<u32, usize>::new();
+
+    for (_, role) in roles(&members, READERS as u32) {
+        if let Role::Follow(reader) = role {
+            let reader = members.iter().find(|member| member.peer_address == reader);
+            *followers.entry(reader.unwrap().capacity).or_default() += 1;
+        }
+    }
+
+    let small = followers.get(&1).copied().unwrap_or(0);
+    assert!(small <= 8, "{followers:?}");
+}
