Log streams that end before their first event, with the parts of the prompt

What operators saw: of twelve requests that each ended an engine, the logs showed one. An attempt was logged only when its head did not arrive; a stream that ended between the head and its first event left no line, and no line named the parts of the prompt, so requests of one kind could not be told from others.

Change: both cases write `attempt failed`, with at most eight parts. No decision changes.

--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -225,7 +225,8 @@
     });
 }
 
-fn log_failure(request: &Request, entry: &Entry, attempt_outcome: &AttemptOutcome) {
+/// Logs an attempt without a usable response.
+pub fn log_failure(request: &Request, entry: &Entry, attempt_outcome: &AttemptOutcome) {
     if matches!(attempt_outcome, AttemptOutcome::Answered(_)) {
         return;
     }
@@ -237,7 +238,8 @@
         service = entry.service.as_str(),
         outcome = attempt_outcome.name(),
         attempt = request.attempts.get(),
-        left_ms = request.remaining().as_millis();
+        left_ms = request.remaining().as_millis(),
+        parts = request.shared_parts().join(",").as_str();
         "attempt failed: {detail}"
     );
 }
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -102,6 +102,18 @@
         balance::session(&self.prompt_parts())
     }
 
+    /// Returns the ids of the first parts of the prompt that other requests may
+    /// share, for logs.
+    pub fn shared_parts(&self) -> Vec<&str> {
+        /// Maximum number of parts in a log line.
+        const MAX_PARTS: usize = 8;
+
+        let parts = self.call.prompt.as_ref().map(|prompt| &prompt.parts);
+        let shared = parts.and_then(|parts| parts.split_last());
+        let ids = shared.into_iter().flat_map(|(_, shared)| shared);
+        ids.map(|part| part.id.as_str()).take(MAX_PARTS).collect()
+    }
+
     /// Returns the parts of the prompt, each with the hash of the prompt up to
     /// its end.
     pub fn prompt_parts(&self) -> Vec<Part> {
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -5,7 +5,7 @@
     crate::{
         coordination::serving::{
             answer::{Reason, Refusal},
-            attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt},
+            attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{Chosen, PlacementGuard},
             host::Host,
             relay::{Next, RetryState, acquire_retry, refusal_for},
@@ -104,7 +104,10 @@
                     report(guard, Report::Failed);
                     return Ok(response);
                 }
-                Err(outcome) => outcome,
+                Err(outcome) => {
+                    log_failure(&request, &entry, &outcome);
+                    outcome
+                }
             },
             outcome => outcome,
         };
