--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -7,6 +7,7 @@
         serving::{
             balance::{Balancer, Part, Prompt, Report},
             piece::JobId,
+            quarantine::Quarantine,
             roster::Entry,
         },
     },
@@ -46,6 +47,7 @@
 
 fn prompt(number: usize, sessions: usize) -> Prompt {
     let part = |prefix: usize, tokens| Part {
+        id: prefix as u64,
         prefix: prefix as u64,
         tokens,
     };
@@ -73,6 +75,7 @@
         let prompts = (0..PROMPTS)
             .map(|number| prompt(number, count * SESSIONS))
             .collect::<Vec<Prompt>>();
+        let quarantine = Quarantine::default();
         let mut balancer = Balancer::default();
         balancer.update(entries.iter(), CAPACITY);
         let (((), time), bytes) = measure_bytes(|| {
@@ -82,7 +85,7 @@
                     balancer.place(now, entries.iter(), prompt);
 
                     if let Some(started) = number.checked_sub(PENDING) {
-                        balancer.report(now, &id(started), Report::Started);
+                        balancer.report(now, &id(started), Report::Started, &quarantine);
                     }
                 }
             })
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -47,11 +47,19 @@
   # Revision of the newest entry in the member's list of endpoints.
 }
 
+struct Quarantined {
+  # A part of a prompt that ends the engines that answer it.
+
+  part @0 :UInt64;
+  remainingMs @1 :UInt32;
+}
+
 struct Message {
   from @0 :Member;
   updates @1 :List(Member);
   known @2 :UInt32;
   # Number of hosts that the sender knows, including itself.
+  quarantine @3 :List(Quarantined);
 }
 
 struct Subject {
@@ -108,6 +116,8 @@
   prefix @0 :UInt64;
   # Hash of this part and all parts before it.
   tokens @1 :UInt32;
+  id @2 :UInt64;
+  # Hash of this part alone.
 }
 
 struct Placement {
@@ -163,8 +173,9 @@
   ping @8 ();
   objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32) -> (changes :Changes);
   # Waits for a change after the revision, at most `waitMs`.
-  placePrompt @10 (placement :Placement) -> (endpoint :Text);
-  # Chooses the engine of a prompt; empty if there is none.
+  placePrompt @10 (placement :Placement) -> (endpoint :Text, quarantined :Bool);
+  # Chooses the engine of a prompt; empty if there is none, or if a part of the
+  # prompt is in quarantine.
   reportPrompt @11 (service :Text, home :Text, id :UInt64, result :Text);
   # Tells how the prompt fared at its engine.
 }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -7,7 +7,8 @@
         state::{
             clock::Time, endpoint, fleet::gossip::Message,
             fleet::membership::Membership as Machine, fleet::membership_action::Action,
-            fleet::membership_event::Event as MachineEvent, view::View,
+            fleet::membership_event::Event as MachineEvent, serving::quarantine::Quarantine,
+            view::View,
         },
         transport::{self, links::Links},
     },
@@ -74,6 +75,9 @@
     actions: Vec<Action>,
     machine: Machine,
     probe_sender: Option<ProbeSender>,
+    /// The parts of prompts in quarantine, which probes and their answers tell.
+    quarantine: Quarantine,
+    quarantine_changed: bool,
     last_refresh: Time,
     /// Reply channels for the indirect probes that peers requested, by token.
     relay_replies: HashMap<u64, Sender<bool>>,
@@ -99,6 +103,7 @@
     pub fn handle(&mut self, now: Time, event: Event, view: &mut View) {
         match event {
             Event::Answered { message, probe } => {
+                self.merge_quarantine(now, &message);
                 self.step(now, MachineEvent::Answered { message, probe }, view);
             }
             Event::Failed { probe } => self.step(now, MachineEvent::Failed { probe }, view),
@@ -109,7 +114,9 @@
             Event::Listed(addresses) => self.step(now, MachineEvent::Listed(addresses), view),
             Event::Leave => self.step(now, MachineEvent::Leave, view),
             Event::Probed { message, reply } => {
-                let answer = self.machine.handle_probe(now, &mut view.local, message);
+                self.merge_quarantine(now, &message);
+                let mut answer = self.machine.handle_probe(now, &mut view.local, message);
+                answer.quarantine = self.quarantine.entries(now);
                 let _ = reply.send(answer);
                 self.publish_last_answer(view);
             }
@@ -125,6 +132,43 @@
         }
     }
 
+    /// Puts a part of prompts into quarantine.
+    pub fn quarantine(&mut self, now: Time, part: u64) {
+        let duration = self.quarantine.add(now, part);
+        self.quarantine_changed = true;
+        log::warn!(
+            part = format!("{part:x}").as_str(),
+            ms = duration.as_millis();
+            "prompt part quarantined: engines end before they answer requests with it"
+        );
+    }
+
+    /// Ends the probation of a part of prompts.
+    pub fn release(&mut self, part: u64) {
+        self.quarantine.release(part);
+        self.quarantine_changed = true;
+        log::info!(
+            part = format!("{part:x}").as_str();
+            "prompt part released: a request with it was answered"
+        );
+    }
+
+    /// Returns the parts in quarantine if they have changed since the last call.
+    pub fn take_quarantine(&mut self) -> Option<Quarantine> {
+        std::mem::take(&mut self.quarantine_changed).then(|| self.quarantine.clone())
+    }
+
+    fn merge_quarantine(&mut self, now: Time, message: &Message) {
+        for part in self.quarantine.merge(now, &message.quarantine) {
+            self.quarantine_changed = true;
+            log::info!(
+                part = format!("{part:x}").as_str(),
+                peer = message.from.host.as_str();
+                "prompt part quarantined by another host"
+            );
+        }
+    }
+
     /// Advances the state machine and refreshes the members in the view.
     pub fn tick(&mut self, now: Time, view: &mut View) {
         self.step(now, MachineEvent::Tick, view);
@@ -141,7 +185,7 @@
             .handle(now, &mut view.local, event, &mut self.actions);
 
         for action in std::mem::take(&mut self.actions) {
-            self.perform(action);
+            self.perform(now, action);
         }
 
         self.publish_last_answer(view);
@@ -153,7 +197,7 @@
 
     /// Carries out an action of the state machine. Without links no probe is
     /// sent.
-    fn perform(&mut self, action: Action) {
+    fn perform(&mut self, now: Time, action: Action) {
         match (action, &self.probe_sender) {
             (Action::Reached { reached, token }, _) => {
                 if let Some(reply) = self.relay_replies.remove(&token) {
@@ -164,11 +208,12 @@
             (
                 Action::Probe {
                     address,
-                    message,
+                    mut message,
                     probe,
                 },
                 Some(ProbeSender { deliver, links }),
             ) => {
+                message.quarantine = self.quarantine.entries(now);
                 let deliver = Arc::clone(deliver);
                 links.probe(address, message, PROBE_TIMEOUT, move |answer| {
                     deliver(probe_event(probe, answer));
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -23,6 +23,9 @@
     Answered(Box<OpenResponse>),
     /// The attempt failed, and the request may have run.
     Broken(String),
+    /// The connection ended before the first bytes of the response's body, and the
+    /// request may have run.
+    Disconnected(String),
     /// The endpoint refused because an input no longer exists.
     InputGone,
     /// The endpoint refused because it is full or leaving.
@@ -39,6 +42,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::Broken(_) => "broken",
+            Self::Disconnected(_) => "disconnected",
             Self::InputGone => "input_gone",
             Self::NotRun => "not_run",
             Self::Replaced => "replaced",
@@ -49,7 +53,7 @@
     /// Returns what a failed attempt says about its engine.
     pub const fn report(&self) -> Report {
         match self {
-            Self::Answered(_) | Self::Broken(_) => Report::Failed,
+            Self::Answered(_) | Self::Broken(_) | Self::Disconnected(_) => Report::Failed,
             Self::InputGone => Report::Abandoned,
             Self::NotRun => Report::Full,
             Self::Replaced | Self::Unreachable(_) => Report::Unreachable,
@@ -59,7 +63,9 @@
     /// Returns what is known about the failure.
     fn detail(&self) -> &str {
         match self {
-            Self::Broken(message) | Self::Unreachable(message) => message,
+            Self::Broken(message) | Self::Disconnected(message) | Self::Unreachable(message) => {
+                message
+            }
             _ => "",
         }
     }
@@ -170,7 +176,7 @@
         Err(Failure::Broken(message)) => {
             health.record_failure(now);
             drop(placement);
-            return AttemptOutcome::Broken(message);
+            return AttemptOutcome::Disconnected(message);
         }
     };
     let response = &exchange.response;
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -4,14 +4,17 @@
 
 use {
     crate::{
-        coordination::serving::{dispatch, host::Host, request::Request},
+        coordination::serving::{
+            answer::Reason, control::Event, dispatch, host::Host, request::Request,
+        },
         state::{
             clock::Time,
             id,
             serving::{
-                balance::{Balancer, Prompt, Report},
+                balance::{Balancer, Choice, Finding, Prompt, Report},
                 piece::JobId,
                 placement::Criteria,
+                quarantine::{self, Status},
                 roster::Entry,
             },
         },
@@ -97,14 +100,18 @@
     pub guard: Option<PlacementGuard>,
 }
 
-/// Chooses the engine for a request, except those in `exclude`. Returns `None`
-/// if no engine is left.
+/// Chooses the engine for a request, except those in `exclude`.
+///
+/// # Errors
+///
+/// Returns the reason if no engine is left or a part of the prompt is in
+/// quarantine.
 pub async fn choose(
     host: &Rc<Host>,
     request: &Request,
     exclude: &[id::Endpoint],
     domain: Option<id::Domain>,
-) -> Option<Chosen> {
+) -> Result<Chosen, Reason> {
     let parts = request.prompt_parts();
 
     if !parts.is_empty() {
@@ -119,32 +126,84 @@
             service: request.service.clone(),
         };
 
-        if let Some(chosen) = ask(host, request, prompt).await {
-            return Some(chosen);
+        let on_probation = is_on_probation(host, &prompt);
+
+        match ask(host, request, prompt).await {
+            Asked::Chosen(chosen) => return Ok(chosen),
+            Asked::Nothing if !on_probation => {}
+            // Hosts that choose alone do not know of each other's requests.
+            Asked::Nothing | Asked::Quarantined => return Err(Reason::Quarantined),
         }
     }
 
-    choose_alone(host, request, exclude)
+    choose_alone(host, request, exclude).ok_or(Reason::NoEndpoint)
+}
+
+fn is_on_probation(host: &Host, prompt: &Prompt) -> bool {
+    let quarantine = &host.view().quarantine;
+    let now = boot_clock::now();
+    quarantine::shared(&prompt.parts)
+        .iter()
+        .any(|part| quarantine.status(now, part.id) == Status::Probation)
+}
+
+/// What a host learnt from the balancing host.
+enum Asked {
+    Chosen(Chosen),
+    /// The balancing host did not answer in time or named no engine that this
+    /// host knows.
+    Nothing,
+    /// A part of the prompt is in quarantine, or on probation with a request
+    /// under way.
+    Quarantined,
 }
 
 /// Chooses the engine of a prompt of any host.
-pub fn place(host: &Host, prompt: &Prompt) -> Option<Arc<Entry>> {
+pub fn place(host: &Host, prompt: &Prompt) -> Choice {
     let view = host.view();
+    let now = boot_clock::now();
     let mut balancers = host.balancing.balancers.borrow_mut();
     let balancer = balancers.entry(prompt.service.clone()).or_insert_with(|| {
         let mut balancer = Balancer::default();
         update(host, &prompt.service, &mut balancer);
         balancer
     });
+    let barred = quarantine::shared(&prompt.parts).iter().any(|part| {
+        match view.quarantine.status(now, part.id) {
+            Status::Clear => false,
+            Status::Probation => balancer.awaits(part.id),
+            Status::Quarantined => true,
+        }
+    });
+
+    if barred {
+        return Choice::Quarantined;
+    }
+
     let open = view.roster.open(&prompt.service);
-    balancer.place(boot_clock::now(), open, prompt).cloned()
+    let entry = balancer.place(now, open, prompt);
+    entry.map_or(Choice::NoEngine, |entry| {
+        Choice::Engine(entry.endpoint.clone())
+    })
 }
 
 /// Records how a prompt of any host fared.
 pub fn record(host: &Host, service: &id::Pool, id: &JobId, report: Report) {
-    if let Some(balancer) = host.balancing.balancers.borrow_mut().get_mut(service) {
-        balancer.report(boot_clock::now(), id, report);
-    }
+    let quarantine = &host.view().quarantine;
+    let mut balancers = host.balancing.balancers.borrow_mut();
+    let Some(balancer) = balancers.get_mut(service) else {
+        return;
+    };
+    let event = match balancer.report(boot_clock::now(), id, report, quarantine) {
+        Finding::Nothing => return,
+        Finding::Harmful(part) => {
+            host.tally.count("quarantined_parts", &[]);
+            Event::Quarantine(part)
+        }
+        Finding::Harmless(part) => Event::Release(part),
+    };
+    // Fails only after the control thread has stopped.
+    drop(host.control.send(event));
 }
 
 fn update(host: &Host, service: &id::Pool, balancer: &mut Balancer) {
@@ -155,19 +214,21 @@
     balancer.update(view.roster.service(service).iter(), capacity);
 }
 
-/// Asks the balancing host. Returns `None` if it does not answer in time or
-/// names an engine that this host does not know.
-async fn ask(host: &Rc<Host>, request: &Request, prompt: Prompt) -> Option<Chosen> {
-    let address = *dispatch::dispatchers(host, &prompt.service).first()?;
+/// Asks the balancing host.
+async fn ask(host: &Rc<Host>, request: &Request, prompt: Prompt) -> Asked {
+    let dispatchers = dispatch::dispatchers(host, &prompt.service);
+    let Some(address) = dispatchers.first().copied() else {
+        return Asked::Nothing;
+    };
     let id = prompt.id.clone();
-    let endpoint = match address {
-        None => Some(place(host, &prompt)?.endpoint.clone()),
-        Some(_) if boot_clock::now() < host.balancing.silent_until.get() => return None,
+    let choice = match address {
+        None => place(host, &prompt),
+        Some(_) if boot_clock::now() < host.balancing.silent_until.get() => return Asked::Nothing,
         Some(address) => {
             let answer = host.links.place_prompt(address, &prompt, PLACE_TIMEOUT);
 
             match answer.await {
-                Ok(endpoint) => endpoint,
+                Ok(choice) => choice,
                 Err(error) => {
                     let silent_until = boot_clock::now() + SILENCE_PAUSE;
                     host.balancing.silent_until.set(silent_until);
@@ -178,22 +239,31 @@
                         balancer = address.to_string().as_str();
                         "no engine from the balancing host: {error}"
                     );
-                    return None;
+                    return Asked::Nothing;
                 }
             }
         }
     };
+    let endpoint = match choice {
+        Choice::Engine(endpoint) => endpoint,
+        Choice::NoEngine => return Asked::Nothing,
+        Choice::Quarantined => return Asked::Quarantined,
+    };
     let guard = PlacementGuard {
         address,
         host: Rc::clone(host),
         prompt: Some((prompt.service, id)),
     };
     let view = host.view();
-    let entry = view.roster.get(&endpoint?).filter(|entry| !entry.leaving)?;
-    Some(Chosen {
-        entry: Arc::clone(entry),
-        guard: Some(guard),
-    })
+    let entry = view.roster.get(&endpoint).filter(|entry| !entry.leaving);
+
+    match entry {
+        Some(entry) => Asked::Chosen(Chosen {
+            entry: Arc::clone(entry),
+            guard: Some(guard),
+        }),
+        None => Asked::Nothing,
+    }
 }
 
 /// Chooses an engine from the observations of this host alone.
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -83,6 +83,10 @@
         purpose: Purpose,
         relayed: RelayedChanges,
     },
+    /// A part of prompts has to be kept away from the engines.
+    Quarantine(u64),
+    /// A part of prompts no longer ends engines.
+    Release(u64),
     /// The hosts that are registered in the store were listed.
     Registered(Vec<Record>),
     /// A request to a peer failed.
@@ -168,6 +172,7 @@
             leaving: false,
             local,
             members: Arc::default(),
+            quarantine: Arc::default(),
             registered: None,
             roster: Arc::default(),
             roster_loaded: false,
@@ -248,6 +253,8 @@
                 let replica = self.replicas.entry(kind).or_default();
                 replica.catch_up.record(now, purpose, false);
             }
+            Event::Quarantine(part) => self.membership.quarantine(now, part),
+            Event::Release(part) => self.membership.release(part),
             Event::Registered(records) => {
                 let addresses = records.iter().map(|record| record.peer_address);
                 let event = membership::Event::Listed(addresses.collect());
@@ -283,6 +290,11 @@
                 replica.answer_waiters(now);
             }
         }
+
+        if let Some(quarantine) = self.membership.take_quarantine() {
+            self.view.quarantine = Arc::new(quarantine);
+            self.publish();
+        }
     }
 
     fn tick(&mut self, now: Time) {
@@ -314,7 +326,7 @@
 /// A call of another host, by the thread that serves it.
 pub enum Call {
     Control(Box<Event>),
-    Traffic(PeerCall),
+    Traffic(Box<PeerCall>),
 }
 
 /// Assigns a call of another host to the thread that serves it.
@@ -337,7 +349,7 @@
         PeerCall::ProbeFor { reply, target } => {
             Event::Membership(membership::Event::ProbeFor { reply, target })
         }
-        other => return Call::Traffic(other),
+        other => return Call::Traffic(Box::new(other)),
     };
 
     Call::Control(Box::new(event))
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        coordination::serving::{balancing::Balancing, dispatch, pools::Pools, retries::Retries},
+        coordination::serving::{
+            balancing::Balancing, control::Event, dispatch, pools::Pools, retries::Retries,
+        },
         protocol::{adapter::Codec, serving_file::File},
         state::{
             clock::Time,
@@ -22,7 +24,7 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
-        sync::Arc,
+        sync::{Arc, mpsc::Sender},
         time::Duration,
     },
     tokio::sync::watch,
@@ -43,6 +45,8 @@
     pub caller_bounds: Rc<Cell<Bounds>>,
     pub client: Client,
     pub codec: Arc<dyn Codec>,
+    /// Sends events to the control thread.
+    pub control: Sender<Event>,
     pub dispatch_orders: dispatch::Orders,
     pub links: Links,
     pub placement: RefCell<Placement>,
@@ -60,6 +64,7 @@
     pub fn new(
         settings: Arc<File>,
         codec: Arc<dyn Codec>,
+        control: Sender<Event>,
         links: Links,
         view: Arc<View>,
         tally: Tally,
@@ -70,6 +75,7 @@
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
             client: Client::default(),
             codec,
+            control,
             dispatch_orders: dispatch::Orders::default(),
             leaving_since: Cell::new(None),
             links,
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -14,7 +14,10 @@
         },
         state::{
             id,
-            serving::config::{Config, Route, Team},
+            serving::{
+                config::{Config, Route, Team},
+                quarantine::Quarantine,
+            },
         },
         transport::{boot_clock, http::body::Body},
     },
@@ -97,6 +100,7 @@
     let request = accept(host, &config, head, body, started)
         .map_err(|refusal| record_refusal(host, head, refusal))?;
     let request = Rc::new(request);
+    reject_quarantined(host, &request, &view.quarantine)?;
     host.retries
         .record_request(&host.settings().budget, &request.service);
     let time_limit = request.remaining().saturating_sub(CALLER_MARGIN);
@@ -108,6 +112,31 @@
     result
 }
 
+/// Refuses a request whose prompt has a part in quarantine before any stage
+/// runs for it.
+fn reject_quarantined(
+    host: &Host,
+    request: &Request,
+    quarantine: &Quarantine,
+) -> Result<(), Refusal> {
+    let Some((part, hash)) = request.quarantined_part(quarantine) else {
+        return Ok(());
+    };
+    let refusal = relay::refusal_for(request, Reason::Quarantined);
+    let reason = refusal.reason().name();
+    host.tally.count("refused", &[("reason", reason)]);
+    log::info!(
+        request = request.id(),
+        route = request.route.name.as_str(),
+        prompt_part = part,
+        part = format!("{hash:x}").as_str(),
+        reason = reason,
+        status = refusal.status().as_u16();
+        "refused"
+    );
+    Err(refusal)
+}
+
 /// Reports a request whose caller left before the response, which drops the
 /// request's future.
 struct Departure(Option<(Rc<Host>, Rc<Request>)>);
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -12,7 +12,7 @@
         },
         state::{
             id,
-            serving::{config::RetryMode, placement::Criteria, roster::Entry},
+            serving::{config::RetryMode, placement::Criteria, quarantine, roster::Entry},
         },
         transport::{boot_clock, http::body::Body},
     },
@@ -28,6 +28,10 @@
 /// full: about the time in which an endpoint's queue advances.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Delay after which a caller may retry a request with a part in quarantine: the
+/// duration of the first quarantine.
+const QUARANTINED_RETRY_AFTER: Duration = quarantine::FIRST_DURATION;
+
 /// Share of the route's time goal after which a repeatable request without a
 /// response goes to another endpoint.
 const RESPONSE_TIME_SHARE: f64 = 0.7;
@@ -73,15 +77,24 @@
     }
 
     /// Returns the engine for the next attempt of a stream whose inputs are in
-    /// `domain`, if an engine is left.
+    /// `domain`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if no engine is left or a part of the prompt is in
+    /// quarantine.
     pub async fn choose_engine(
         &self,
         host: &Rc<Host>,
         request: &Request,
         domain: Option<id::Domain>,
-    ) -> Option<Chosen> {
+    ) -> Result<Chosen, Reason> {
+        if request.quarantined_part(&host.view().quarantine).is_some() {
+            return Err(Reason::Quarantined);
+        }
+
         match self.awaiting_entry(host) {
-            Some(entry) => Some(Chosen { entry, guard: None }),
+            Some(entry) => Ok(Chosen { entry, guard: None }),
             None => balancing::choose(host, request, &self.excluded, domain).await,
         }
     }
@@ -131,9 +144,9 @@
             }
             AttemptOutcome::NotRun | AttemptOutcome::Replaced => (Reason::Full, true),
             AttemptOutcome::InputGone => (Reason::StageFailed, false),
-            AttemptOutcome::Broken(_) | AttemptOutcome::Answered(_) => {
-                (Reason::EndpointFailed, repeatable)
-            }
+            AttemptOutcome::Broken(_)
+            | AttemptOutcome::Disconnected(_)
+            | AttemptOutcome::Answered(_) => (Reason::EndpointFailed, repeatable),
         };
 
         if may_repeat && acquire_retry(host, request) {
@@ -168,7 +181,10 @@
     } else {
         Refusal::NotRun {
             reason,
-            retry_after: FULL_RETRY_AFTER,
+            retry_after: match reason {
+                Reason::Quarantined => QUARANTINED_RETRY_AFTER,
+                _ => FULL_RETRY_AFTER,
+            },
         }
     }
 }
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -11,6 +11,7 @@
                 balance::{self, Part},
                 config::Route,
                 piece::Output,
+                quarantine::{self, Quarantine},
             },
         },
         transport::boot_clock,
@@ -108,14 +109,27 @@
         /// Maximum number of parts in a log line.
         const MAX_PARTS: usize = 8;
 
-        let parts = self.call.prompt.as_ref().map(|prompt| &prompt.parts);
-        let shared = parts.and_then(|parts| parts.split_last());
-        let ids = shared.into_iter().flat_map(|(_, shared)| shared);
-        ids.map(|part| part.id.as_str()).take(MAX_PARTS).collect()
+        let prompt = self.call.prompt.iter();
+        let shared = prompt.flat_map(|prompt| quarantine::shared(&prompt.parts));
+        shared
+            .map(|part| part.id.as_str())
+            .take(MAX_PARTS)
+            .collect()
+    }
+
+    /// Returns the id and hash of a part of the prompt that is in quarantine.
+    pub fn quarantined_part(&self, quarantine: &Quarantine) -> Option<(&str, u64)> {
+        let now = boot_clock::now();
+        let parts = &self.call.prompt.as_ref()?.parts;
+        let mut parts = quarantine::shared(parts).iter();
+        parts.find_map(|part| {
+            let found = quarantine.find(now, [part_hash(&part.id)])?;
+            Some((part.id.as_str(), found))
+        })
     }
 
-    /// Returns the parts of the prompt, each with the hash of the prompt up to
-    /// its end.
+    /// Returns the parts of the prompt, each with its hash and that of the prompt
+    /// up to its end.
     pub fn prompt_parts(&self) -> Vec<Part> {
         let mut hasher = SipHasher13::new();
         let parts = self.call.prompt.iter().flat_map(|prompt| &prompt.parts);
@@ -123,6 +137,7 @@
             .map(|part| {
                 part.id.hash(&mut hasher);
                 Part {
+                    id: part_hash(&part.id),
                     prefix: hasher.finish(),
                     tokens: u32::try_from(part.tokens).unwrap_or(u32::MAX),
                 }
@@ -131,6 +146,13 @@
     }
 }
 
+/// Returns the hash of a part of a prompt, the same on every host.
+fn part_hash(id: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the handles of outputs, in order.
 pub fn handles(outputs: &[Output]) -> Vec<String> {
     outputs.iter().map(|output| output.handle.clone()).collect()
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -15,11 +15,14 @@
         protocol::{adapter::Answer, event_stream::Splitter},
         state::{
             id,
-            serving::{balance::Report, config::RetryMode},
+            serving::{balance::Report, config::RetryMode, roster::Entry},
         },
         transport::{
             boot_clock,
-            http::{body::Body, client::Failure},
+            http::{
+                body::Body,
+                client::{self, Failure},
+            },
         },
     },
     hyper::{HeaderMap, Response, body::Bytes},
@@ -74,9 +77,7 @@
         let handles = stage_outputs.handles.clone();
         let domain = stage_outputs.domain();
         let chosen = retry_state.choose_engine(host, &request, domain).await;
-        let Some(Chosen { entry, guard }) = chosen else {
-            return Err(refusal_for(&request, Reason::NoEndpoint));
-        };
+        let Chosen { entry, guard } = chosen.map_err(|reason| refusal_for(&request, reason))?;
         let options = AttemptOptions {
             inputs: &handles,
             last_event: request.call.last_event.as_deref(),
@@ -112,7 +113,7 @@
             outcome => outcome,
         };
 
-        report(guard, outcome.report());
+        report_failure(&entry, guard, &outcome);
 
         if matches!(outcome, AttemptOutcome::InputGone) {
             stage_outputs.release();
@@ -132,6 +133,21 @@
     }
 }
 
+/// Sends the report about a prompt without an answer. After a broken connection it
+/// says whether the engine has ended, once that is known.
+fn report_failure(entry: &Entry, guard: Option<PlacementGuard>, outcome: &AttemptOutcome) {
+    if !matches!(outcome, AttemptOutcome::Disconnected(_)) {
+        return report(guard, outcome.report());
+    }
+
+    let address = entry.address;
+
+    spawn_local(async move {
+        let ended = client::refuses_connections(address).await;
+        report(guard, if ended { Report::Lost } else { Report::Failed });
+    });
+}
+
 /// The start of an endpoint's response.
 enum ResponseStart {
     Stream(Box<Stream>),
@@ -189,13 +205,13 @@
             Ok(Some(bytes)) => bytes,
             Ok(None) => {
                 record_failure(host, &open);
-                return Err(AttemptOutcome::Broken(
+                return Err(AttemptOutcome::Disconnected(
                     "the stream ended before its first event".into(),
                 ));
             }
             Err(Failure::Broken(message) | Failure::Unreachable(message)) => {
                 record_failure(host, &open);
-                return Err(AttemptOutcome::Broken(message));
+                return Err(AttemptOutcome::Disconnected(message));
             }
         };
 
@@ -378,17 +394,18 @@
 
     while acquire_retry(host, request) {
         if let Err(refusal) = stage_outputs.renew(host, request).await {
-            log::info!(
-                request = request.id(),
-                reason = refusal.reason().name();
-                "stream not resumed: its stages failed"
-            );
+            log_not_resumed(request, refusal.reason());
             return None;
         }
 
         let domain = stage_outputs.domain();
-        let chosen = retry_state.choose_engine(host, request, domain).await?;
-        let Chosen { entry, guard } = chosen;
+        let Chosen { entry, guard } = match retry_state.choose_engine(host, request, domain).await {
+            Ok(chosen) => chosen,
+            Err(reason) => {
+                log_not_resumed(request, reason);
+                return None;
+            }
+        };
         let options = AttemptOptions {
             inputs: &stage_outputs.handles,
             last_event: last_event.as_deref(),
@@ -416,6 +433,14 @@
     None
 }
 
+fn log_not_resumed(request: &Request, reason: Reason) {
+    log::info!(
+        request = request.id(),
+        reason = reason.name();
+        "stream not resumed"
+    );
+}
+
 /// How copying an endpoint's events ended.
 enum CopyEnd {
     Broken(String),
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -111,15 +111,22 @@
             move |call| match control::classify(call) {
                 // Both fail only while the process exits.
                 Call::Control(event) => drop(control_events.send(*event)),
-                Call::Traffic(call) => drop(calls.send(call)),
+                Call::Traffic(call) => drop(calls.send(*call)),
             },
         );
         spawn_local(connections);
-        let control = build_control(&settings, local, links.clone(), store, published, sender);
+        let control = build_control(
+            &settings,
+            local,
+            links.clone(),
+            store,
+            published,
+            sender.clone(),
+        );
         spawn("control", move || control.run(&events))?;
         let tally = Tally::default();
         let view = Arc::clone(&views.borrow());
-        let host = Host::new(settings, codec, links, view, tally);
+        let host = Host::new(settings, codec, sender, links, view, tally);
         spawn_local(host::follow_views(Rc::clone(&host), views));
         spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
         spawn_local(serve_peer_calls(Rc::clone(&host), receiver));
@@ -235,9 +242,8 @@
         match call {
             PeerCall::CancelJob(id) => pools::cancel(&host, &id),
             PeerCall::PlacePrompt { prompt, reply } => {
-                let entry = balancing::place(&host, &prompt);
                 // Fails only if the asking host no longer waits.
-                let _ = reply.send(entry.map(|entry| entry.endpoint.clone()));
+                let _ = reply.send(balancing::place(&host, &prompt));
             }
             PeerCall::ReportPrompt {
                 id,
--- a/src/state/fleet/membership.rs
+++ b/src/state/fleet/membership.rs
@@ -400,6 +400,7 @@
         Message {
             from,
             known: hosts + 1,
+            quarantine: Vec::new(),
             updates,
         }
     }
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -15,6 +15,7 @@
 pub mod mirror;
 pub mod piece;
 pub mod placement;
+pub mod quarantine;
 pub mod readers;
 pub mod roster;
 pub mod view;
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -10,7 +10,12 @@
     crate::state::{
         clock::Time,
         id, rendezvous,
-        serving::{health::Health, piece::JobId, roster::Entry},
+        serving::{
+            health::Health,
+            piece::JobId,
+            quarantine::{self, Evidence, Quarantine, Status},
+            roster::Entry,
+        },
     },
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
@@ -49,6 +54,8 @@
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Part {
+    /// Hash of this part alone.
+    pub id: u64,
     /// Hash of this part and all parts before it. An engine reuses a part only
     /// after the same parts.
     pub prefix: u64,
@@ -74,6 +81,16 @@
     pub service: id::Pool,
 }
 
+/// The answer to a host that needs an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Choice {
+    Engine(id::Endpoint),
+    /// All engines are leaving or excluded.
+    NoEngine,
+    /// A part of the prompt is in quarantine.
+    Quarantined,
+}
+
 /// How a prompt fared at its engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Report {
@@ -84,6 +101,8 @@
     Failed,
     /// The engine refused because it is full or leaving.
     Full,
+    /// The engine ended before it answered.
+    Lost,
     /// The engine sent its first event.
     Started,
     /// The engine could not be reached.
@@ -92,10 +111,11 @@
 
 impl Report {
     /// All reports, for decoding.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Abandoned,
         Self::Failed,
         Self::Full,
+        Self::Lost,
         Self::Started,
         Self::Unreachable,
     ];
@@ -106,16 +126,30 @@
             Self::Abandoned => "abandoned",
             Self::Failed => "failed",
             Self::Full => "full",
+            Self::Lost => "lost",
             Self::Started => "started",
             Self::Unreachable => "unreachable",
         }
     }
 }
 
+/// What the report about a prompt shows about its parts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Finding {
+    Nothing,
+    /// The part ends engines and has to be quarantined.
+    Harmful(u64),
+    /// A request with the part was answered after its quarantine.
+    Harmless(u64),
+}
+
 /// A prompt that was placed and has no first event yet.
 #[derive(Clone, Debug)]
 struct Pending {
     endpoint: id::Endpoint,
+    incarnation: u64,
+    /// The parts of the prompt that other requests may share.
+    parts: Vec<u64>,
     placed: Time,
     /// Tokens that the engine had to read for the prompt.
     tokens: u64,
@@ -141,6 +175,7 @@
     /// Tokens that fit into an engine's memory.
     capacity: u64,
     engines: BTreeMap<id::Endpoint, Engine>,
+    evidence: Evidence,
     /// Mean time until a first event over all engines, in seconds, by the
     /// binary logarithm of the tokens ahead of the event.
     typical: BTreeMap<u32, f64>,
@@ -190,12 +225,53 @@
         Some(entry)
     }
 
-    /// Records how a prompt fared. Unknown prompts are ignored: another host
-    /// placed them, or their report came too late.
-    pub fn report(&mut self, now: Time, id: &JobId, report: Report) {
+    /// Records how a prompt fared, and returns what that shows about its parts.
+    /// Unknown prompts are ignored: another host placed them, or their report came
+    /// too late.
+    pub fn report(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        report: Report,
+        quarantine: &Quarantine,
+    ) -> Finding {
         let Some(pending) = self.pending.remove(id) else {
-            return;
+            return Finding::Nothing;
         };
+        self.update_engine(now, &pending, report);
+
+        match report {
+            Report::Lost => {
+                let endpoint = &pending.endpoint;
+                let harmful = self.evidence.record_loss(
+                    now,
+                    endpoint,
+                    pending.incarnation,
+                    &pending.parts,
+                    quarantine,
+                );
+                harmful.map_or(Finding::Nothing, Finding::Harmful)
+            }
+            Report::Started => {
+                self.evidence.record_answer(&pending.parts);
+                let mut parts = pending.parts.into_iter();
+                let released =
+                    parts.find(|part| quarantine.status(now, *part) == Status::Probation);
+                released.map_or(Finding::Nothing, Finding::Harmless)
+            }
+            Report::Abandoned | Report::Failed | Report::Full | Report::Unreachable => {
+                Finding::Nothing
+            }
+        }
+    }
+
+    /// Returns whether a prompt with the part waits for its first event.
+    pub fn awaits(&self, part: u64) -> bool {
+        let mut pending = self.pending.values();
+        pending.any(|pending| pending.parts.contains(&part))
+    }
+
+    fn update_engine(&mut self, now: Time, pending: &Pending, report: Report) {
         let Some(engine) = self.engines.get_mut(&pending.endpoint) else {
             return;
         };
@@ -203,7 +279,7 @@
 
         match report {
             Report::Abandoned => {}
-            Report::Failed => {
+            Report::Failed | Report::Lost => {
                 engine.health.record_failure(now);
             }
             Report::Full => engine.health.record_full(now),
@@ -275,7 +351,7 @@
 
     fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
         // A restarted host numbers its prompts from the start again.
-        self.report(now, &prompt.id, Report::Abandoned);
+        self.abandon(now, &prompt.id);
         let Some(engine) = self.engines.get_mut(&entry.endpoint) else {
             return;
         };
@@ -289,6 +365,11 @@
             prompt.id.clone(),
             Pending {
                 endpoint: entry.endpoint.clone(),
+                incarnation: entry.incarnation,
+                parts: quarantine::shared(&prompt.parts)
+                    .iter()
+                    .map(|part| part.id)
+                    .collect(),
                 placed: now,
                 tokens,
                 work,
@@ -296,6 +377,13 @@
         );
     }
 
+    /// Forgets a prompt.
+    fn abandon(&mut self, now: Time, id: &JobId) {
+        if let Some(pending) = self.pending.remove(id) {
+            self.update_engine(now, &pending, Report::Abandoned);
+        }
+    }
+
     /// Forgets prompts whose report has not arrived in time.
     fn expire(&mut self, now: Time) {
         while let Some((placed, id)) = self.placed.front()
@@ -309,7 +397,7 @@
                 .get(&id)
                 .is_some_and(|pending| pending.placed == placed)
             {
-                self.report(now, &id, Report::Abandoned);
+                self.abandon(now, &id);
             }
         }
     }
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -4,7 +4,7 @@
     crate::state::{
         clock::Time,
         fleet::{member::Member, record::Record},
-        serving::{config::Config, roster::Roster},
+        serving::{config::Config, quarantine::Quarantine, roster::Roster},
     },
     std::sync::Arc,
 };
@@ -21,6 +21,8 @@
     pub local: Member,
     /// The other hosts that are not gone.
     pub members: Arc<Vec<Member>>,
+    /// The parts of prompts that are kept away from the engines.
+    pub quarantine: Arc<Quarantine>,
     /// The hosts registered in the store, once they have been listed.
     pub registered: Option<Arc<[Record]>>,
     pub roster: Arc<Roster>,
--- a/src/transport/http/client.rs
+++ b/src/transport/http/client.rs
@@ -20,6 +20,7 @@
     std::{
         cell::RefCell,
         collections::{HashMap, VecDeque},
+        io,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -255,6 +256,15 @@
     }
 }
 
+/// Returns whether nothing listens on an address, as after the end of an
+/// endpoint's process.
+pub async fn refuses_connections(address: SocketAddr) -> bool {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
     let unreachable = |message: String| Failure::Unreachable(message);
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -5,7 +5,7 @@
         state::{
             id,
             serving::{
-                balance::{Prompt, Report},
+                balance::{Choice, Prompt, Report},
                 mirror::RelayedChanges,
                 piece::{Job, JobId, Outcome, Output},
             },
@@ -86,8 +86,7 @@
         });
     }
 
-    /// Asks the balancing host at `address` for the engine of a prompt. Returns
-    /// `None` if there is no engine for it.
+    /// Asks the balancing host at `address` for the engine of a prompt.
     ///
     /// # Errors
     ///
@@ -97,7 +96,7 @@
         address: SocketAddr,
         prompt: &Prompt,
         timeout: Duration,
-    ) -> Result<Option<id::Endpoint>, Error> {
+    ) -> Result<Choice, Error> {
         let prompt = prompt.clone();
 
         self.call(address, timeout, move |peer| {
@@ -105,8 +104,16 @@
                 let mut request = peer.place_prompt_request();
                 wire::write_prompt(request.get().init_placement(), &prompt);
                 let response = request.send().promise.await?;
-                let endpoint = response.get()?.get_endpoint()?.to_str()?;
-                Ok((!endpoint.is_empty()).then(|| endpoint.into()))
+                let results = response.get()?;
+                let endpoint = results.get_endpoint()?.to_str()?;
+
+                Ok(if results.get_quarantined() {
+                    Choice::Quarantined
+                } else if endpoint.is_empty() {
+                    Choice::NoEngine
+                } else {
+                    Choice::Engine(endpoint.into())
+                })
             })
         })
         .await
--- a/src/transport/peer_call.rs
+++ b/src/transport/peer_call.rs
@@ -6,7 +6,7 @@
         fleet::gossip::Message,
         id,
         serving::{
-            balance::{Prompt, Report},
+            balance::{Choice, Prompt, Report},
             mirror::RelayedChanges,
             piece::{Job, JobId, Outcome, Output},
         },
@@ -40,10 +40,10 @@
         reply: oneshot::Sender<WitnessAnswer>,
         subject: Subject,
     },
-    /// Asks for the engine of a prompt. The reply is `None` if there is none.
+    /// Asks for the engine of a prompt.
     PlacePrompt {
         prompt: Prompt,
-        reply: oneshot::Sender<Option<id::Endpoint>>,
+        reply: oneshot::Sender<Choice>,
     },
     /// Exchanges membership records.
     Probe {
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        state::{id, serving::piece::JobId},
+        state::serving::{balance::Choice, piece::JobId},
         transport::{
             link_server::{Activity, Deliver},
             peer_call::PeerCall,
@@ -152,11 +152,17 @@
         mut results: peer::PlacePromptResults,
     ) -> capnp::Result<()> {
         let prompt = wire::read_prompt(params.get()?.get_placement()?)?;
-        let endpoint = self
+        let choice = self
             .dispatch_and_wait(|reply| PeerCall::PlacePrompt { prompt, reply })
             .await?;
-        let endpoint = endpoint.as_ref().map_or("", id::Endpoint::as_str);
-        results.get().set_endpoint(endpoint);
+        let mut results = results.get();
+
+        match choice {
+            Choice::Engine(endpoint) => results.set_endpoint(endpoint.as_str()),
+            Choice::NoEngine => {}
+            Choice::Quarantined => results.set_quarantined(true),
+        }
+
         Ok(())
     }
 
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -13,12 +13,14 @@
                 balance::{Part, Prompt, Report},
                 mirror::{Changes, Object, RelayedChanges},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
+                quarantine::Entry,
             },
         },
         transport::peer_capnp::{
-            self, changes, job, member, message, outcome, output, placement, subject,
+            self, changes, job, member, message, outcome, output, placement, quarantined, subject,
         },
     },
+    capnp::struct_list,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -26,6 +28,10 @@
 pub fn write_message(mut builder: message::Builder, message: &Message) {
     write_member(builder.reborrow().init_from(), &message.from);
     builder.set_known(length(message.known));
+    let quarantine = builder
+        .reborrow()
+        .init_quarantine(length(message.quarantine.len()));
+    write_quarantine(quarantine, &message.quarantine);
     let mut updates = builder.init_updates(length(message.updates.len()));
 
     for (index, update) in (0..).zip(&message.updates) {
@@ -42,6 +48,7 @@
     Ok(Message {
         from: read_member(reader.get_from()?)?,
         known: reader.get_known() as usize,
+        quarantine: read_quarantine(reader.get_quarantine()?),
         updates: reader
             .get_updates()?
             .iter()
@@ -50,6 +57,22 @@
     })
 }
 
+fn write_quarantine(mut builder: struct_list::Builder<quarantined::Owned>, entries: &[Entry]) {
+    for (index, entry) in (0..).zip(entries) {
+        let mut row = builder.reborrow().get(index);
+        row.set_part(entry.part);
+        row.set_remaining_ms(millis(entry.remaining));
+    }
+}
+
+fn read_quarantine(reader: struct_list::Reader<quarantined::Owned>) -> Vec<Entry> {
+    let entries = reader.iter().map(|row| Entry {
+        part: row.get_part(),
+        remaining: Duration::from_millis(row.get_remaining_ms().into()),
+    });
+    entries.collect()
+}
+
 /// Writes the part of a ticket that its witness needs.
 pub fn write_subject(mut builder: subject::Builder, subject: &Subject) {
     builder.set_host(subject.host.as_str());
@@ -179,6 +202,7 @@
 
     for (index, part) in (0..).zip(&prompt.parts) {
         let mut row = parts.reborrow().get(index);
+        row.set_id(part.id);
         row.set_prefix(part.prefix);
         row.set_tokens(part.tokens);
     }
@@ -197,6 +221,7 @@
         .map(|endpoint| Ok(endpoint?.to_str()?.into()));
     let parts = reader.get_parts()?;
     let parts = parts.iter().map(|part| Part {
+        id: part.get_id(),
         prefix: part.get_prefix(),
         tokens: part.get_tokens(),
     });
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -24,6 +24,8 @@
     AnswerLost,
     /// Closes the connection of a stream within this event.
     Break(usize),
+    /// Ends the worker after the head of a stream.
+    End,
     /// Sends the response twice.
     Extra,
     /// Refuses the request because the worker is full.
@@ -60,6 +62,9 @@
     runs: Vec<Run>,
     /// Added to the execution time of every request.
     delay: Duration,
+    /// Id of a part of prompts. The worker ends before it answers a request with
+    /// it.
+    harmful_part: Option<String>,
 }
 
 /// A worker's state, shared with its server.
@@ -69,12 +74,14 @@
     id: Mutex<String>,
     /// Execution time of a request, and time between two events of a stream.
     pause: Duration,
+    /// `None` once the worker has ended.
+    server: Arc<Mutex<Option<Server>>>,
     state: Mutex<State>,
 }
 
 /// A running worker.
 pub struct Worker {
-    server: Server,
+    address: SocketAddr,
     service: Arc<Service>,
 }
 
@@ -90,15 +97,18 @@
             events,
             id: Mutex::new(id.into()),
             pause,
+            server: Arc::default(),
             state: Mutex::default(),
         });
         let server = Server::start(ANY_PORT, Arc::clone(&service)).expect("the worker listens");
-        Self { server, service }
+        let address = server.address();
+        *lock(&service.server) = Some(server);
+        Self { address, service }
     }
 
     /// Returns the worker's address.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
     }
 
     /// Changes the worker's id. The address stays, as if a different worker had
@@ -117,6 +127,16 @@
         lock(&self.service.state).delay = delay;
     }
 
+    /// Sets the part of prompts that ends the worker, after the head of the answer.
+    pub fn set_harmful_part(&self, part: &str) {
+        lock(&self.service.state).harmful_part = Some(part.into());
+    }
+
+    /// Returns whether a request has ended the worker.
+    pub fn has_ended(&self) -> bool {
+        lock(&self.service.server).is_none()
+    }
+
     /// Returns the requests that the worker ran, in order.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.service.state).runs.clone()
@@ -138,6 +158,12 @@
     }
 }
 
+impl Drop for Worker {
+    fn drop(&mut self) {
+        drop(lock(&self.service.server).take());
+    }
+}
+
 /// Returns a worker's entry for the store.
 pub fn entry(address: SocketAddr, service: &str, state: &str) -> Value {
     json!({
@@ -146,6 +172,24 @@
     })
 }
 
+impl State {
+    /// Returns the fault that affects a request.
+    fn take_fault(&mut self, request: &Request) -> Option<Fault> {
+        let prompt = request.headers.get("x-prompt-prefix");
+        let harmful = self.harmful_part.as_ref();
+        let ends = prompt.zip(harmful).is_some_and(|(prompt, harmful)| {
+            let mut parts = prompt.split(',').filter_map(|part| part.split_once(':'));
+            parts.any(|(id, _)| id.trim() == harmful)
+        });
+
+        if ends {
+            Some(Fault::End)
+        } else {
+            self.faults.pop_front()
+        }
+    }
+}
+
 impl Service {
     fn stage(&self, request: &Request) -> Reply {
         let Ok(body) = request.json::<Value>() else {
@@ -183,7 +227,7 @@
         let attempt = attempt.unwrap_or_default();
         let (fault, delay) = {
             let mut state = lock(&self.state);
-            let fault = state.faults.pop_front();
+            let fault = state.take_fault(request);
 
             if matches!(fault, Some(Fault::Full)) {
                 return refuse("503 Service Unavailable");
@@ -225,10 +269,17 @@
         );
         let pause = self.pause;
         let attempt = attempt.to_owned();
+        let server = Arc::clone(&self.server);
 
         Reply::Written(Box::new(move |writer| {
             writer.write_all(head.as_bytes())?;
 
+            if matches!(fault, Some(Fault::End)) {
+                writer.flush()?;
+                drop(lock(&server).take());
+                return Ok(Flow::Close);
+            }
+
             for event in first..last {
                 let text = format!("id: {event}\ndata: {attempt} {event}\n\n");
                 write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
--- a/stand-ins/src/server.rs
+++ b/stand-ins/src/server.rs
@@ -14,7 +14,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
-        thread,
+        thread::{self, JoinHandle},
     },
 };
 
@@ -39,8 +39,11 @@
     open: HashMap<u64, TcpStream>,
 }
 
-/// A running server. Dropping it stops the server and closes its connections.
+/// A running server. Dropping it stops the server and closes its connections:
+/// first the port, so that a client that sees the end of its connection finds the
+/// port closed.
 pub struct Server {
+    accepting: Option<JoinHandle<()>>,
     address: SocketAddr,
     connections: Arc<Mutex<Connections>>,
     stopping: Arc<AtomicBool>,
@@ -58,7 +61,7 @@
         let connections = Arc::<Mutex<Connections>>::default();
         let stopping = Arc::<AtomicBool>::default();
 
-        thread::spawn({
+        let accepting = thread::spawn({
             let connections = Arc::clone(&connections);
             let stopping = Arc::clone(&stopping);
 
@@ -76,6 +79,7 @@
         });
 
         Ok(Self {
+            accepting: Some(accepting),
             address,
             connections,
             stopping,
@@ -99,6 +103,11 @@
         // Wakes the accepting thread, which then checks the stop flag.
         let _ = TcpStream::connect(self.address);
 
+        if let Some(accepting) = self.accepting.take() {
+            // Fails only after a panic, which the thread has reported.
+            let _ = accepting.join();
+        }
+
         for stream in lock(&self.connections).open.values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -8,6 +8,7 @@
         serving::{
             balance::{Balancer, Part, Prompt, Report},
             piece::JobId,
+            quarantine::Quarantine,
             roster::Entry,
         },
     },
@@ -52,10 +53,12 @@
         },
         parts: vec![
             Part {
+                id: session,
                 prefix: session,
                 tokens: shared,
             },
             Part {
+                id: 1_000_000 + number,
                 prefix: 1_000_000 + number,
                 tokens: own,
             },
@@ -76,7 +79,8 @@
 
 fn report(balancer: &mut Balancer, millis: u64, number: u64, report: Report) {
     let home = "h".into();
-    balancer.report(at(millis), &JobId { home, number }, report);
+    let quarantine = Quarantine::default();
+    balancer.report(at(millis), &JobId { home, number }, report, &quarantine);
 }
 
 const fn at(millis: u64) -> Time {
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -14,6 +14,7 @@
 mod mirror;
 mod overload;
 mod placement;
+mod quarantine;
 mod readers;
 mod rendezvous;
 mod tally;
--- /dev/null
+++ b/tests/serving/quarantine.rs
@@ -0,0 +1,191 @@
+//! A part of prompts that ends every engine must be kept away from the engines
+//! after a few losses, and no other part.
+
+use {
+    persimmoncleat::state::{
+        clock::Time,
+        id,
+        serving::quarantine::{Entry, Evidence, Quarantine, Status, shared},
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::time::Duration,
+};
+
+/// The part that ends engines, a part that it shares with sound requests, and a
+/// session's part.
+const HARMFUL: u64 = 1;
+const COMMON: u64 = 2;
+const SESSION: u64 = 3;
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn at(millis: u64) -> Time {
+    Time::from_micros((60_000 + millis) * 1000)
+}
+
+/// Records the loss of an engine.
+fn lose(evidence: &mut Evidence, millis: u64, engine: u64, parts: &[u64]) -> Option<u64> {
+    let endpoint = id::Endpoint::from(format!("e{engine}").as_str());
+    evidence.record_loss(at(millis), &endpoint, 1, parts, &Quarantine::default())
+}
+
+/// A report about an engine's request: the time, the engine and its parts.
+enum Report {
+    Answer(&'static [u64]),
+    Loss(u64, u64, &'static [u64]),
+}
+
+use Report::{Answer, Loss};
+
+macro_rules! quarantined {
+    ($($(#[$doc:meta])* $name:ident: [$($report:expr),* $(,)?] => $part:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut evidence = Evidence::default();
+                let mut found = Vec::new();
+                for report in [$($report),*] {
+                    match report {
+                        Answer(parts) => evidence.record_answer(parts),
+                        Loss(millis, engine, parts) => {
+                            found.extend(lose(&mut evidence, millis, engine, parts));
+                        }
+                    }
+                }
+                let expected: Option<u64> = $part;
+                assert_eq!(found, expected.into_iter().collect::<Vec<u64>>());
+            }
+        )*
+    };
+}
+
+quarantined! {
+    /// Guards against requests of one kind that end one engine after the other.
+    part_that_ends_every_engine: [
+        Loss(0, 1, &[COMMON, HARMFUL, 10]), Answer(&[COMMON, SESSION]),
+        Loss(700, 2, &[COMMON, HARMFUL, 11]), Answer(&[COMMON, SESSION]),
+        Loss(1400, 3, &[COMMON, HARMFUL, 12]),
+    ] => Some(HARMFUL);
+    /// Guards against the refusal of sound requests that were at an engine when
+    /// it was lost.
+    part_of_requests_that_are_answered_elsewhere: [
+        Loss(0, 1, &[COMMON, SESSION]), Loss(700, 2, &[COMMON, SESSION]),
+        Answer(&[COMMON, SESSION]),
+        Loss(1400, 3, &[COMMON, SESSION]), Loss(2100, 4, &[COMMON, SESSION]),
+    ] => None;
+    /// Guards against the refusal of a popular part because a rack was lost.
+    part_at_many_engines_lost_at_one_moment: [
+        Loss(0, 1, &[COMMON]), Loss(20, 2, &[COMMON]), Loss(40, 3, &[COMMON]),
+        Loss(60, 4, &[COMMON]), Loss(80, 5, &[COMMON]), Loss(150, 6, &[COMMON]),
+    ] => None;
+    /// Guards against the refusal of a session all of whose requests were at one
+    /// engine.
+    part_of_many_requests_at_one_engine: [
+        Loss(0, 1, &[SESSION]), Loss(300, 1, &[SESSION]), Loss(600, 1, &[SESSION]),
+        Loss(900, 1, &[SESSION]), Loss(1200, 1, &[SESSION]),
+    ] => None;
+    /// Guards against the refusal of all requests of a rare caller: of parts that
+    /// occur together, only one is refused.
+    last_of_parts_that_occur_together: [
+        Loss(0, 1, &[COMMON, HARMFUL]), Loss(700, 2, &[COMMON, HARMFUL]),
+        Loss(1400, 3, &[COMMON, HARMFUL]), Loss(2100, 5, &[COMMON]),
+    ] => Some(HARMFUL);
+    /// Guards against the refusal of a part that engines have answered before, in
+    /// place of a harmful one that precedes it.
+    part_never_answered_among_parts_that_occur_together: [
+        Answer(&[SESSION]),
+        Loss(0, 1, &[HARMFUL, SESSION]), Loss(700, 2, &[HARMFUL, SESSION]),
+        Loss(1400, 3, &[HARMFUL, SESSION]),
+    ] => Some(HARMFUL);
+}
+
+/// Guards against sound sessions that are refused during trouble: one request in
+/// fifty loses its engine before its answer begins.
+#[test]
+fn lost_requests_of_sound_sessions_are_no_series() {
+    let mut random = StdRng::seed_from_u64(7);
+    let mut evidence = Evidence::default();
+
+    for step in 0..2000 {
+        let parts = [random.random_range(0..4), 100 + random.random_range(0..200)];
+
+        if random.random_bool(0.02) {
+            let engine = random.random_range(0..60);
+            assert_eq!(lose(&mut evidence, step * 20, engine, &parts), None);
+        } else {
+            evidence.record_answer(&parts);
+        }
+    }
+}
+
+#[test]
+fn own_part_of_a_request_is_never_quarantined() {
+    assert_eq!(shared(&[COMMON, SESSION, 9]), [COMMON, SESSION]);
+    assert!(shared(&[9]).is_empty());
+    assert!(shared::<u64>(&[]).is_empty());
+}
+
+/// Guards against a part that stays refused for good, and against one that ends
+/// three more engines each time its quarantine has passed.
+#[test]
+fn quarantine_ends_and_one_more_loss_renews_it_for_longer() {
+    let mut quarantine = Quarantine::default();
+    let first = quarantine.add(at(0), HARMFUL);
+    assert_eq!(quarantine.find(at(0), [COMMON, HARMFUL]), Some(HARMFUL));
+    let end = at(0) + first;
+    assert_eq!(quarantine.find(end, [HARMFUL]), None);
+    assert_eq!(quarantine.status(end, HARMFUL), Status::Probation);
+    let endpoint = id::Endpoint::from("e1");
+    let mut evidence = Evidence::default();
+    let harmful = evidence.record_loss(end, &endpoint, 1, &[COMMON, HARMFUL, SESSION], &quarantine);
+    assert_eq!(harmful, Some(HARMFUL));
+    assert!(quarantine.add(end, HARMFUL) > first);
+}
+
+/// Guards against a part that stays on probation although it no longer ends
+/// engines.
+#[test]
+fn released_part_is_quarantined_only_after_a_new_series() {
+    let mut quarantine = Quarantine::default();
+    let end = at(0) + quarantine.add(at(0), HARMFUL);
+    quarantine.release(HARMFUL);
+    assert_eq!(quarantine.status(end, HARMFUL), Status::Clear);
+    let endpoint = id::Endpoint::from("e1");
+    let mut evidence = Evidence::default();
+    let harmful = evidence.record_loss(end, &endpoint, 1, &[HARMFUL], &quarantine);
+    assert_eq!(harmful, None);
+}
+
+/// Guards against a host that sends requests on which another one has already
+/// learnt not to, and against entries that hosts renew for each other forever.
+#[test]
+fn hosts_learn_from_each_other_until_the_quarantine_ends() {
+    let mut first = Quarantine::default();
+    let duration = first.add(at(0), HARMFUL);
+    let mut second = Quarantine::default();
+    assert_eq!(second.merge(at(100), &first.entries(at(50))), [HARMFUL]);
+    assert!(second.merge(at(200), &first.entries(at(150))).is_empty());
+    let mut now = at(0);
+
+    while now < at(0) + duration + MINUTE {
+        first.merge(now, &second.entries(now));
+        second.merge(now, &first.entries(now));
+        now = now + Duration::from_millis(500);
+    }
+
+    assert_eq!(first.find(now, [HARMFUL]), None);
+    assert_eq!(second.find(now, [HARMFUL]), None);
+}
+
+/// Guards against memory that grows with what other hosts send.
+#[test]
+fn number_of_entries_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    let entries = (0..1000).map(|part| Entry {
+        part,
+        remaining: MINUTE,
+    });
+    quarantine.merge(at(0), &entries.collect::<Vec<Entry>>());
+    assert!(quarantine.entries(at(0)).len() <= 64);
+}
