Close a connection to an endpoint after a refusal

What callers saw: nothing yet; other operators report callers told "not run, try again" for requests that had run, and requests that ran at a second endpoint, after an endpoint wrote an earlier refusal once more on a kept connection.

Cause: the connection of a refusal was kept, and a refusal needs no id of the attempt to be believed. The second copy answered the next request, whose endpoint ran it all the same. A retry at the same endpoint, after missing inputs, has the same id, so comparing ids does not help there.

Change: a connection that carried a refusal is closed, for requests and for calls with pieces; so is that of an answer with pieces that cannot be read. Cost: one more connection for each refusal, which the balancers make rare. Ruled out: waiting longer before the connection is reused, since the copy may come at any time.

--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -206,8 +206,9 @@
     };
     drop(placement);
 
+    // The connection of a refusal is closed: an endpoint that writes the refusal
+    // once more would answer the next request with it, as not run.
     if let Some(refused) = refused {
-        spawn_discard(exchange, answer);
         return refused;
     }
 
@@ -218,19 +219,6 @@
     }))
 }
 
-/// Reads and discards the body of a refusal in the background, so that its
-/// connection can be reused.
-fn spawn_discard(mut exchange: Exchange, answer: Answer) {
-    /// Maximum length of a refusal's body that is read, in bytes.
-    const MAX_REFUSAL_BYTES: usize = 64 * 1024;
-
-    tokio::task::spawn_local(async move {
-        if exchange.collect(MAX_REFUSAL_BYTES).await.is_ok() {
-            exchange.finish(answer.keep_alive, answer.closing);
-        }
-    });
-}
-
 /// Logs an attempt without a usable response.
 pub fn log_failure(request: &Request, entry: &Entry, attempt_outcome: &AttemptOutcome) {
     if matches!(attempt_outcome, AttemptOutcome::Answered(_)) {
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -248,8 +248,9 @@
         let Ok(body) = exchange.collect(MAX_RESPONSE_BYTES).await else {
             return CallOutcome::Broken;
         };
-        exchange.finish(answer.keep_alive, answer.closing);
 
+        // Only a connection whose answer can be used is kept: a refusal might be
+        // written once more.
         if answer.replaced {
             return CallOutcome::Replaced;
         }
@@ -263,7 +264,10 @@
         }
 
         match host.codec.piece_results(&body, items.len()) {
-            Ok(results) => CallOutcome::Answered(results),
+            Ok(results) => {
+                exchange.finish(answer.keep_alive, answer.closing);
+                CallOutcome::Answered(results)
+            }
             Err(fault) => {
                 log::warn!(
                     endpoint = entry.endpoint.as_str();
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// Body of a stream's response without a proof.
+pub const ERROR_TEXT: &str = "the engine failed\n\n";
+
 /// A fault that affects one request of a worker.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -24,17 +27,26 @@
     AnswerLost,
     /// Closes the connection of a stream within this event.
     Break(usize),
+    /// Closes the connection of a stream after a head that announces neither a
+    /// length nor chunks.
+    Empty,
     /// Ends the worker after the head of a stream.
     End,
     /// Sends the response twice.
     Extra,
     /// Refuses the request because the worker is full.
     Full,
+    /// Closes the connection within the head of the response.
+    HeadCut,
     /// Refuses the request because an input no longer exists.
     InputGone,
     /// Sends a response that belongs to another request.
     Other,
-    /// Sends a response without a proof.
+    /// Refuses the request, and writes the refusal again as the answer to the next
+    /// request on the connection.
+    RefuseTwice,
+    /// Sends a response without a proof. A stream's has an error text in place of
+    /// events.
     Unproven,
 }
 
@@ -237,6 +249,10 @@
                 return refuse("409 Conflict");
             }
 
+            if matches!(fault, Some(Fault::RefuseTwice)) {
+                return refuse_twice();
+            }
+
             state.runs.push(Run {
                 at: Instant::now(),
                 headers: request.headers.clone(),
@@ -264,9 +280,26 @@
             _ => self.events,
         };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n\
-            X-Server-Stamp: proof\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n"
         );
+
+        match fault {
+            Some(Fault::Empty) => {
+                let text = format!("{head}X-Server-Stamp: proof\r\n\r\n");
+                return raw_reply(text.into_bytes(), Flow::Close);
+            }
+            Some(Fault::HeadCut) => return raw_reply(head.into_bytes(), Flow::Close),
+            Some(Fault::Unproven) => {
+                let text = format!(
+                    "{head}Content-Length: {}\r\n\r\n{ERROR_TEXT}",
+                    ERROR_TEXT.len()
+                );
+                return raw_reply(text.into_bytes(), Flow::Keep);
+            }
+            _ => {}
+        }
+
+        let head = format!("{head}X-Server-Stamp: proof\r\nTransfer-Encoding: chunked\r\n\r\n");
         let pause = self.pause;
         let attempt = attempt.to_owned();
         let server = Arc::clone(&self.server);
@@ -320,6 +353,23 @@
     raw_reply(text.into_bytes(), Flow::Keep)
 }
 
+/// Writes a refusal, waits until the client has used the connection again, and
+/// writes the refusal once more.
+fn refuse_twice() -> Reply {
+    /// Time in which a client uses the connection for its next request.
+    const NEXT_REQUEST_TIME: Duration = Duration::from_millis(150);
+
+    let refusal =
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    Reply::Written(Box::new(move |writer: &mut dyn Write| {
+        writer.write_all(refusal)?;
+        writer.flush()?;
+        thread::sleep(NEXT_REQUEST_TIME);
+        writer.write_all(refusal)?;
+        Ok(Flow::Keep)
+    }))
+}
+
 fn plain_reply(attempt: &str, fault: Option<Fault>) -> Reply {
     let response = |attempt: &str, proof: &str| {
         let body = format!("answer to {attempt}");
@@ -333,6 +383,10 @@
 
     match fault {
         Some(Fault::AnswerLost) => Reply::Close,
+        Some(Fault::HeadCut) => {
+            let (head, _) = complete.split_at(complete.len() / 2);
+            raw_reply(head.as_bytes().to_vec(), Flow::Close)
+        }
         Some(Fault::Extra) => raw_reply(
             [complete.as_bytes(), complete.as_bytes()].concat(),
             Flow::Keep,
