Continue a stream only with events of a proven answer

What callers saw: nothing yet; other operators report streams that contained the error text of the next endpoint, or ended as if they were complete.

Cause: a stream that broke off went on with any answer of status 200, from its first byte, without the checks that a first answer gets: its proof, and a first whole event. A body without a length that ended at once counted as the end of the stream. Both were reproduced.

Change: both starts read their first events with one function. A continuation without events counts only if its length or last chunk shows that it is complete. The wait for it ends when the caller leaves, at the deadline, and, if another attempt is left, after the time limit for events; the engine is reported as started after the first event only, which the quarantine relies on. Ruled out: comparing content types, which endpoints need not send.

Test: error_text_does_not_continue_a_stream and empty_answer_does_not_complete_a_stream failed before. A head that is cut off (cut_head_does_not_continue_a_stream) passed before, too: the HTTP library reports it as an error.

--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -191,6 +191,55 @@
         return Ok(ResponseStart::Whole(response));
     }
 
+    let stream = read_first_events(host, open, Splitter::default()).await?;
+
+    if stream.events.is_empty() {
+        record_failure(host, &stream.open);
+        return Err(AttemptOutcome::Disconnected(
+            "the stream ended before its first event".into(),
+        ));
+    }
+
+    Ok(ResponseStart::Stream(Box::new(stream)))
+}
+
+/// Waits for the first events with which an endpoint continues a stream. Nothing
+/// of an error response belongs to the stream.
+async fn continue_response(
+    host: &Host,
+    request: &Request,
+    open: OpenResponse,
+    splitter: Splitter,
+) -> Result<Stream, AttemptOutcome> {
+    let status = open.exchange.response.status();
+
+    if !status.is_success() {
+        record_failure(host, &open);
+        return Err(AttemptOutcome::Broken(format!(
+            "the endpoint responded with {status}"
+        )));
+    }
+
+    let Some(limit) = event_timeout(request) else {
+        return read_first_events(host, open, splitter).await;
+    };
+
+    timeout(limit, read_first_events(host, open, splitter))
+        .await
+        .unwrap_or_else(|_| {
+            Err(AttemptOutcome::Broken(
+                "no event within the time limit".into(),
+            ))
+        })
+}
+
+/// Reads a stream up to its first whole events. Returns none only if the body has
+/// ended and its length or last chunk shows that it is complete.
+async fn read_first_events(
+    host: &Host,
+    mut open: OpenResponse,
+    mut splitter: Splitter,
+) -> Result<Stream, AttemptOutcome> {
     if !open.answer.has_proof {
         record_failure(host, &open);
         return Err(AttemptOutcome::Broken(
@@ -198,11 +247,16 @@
         ));
     }
 
-    let mut splitter = Splitter::default();
-
     loop {
         let bytes = match open.exchange.next().await {
             Ok(Some(bytes)) => bytes,
+            Ok(None) if open.exchange.announces_its_end() && !splitter.is_partial() => {
+                return Ok(Stream {
+                    events: Vec::new(),
+                    open,
+                    splitter,
+                });
+            }
             Ok(None) => {
                 record_failure(host, &open);
                 return Err(AttemptOutcome::Disconnected(
@@ -218,11 +272,11 @@
         match splitter.push(&bytes) {
             Some(events) if events.is_empty() => {}
             Some(events) => {
-                return Ok(ResponseStart::Stream(Box::new(Stream {
+                return Ok(Stream {
                     events,
                     open,
                     splitter,
-                })));
+                });
             }
             None => {
                 record_failure(host, &open);
@@ -234,6 +288,15 @@
     }
 }
 
+/// Returns the time within which a stream's next event has to arrive, if the
+/// stream can go on at another endpoint otherwise.
+fn event_timeout(request: &Request) -> Option<Duration> {
+    let resumable = request.route.retry_mode == RetryMode::Resume
+        && request.attempts.get() < request.route.max_attempts;
+    let gap = request.route.event_gap;
+    resumable.then(|| gap.map_or(DEFAULT_EVENT_TIMEOUT, |gap| gap * GAP_FACTOR))
+}
+
 fn record_failure(host: &Host, open: &OpenResponse) {
     let mut placement = host.placement.borrow_mut();
     placement
@@ -359,16 +422,20 @@
         let splitter = std::mem::take(&mut stream.splitter);
         drop(stream);
 
-        match resume(
-            host,
-            request,
-            &mut retry_state,
-            stage_outputs,
-            last_event,
-            splitter,
-        )
-        .await
-        {
+        let resumed = tokio::select! {
+            resumed = resume(
+                host,
+                request,
+                &mut retry_state,
+                stage_outputs,
+                last_event,
+                splitter,
+            ) => resumed,
+            () = sender.closed() => return StreamEnd::CallerLeft,
+            () = tokio::time::sleep(request.remaining()) => None,
+        };
+
+        match resumed {
             Some(resumed) => stream = resumed,
             None => {
                 abort(sender, "the endpoint's stream ended early").await;
@@ -388,6 +455,8 @@
     last_event: Option<String>,
     mut splitter: Splitter,
 ) -> Option<Stream> {
+    splitter.discard_partial();
+
     if request.route.retry_mode != RetryMode::Resume || last_event.is_none() {
         return None;
     }
@@ -410,22 +479,23 @@
             inputs: &stage_outputs.handles,
             last_event: last_event.as_deref(),
         };
-        let outcome = attempt(host, request, &entry, options).await;
-        let failure = outcome.report();
-
-        if let AttemptOutcome::Answered(open) = outcome
-            && open.exchange.response.status().is_success()
-        {
-            report(guard, Report::Started);
-            splitter.discard_partial();
-            return Some(Stream {
-                events: Vec::new(),
-                open: *open,
-                splitter,
-            });
-        }
+        let outcome = match attempt(host, request, &entry, options).await {
+            AttemptOutcome::Answered(open) => {
+                match continue_response(host, request, *open, splitter.clone()).await {
+                    Ok(stream) => {
+                        report(guard, Report::Started);
+                        return Some(stream);
+                    }
+                    Err(outcome) => {
+                        log_failure(request, &entry, &outcome);
+                        outcome
+                    }
+                }
+            }
+            outcome => outcome,
+        };
 
-        report(guard, failure);
+        report_failure(&entry, guard, &outcome);
         retry_state.excluded.push(entry.endpoint.clone());
         stage_outputs.release();
     }
@@ -455,13 +525,7 @@
     stream: &mut Stream,
     sender: &Sender<io::Result<Bytes>>,
 ) -> CopyEnd {
-    let resumable = request.route.retry_mode == RetryMode::Resume
-        && request.attempts.get() < request.route.max_attempts;
-    let event_timeout = request
-        .route
-        .event_gap
-        .map_or(DEFAULT_EVENT_TIMEOUT, |gap| gap * GAP_FACTOR);
-
+    let event_timeout = event_timeout(request);
     let mut last_chunk = boot_clock::now();
 
     loop {
@@ -476,13 +540,12 @@
         }
 
         let next = stream.open.exchange.next();
-        let next = if resumable {
-            match timeout(event_timeout, next).await {
+        let next = match event_timeout {
+            Some(limit) => match timeout(limit, next).await {
                 Ok(next) => next,
                 Err(_) => return CopyEnd::Broken("no event within the time limit".into()),
-            }
-        } else {
-            next.await
+            },
+            None => next.await,
         };
 
         match next {
--- a/src/transport/http/client.rs
+++ b/src/transport/http/client.rs
@@ -15,6 +15,7 @@
         Request, Response,
         body::{Bytes, Incoming},
         client::conn::http1::{self, SendRequest},
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
     hyper_util::rt::TokioIo,
     std::{
@@ -192,6 +193,13 @@
 }
 
 impl Exchange {
+    /// Returns whether the end of the body can be told from the end of the
+    /// connection, by its length or its last chunk.
+    pub fn announces_its_end(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the complete body, of at most `limit` bytes.
     ///
     /// # Errors
