Close an endpoint once an answer says that it is leaving

Cause: only the entry in the store closed an endpoint. While the store is away or slow, and for an endpoint whose entry still says ready, requests went on to it.

Change: the adapter decodes the header; the first such answer, to a request, a call with pieces or one that frees outputs, closes the endpoint in the host's roster, for its incarnation, so that every choice skips it. The balancing host is told which engines are closed. An answer of another endpoint at the address (421) says nothing about the listed one. Weighed: telling all hosts over the membership; the rule binds the host that passed the answer on, and the store tells the others.

Test: request_, stream_ and piece_after_a_leaving_answer_goes_elsewhere failed with the header not decoded.

--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -183,6 +183,7 @@
     let answer = host
         .codec
         .read_answer(response.status(), response.headers());
+    host.note_departure(&load_guard.entry, &answer);
     let mismatched = answer
         .attempt
         .as_ref()
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -117,7 +117,7 @@
     if !parts.is_empty() {
         let prompt = Prompt {
             domain,
-            exclude: exclude.to_vec(),
+            exclude: closed_engines(host, request, exclude),
             id: JobId {
                 home: host.settings().host.clone(),
                 number: host.next_job(),
@@ -139,6 +139,16 @@
     choose_alone(host, request, exclude).ok_or(Reason::NoEndpoint)
 }
 
+/// Returns the engines that the balancing host must not choose: those in `exclude`
+/// and those of which only this host may know that they are leaving.
+fn closed_engines(host: &Host, request: &Request, exclude: &[id::Endpoint]) -> Vec<id::Endpoint> {
+    let view = host.view();
+    let engines = view.roster.service(&request.service).iter();
+    let leaving = engines.filter(|entry| entry.leaving);
+    let leaving = leaving.map(|entry| entry.endpoint.clone());
+    exclude.iter().cloned().chain(leaving).collect()
+}
+
 fn is_on_probation(host: &Host, prompt: &Prompt) -> bool {
     let quarantine = &host.view().quarantine;
     let now = boot_clock::now();
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -16,8 +16,10 @@
         state::{
             clock::Time,
             fleet::{member::Member, record::Record},
+            id,
             serving::{
                 catch_up::Purpose,
+                departures::Departures,
                 mirror::{Changes, RelayedChanges},
                 readers::Ranking,
                 view::View,
@@ -74,6 +76,11 @@
         revision: u64,
         wait: Duration,
     },
+    /// An endpoint's incarnation said in an answer that it is leaving.
+    EndpointLeaving {
+        endpoint: id::Endpoint,
+        incarnation: u64,
+    },
     /// This host stops accepting new work.
     Leave,
     Membership(membership::Event),
@@ -108,6 +115,7 @@
 
 /// The state of the control thread.
 pub struct Control {
+    departures: Departures,
     replicas: BTreeMap<Kind, Replica>,
     links: Links,
     membership: Membership,
@@ -141,6 +149,7 @@
         let view = published.borrow().as_ref().clone();
 
         Self {
+            departures: Departures::default(),
             replicas: Kind::ALL.map(|kind| (kind, Replica::default())).into(),
             links,
             membership,
@@ -227,6 +236,10 @@
                     revision,
                 },
             ),
+            Event::EndpointLeaving {
+                endpoint,
+                incarnation,
+            } => self.apply_departure(now, &endpoint, incarnation),
             Event::Leave => {
                 self.membership
                     .handle(now, membership::Event::Leave, &mut self.member_view);
--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -6,7 +6,11 @@
         protocol::adapter::Kind,
         state::{
             clock::Time,
-            serving::{mirror::Changes, roster::Roster},
+            id,
+            serving::{
+                mirror::Changes,
+                roster::{Entry, Roster},
+            },
         },
     },
     std::sync::Arc,
@@ -75,6 +79,18 @@
         }
     }
 
+    /// Closes an endpoint that said in an answer that it is leaving.
+    pub(super) fn apply_departure(&mut self, now: Time, endpoint: &id::Endpoint, incarnation: u64) {
+        if !self.departures.record(now, endpoint, incarnation) {
+            return;
+        }
+
+        let entries = self.view.roster.entries().map(|entry| Entry::clone(entry));
+        let entries = entries.collect();
+        let revision = self.replicas[&Kind::Endpoints].mirror.revision();
+        self.publish_roster(entries, "answer", revision.unwrap_or(0));
+    }
+
     fn apply_endpoints(&mut self, source: &'static str, changes: &Changes) {
         let replica = &self.replicas[&Kind::Endpoints];
         let mut entries = Vec::new();
@@ -90,10 +106,18 @@
             }
         }
 
+        self.view.roster_loaded = true;
+        self.publish_roster(entries, source, changes.revision);
+    }
+
+    fn publish_roster(&mut self, entries: Vec<Entry>, source: &'static str, revision: u64) {
+        let entries = entries.into_iter().map(|entry| Entry {
+            leaving: self.departures.includes(&entry),
+            ..entry
+        });
         let roster = Roster::new(entries);
-        log_changes(&self.view.roster, &roster, source, changes.revision);
+        log_changes(&self.view.roster, &roster, source, revision);
         self.view.roster = Arc::new(roster);
-        self.view.roster_loaded = true;
         self.publish();
     }
 }
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -5,12 +5,16 @@
         coordination::serving::{
             balancing::Balancing, control::Event, dispatch, pools::Pools, retries::Retries,
         },
-        protocol::{adapter::Codec, serving_file::File},
+        protocol::{
+            adapter::{Answer, Codec},
+            serving_file::File,
+        },
         state::{
             clock::Time,
             serving::{
                 config::{Config, Limits},
                 placement::Placement,
+                roster::Entry,
                 view::View,
             },
         },
@@ -89,6 +93,23 @@
         })
     }
 
+    /// Tells the control thread if an endpoint says in an answer that it is leaving.
+    pub fn note_departure(&self, entry: &Entry, answer: &Answer) {
+        let view = self.view();
+        let listed = view.roster.get(&entry.endpoint);
+        let open = |listed: &Arc<Entry>| listed.incarnation == entry.incarnation && !listed.leaving;
+
+        // After a refusal as replaced the answer is another endpoint's.
+        if answer.leaving && !answer.replaced && listed.is_none_or(open) {
+            let event = Event::EndpointLeaving {
+                endpoint: entry.endpoint.clone(),
+                incarnation: entry.incarnation,
+            };
+            // Fails only after the control thread has stopped.
+            drop(self.control.send(event));
+        }
+    }
+
     /// Returns the settings in force.
     pub fn settings(&self) -> Arc<File> {
         Arc::clone(&self.settings.borrow())
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -244,6 +244,7 @@
         let answer = host
             .codec
             .read_answer(response.status(), response.headers());
+        host.note_departure(entry, &answer);
         let success = response.status().is_success();
         let Ok(body) = exchange.collect(MAX_RESPONSE_BYTES).await else {
             return CallOutcome::Broken;
--- a/src/coordination/serving/releases.rs
+++ b/src/coordination/serving/releases.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         coordination::serving::{host::Host, pools},
-        state::{id, serving::piece::Output},
+        state::{
+            id,
+            serving::{piece::Output, roster::Entry},
+        },
         transport::{
             boot_clock,
             http::client::{Exchange, Failure},
@@ -83,7 +86,7 @@
     let call = async {
         let mut exchange = host.client.send(&entry, request).await?;
         exchange.collect(pools::MAX_RESPONSE_BYTES).await?;
-        reuse_connection(&host, exchange);
+        reuse_connection(&host, &entry, exchange);
         Ok::<(), Failure>(())
     };
 
@@ -106,10 +109,11 @@
     }
 }
 
-fn reuse_connection(host: &Host, exchange: Exchange) {
+fn reuse_connection(host: &Host, entry: &Entry, exchange: Exchange) {
     let response = &exchange.response;
     let answer = host
         .codec
         .read_answer(response.status(), response.headers());
+    host.note_departure(entry, &answer);
     exchange.finish(answer.keep_alive, answer.closing);
 }
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -85,12 +85,14 @@
 pub struct Answer {
     /// Id of the attempt that the answer states.
     pub attempt: Option<String>,
-    /// The endpoint is leaving, or at least closes the connection.
+    /// The endpoint closes the connection.
     pub closing: bool,
     /// An input of the request no longer exists; nothing has run.
     pub input_gone: bool,
     /// Time for which the endpoint keeps an idle connection.
     pub keep_alive: Option<Duration>,
+    /// The endpoint accepts no new work, and ends soon.
+    pub leaving: bool,
     /// The endpoint states that it has not run the request.
     pub not_run: bool,
     /// The answer carries the endpoint's proof.
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -8,6 +8,7 @@
 pub mod catch_up;
 pub mod chain;
 pub mod config;
+pub mod departures;
 pub mod directory;
 pub mod dispatchers;
 pub mod graph;
--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -130,6 +130,11 @@
     /// The same response is sent twice.
     Duplicated(Value),
     Stream(Streamer),
+    /// A reply with one more header.
+    Marked {
+        header: String,
+        reply: Box<Reply>,
+    },
     /// The connection is closed after `at` bytes of the body.
     Truncated {
         at: usize,
@@ -186,6 +191,10 @@
                 )?;
                 streamer(&mut Body(writer))
             }
+            Self::Marked { header, reply } => reply.write(&mut Marker {
+                header: Some(header),
+                writer,
+            }),
             Self::Truncated { at, value } => {
                 let body = value.to_string();
                 write_head(writer, 200, body.len())?;
@@ -202,6 +211,35 @@
     }
 }
 
+/// Inserts a header after the status line.
+struct Marker<'a> {
+    /// `None` once it has been inserted.
+    header: Option<String>,
+    writer: &'a mut dyn Write,
+}
+
+impl Write for Marker<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let line_end = bytes.iter().position(|byte| *byte == b'\n');
+
+        match (line_end, self.header.take()) {
+            (Some(end), Some(header)) => {
+                self.writer.write_all(&bytes[..=end])?;
+                write!(self.writer, "{header}\r\n")?;
+                Ok(end + 1)
+            }
+            (_, header) => {
+                self.header = header;
+                self.writer.write(bytes)
+            }
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.writer.flush()
+    }
+}
+
 /// A streamed body of JSON lines. Each line is sent immediately as one chunk.
 pub struct Body<'a>(&'a mut dyn Write);
 
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -74,6 +74,8 @@
     runs: Vec<Run>,
     /// Added to the execution time of every request.
     delay: Duration,
+    /// Whether all answers say that the worker is leaving.
+    leaving: bool,
     /// Id of a part of prompts. The worker ends before it answers a request with
     /// it.
     harmful_part: Option<String>,
@@ -139,6 +141,11 @@
         lock(&self.service.state).delay = delay;
     }
 
+    /// Says in all answers from now on that the worker is leaving.
+    pub fn leave(&self) {
+        lock(&self.service.state).leaving = true;
+    }
+
     /// Sets the part of prompts that ends the worker, after the head of the answer.
     pub fn set_harmful_part(&self, part: &str) {
         lock(&self.service.state).harmful_part = Some(part.into());
@@ -340,14 +347,28 @@
             return refuse("421 Misdirected Request");
         }
 
-        match request.path.as_str() {
+        let leaving = lock(&self.state).leaving;
+        let reply = match request.path.as_str() {
             "/stage-run" => self.stage(&request),
             "/stage-free" => self.free(&request),
             _ => self.run(&request),
+        };
+
+        if leaving {
+            mark(reply, "Server-Leaving: 1")
+        } else {
+            reply
         }
     }
 }
 
+fn mark(reply: Reply, header: &str) -> Reply {
+    Reply::Marked {
+        header: header.into(),
+        reply: Box::new(reply),
+    }
+}
+
 fn refuse(status: &str) -> Reply {
     let text = format!("HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     raw_reply(text.into_bytes(), Flow::Keep)
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod catch_up;
 mod chain;
 mod config;
+mod departures;
 mod directory;
 mod dispatchers;
 mod event_stream;
