Leave out an endpoint for the Retry-After of its refusal

Cause: every refusal paused an endpoint for 100 ms, and a paused one was used when no other was left, so an endpoint that asked for two seconds got requests again and again.

The host leaves the endpoint out of its choices until then: plain requests, engines (the balancing host is told), calls with pieces, and the second try after missing inputs. If all endpoints of a service are deferred, callers get 503 with the time at which the first one wants requests again; if that is after the deadline, at once. Weighed: telling the other hosts. The answer speaks of one host, and closing an endpoint to all would let one busy host empty a service.

--- a/src/coordination/serving/answer.rs
+++ b/src/coordination/serving/answer.rs
@@ -15,6 +15,8 @@
     Body,
     Configuration,
     Deadline,
+    /// No endpoint wants requests from this host before the time has passed.
+    Deferred(Duration),
     EndpointFailed,
     Full,
     Header,
@@ -36,6 +38,7 @@
             Self::Body => "body_unreadable",
             Self::Configuration => "no_configuration",
             Self::Deadline => "deadline",
+            Self::Deferred(_) => "endpoints_deferred",
             Self::EndpointFailed => "endpoint_failed",
             Self::Full => "endpoints_full",
             Self::Header => "header_unreadable",
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -6,7 +6,7 @@
         protocol::adapter::{Answer, Forward},
         state::{
             clock::Time,
-            serving::{balance::Report, roster::Entry},
+            serving::{balance::Report, health::Health, roster::Entry},
         },
         transport::{
             boot_clock,
@@ -163,19 +163,20 @@
     result: Result<Exchange, Failure>,
 ) -> AttemptOutcome {
     let now = boot_clock::now();
-    let mut placement = host.placement.borrow_mut();
-    let health = placement.health_mut(&load_guard.entry);
+    let record = |record: &dyn Fn(&mut Health)| {
+        record(host.placement.borrow_mut().health_mut(&load_guard.entry));
+    };
 
     let exchange = match result {
         Ok(exchange) => exchange,
         Err(Failure::Unreachable(message)) => {
-            health.record_unreachable(now);
-            drop(placement);
+            record(&|health| health.record_unreachable(now));
             return AttemptOutcome::Unreachable(message);
         }
         Err(Failure::Broken(message)) => {
-            health.record_failure(now);
-            drop(placement);
+            record(&|health| {
+                health.record_failure(now);
+            });
             return AttemptOutcome::Disconnected(message);
         }
     };
@@ -183,29 +184,27 @@
     let answer = host
         .codec
         .read_answer(response.status(), response.headers());
-    host.note_departure(&load_guard.entry, &answer);
+    host.note_answer(&load_guard.entry, &answer);
     let mismatched = answer
         .attempt
         .as_ref()
         .is_some_and(|attempt| Some(attempt) != request.call.attempt.as_ref());
 
     if mismatched {
-        drop(placement);
         return AttemptOutcome::Broken("the response belongs to another request".into());
     }
 
     let refused = if answer.replaced {
-        health.record_unreachable(now);
+        record(&|health| health.record_unreachable(now));
         Some(AttemptOutcome::Replaced)
     } else if answer.input_gone {
         Some(AttemptOutcome::InputGone)
     } else if answer.not_run {
-        health.record_full(now);
+        record(&|health| health.record_full(now));
         Some(AttemptOutcome::NotRun)
     } else {
         None
     };
-    drop(placement);
 
     // The connection of a refusal is closed: an endpoint that writes the refusal
     // once more would answer the next request with it, as not run.
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -5,7 +5,8 @@
 use {
     crate::{
         coordination::serving::{
-            answer::Reason, control::Event, dispatch, host::Host, request::Request,
+            answer::Reason, control::Event, dispatch, host::Host, relay::why_none_is_left,
+            request::Request,
         },
         state::{
             clock::Time,
@@ -136,17 +137,20 @@
         }
     }
 
-    choose_alone(host, request, exclude).ok_or(Reason::NoEndpoint)
+    choose_alone(host, request, exclude).ok_or_else(|| why_none_is_left(host, request, exclude))
 }
 
 /// Returns the engines that the balancing host must not choose: those in `exclude`
-/// and those of which only this host may know that they are leaving.
+/// and those of which only this host may know that they are leaving or want no
+/// requests from it.
 fn closed_engines(host: &Host, request: &Request, exclude: &[id::Endpoint]) -> Vec<id::Endpoint> {
     let view = host.view();
+    let now = boot_clock::now();
+    let placement = host.placement.borrow();
     let engines = view.roster.service(&request.service).iter();
-    let leaving = engines.filter(|entry| entry.leaving);
-    let leaving = leaving.map(|entry| entry.endpoint.clone());
-    exclude.iter().cloned().chain(leaving).collect()
+    let closed = engines.filter(|entry| entry.leaving || placement.is_deferred(now, entry));
+    let closed = closed.map(|entry| entry.endpoint.clone());
+    exclude.iter().cloned().chain(closed).collect()
 }
 
 fn is_on_probation(host: &Host, prompt: &Prompt) -> bool {
@@ -265,7 +269,10 @@
         prompt: Some((prompt.service, id)),
     };
     let view = host.view();
-    let entry = view.roster.get(&endpoint).filter(|entry| !entry.leaving);
+    let placement = host.placement.borrow();
+    let now = boot_clock::now();
+    let entry = view.roster.get(&endpoint);
+    let entry = entry.filter(|entry| !entry.leaving && !placement.is_deferred(now, entry));
 
     match entry {
         Some(entry) => Asked::Chosen(Chosen {
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -93,14 +93,40 @@
         })
     }
 
-    /// Tells the control thread if an endpoint says in an answer that it is leaving.
-    pub fn note_departure(&self, entry: &Entry, answer: &Answer) {
+    /// Takes note of what an endpoint says of itself in an answer: that it is leaving,
+    /// or wants no requests from this host for a time.
+    pub fn note_answer(&self, entry: &Entry, answer: &Answer) {
+        // The answer of a replaced endpoint is another one's.
+        if answer.replaced {
+            return;
+        }
+
+        if answer.leaving {
+            self.note_departure(entry);
+        }
+
+        if let Some(time) = answer.retry_after {
+            log::info!(
+                endpoint = entry.endpoint.as_str(),
+                service = entry.service.as_str(),
+                ms = time.as_millis();
+                "endpoint deferred: it wants no requests from this host"
+            );
+            let now = boot_clock::now();
+            self.placement
+                .borrow_mut()
+                .health_mut(entry)
+                .defer(now, time);
+            self.pools.defer(now, entry, time);
+        }
+    }
+
+    fn note_departure(&self, entry: &Entry) {
         let view = self.view();
         let listed = view.roster.get(&entry.endpoint);
         let open = |listed: &Arc<Entry>| listed.incarnation == entry.incarnation && !listed.leaving;
 
-        // After a refusal as replaced the answer is another endpoint's.
-        if answer.leaving && !answer.replaced && listed.is_none_or(open) {
+        if listed.is_none_or(open) {
             let event = Event::EndpointLeaving {
                 endpoint: entry.endpoint.clone(),
                 incarnation: entry.incarnation,
@@ -163,7 +189,9 @@
         let same = Arc::ptr_eq(&view.roster, &host.view.borrow().roster);
 
         if !same {
-            host.placement.borrow_mut().retain(view.roster.entries());
+            host.placement
+                .borrow_mut()
+                .retain(boot_clock::now(), view.roster.entries());
             host.client
                 .sweep(|endpoint| view.roster.get(endpoint).is_some());
         }
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -100,7 +100,7 @@
     let request = accept(host, &config, head, body, started)
         .map_err(|refusal| record_refusal(host, head, refusal))?;
     let request = Rc::new(request);
-    reject_quarantined(host, &request, &view.quarantine)?;
+    reject_hopeless(host, &request, &view.quarantine)?;
     host.retries
         .record_request(&host.settings().budget, &request.service);
     let time_limit = request.remaining().saturating_sub(CALLER_MARGIN);
@@ -112,25 +112,26 @@
     result
 }
 
-/// Refuses a request whose prompt has a part in quarantine before any stage
-/// runs for it.
-fn reject_quarantined(
-    host: &Host,
-    request: &Request,
-    quarantine: &Quarantine,
-) -> Result<(), Refusal> {
-    let Some((part, hash)) = request.quarantined_part(quarantine) else {
-        return Ok(());
+/// Refuses a request that cannot be served, before any stage runs for it: its prompt
+/// has a part in quarantine, or no endpoint wants requests before its deadline.
+fn reject_hopeless(host: &Host, request: &Request, quarantine: &Quarantine) -> Result<(), Refusal> {
+    let quarantined = request.quarantined_part(quarantine);
+    let reason = match quarantined {
+        Some(_) => Reason::Quarantined,
+        None => match relay::why_none_is_left(host, request, &[]) {
+            Reason::Deferred(time) if time >= request.remaining() => Reason::Deferred(time),
+            _ => return Ok(()),
+        },
     };
-    let refusal = relay::refusal_for(request, Reason::Quarantined);
-    let reason = refusal.reason().name();
-    host.tally.count("refused", &[("reason", reason)]);
+    let refusal = relay::refusal_for(request, reason);
+    host.tally.count("refused", &[("reason", reason.name())]);
     log::info!(
         request = request.id(),
         route = request.route.name.as_str(),
-        prompt_part = part,
-        part = format!("{hash:x}").as_str(),
-        reason = reason,
+        service = request.service.as_str(),
+        prompt_part = quarantined.map(|(part, _)| part),
+        part = quarantined.map(|(_, hash)| format!("{hash:x}")).as_deref(),
+        reason = reason.name(),
         status = refusal.status().as_u16();
         "refused"
     );
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Keeps an endpoint out of the calls of its pool for a time.
+    pub fn defer(&self, now: Time, entry: &Entry, time: Duration) {
+        if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&entry.service) {
+            dispatcher.defer(now, &entry.endpoint, time);
+        }
+    }
+
     /// Returns the number of jobs in progress.
     pub fn jobs(&self) -> usize {
         self.replies.borrow().len()
@@ -244,7 +251,7 @@
         let answer = host
             .codec
             .read_answer(response.status(), response.headers());
-        host.note_departure(entry, &answer);
+        host.note_answer(entry, &answer);
         let success = response.status().is_success();
         let Ok(body) = exchange.collect(MAX_RESPONSE_BYTES).await else {
             return CallOutcome::Broken;
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -56,13 +56,17 @@
 }
 
 impl RetryState {
-    /// Returns the endpoint for the next attempt, if one is left.
+    /// Returns the endpoint for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if no endpoint is left.
     pub fn choose(
         &self,
         host: &Host,
         request: &Request,
         domain: Option<&id::Domain>,
-    ) -> Option<Arc<Entry>> {
+    ) -> Result<Arc<Entry>, Reason> {
         let view = host.view();
         let criteria = Criteria {
             domain,
@@ -74,6 +78,7 @@
         placement
             .choose(boot_clock::now(), open, criteria)
             .map(Arc::clone)
+            .ok_or_else(|| why_none_is_left(host, request, &self.excluded))
     }
 
     /// Returns the engine for the next attempt of a stream whose inputs are in
@@ -104,7 +109,9 @@
         let view = host.view();
         let entry = self.awaiting_inputs.as_ref()?;
         let listed = view.roster.get(&entry.endpoint)?;
-        (listed.incarnation == entry.incarnation && !listed.leaving).then(|| Arc::clone(listed))
+        let deferred = (host.placement.borrow()).is_deferred(boot_clock::now(), listed);
+        let open = listed.incarnation == entry.incarnation && !listed.leaving && !deferred;
+        open.then(|| Arc::clone(listed))
     }
 
     /// Records an attempt without a usable response and decides what follows.
@@ -157,6 +164,15 @@
     }
 }
 
+/// Returns why no endpoint is left for a request, apart from those in `exclude`.
+pub fn why_none_is_left(host: &Host, request: &Request, exclude: &[id::Endpoint]) -> Reason {
+    let view = host.view();
+    let open = view.roster.open(&request.service);
+    let open = open.filter(|entry| !exclude.contains(&entry.endpoint));
+    let deferral = host.placement.borrow().deferral(boot_clock::now(), open);
+    deferral.map_or(Reason::NoEndpoint, Reason::Deferred)
+}
+
 /// Withdraws a retry from the budget if the request's attempts, its time and the
 /// budget allow one. Returns whether it did.
 pub fn acquire_retry(host: &Host, request: &Request) -> bool {
@@ -182,6 +198,7 @@
         Refusal::NotRun {
             reason,
             retry_after: match reason {
+                Reason::Deferred(time) => time.max(FULL_RETRY_AFTER),
                 Reason::Quarantined => QUARANTINED_RETRY_AFTER,
                 _ => FULL_RETRY_AFTER,
             },
@@ -199,9 +216,9 @@
     let settings = host.settings();
 
     loop {
-        let Some(entry) = retry_state.choose(host, request, Some(&settings.domain)) else {
-            return Err(refusal_for(request, Reason::NoEndpoint));
-        };
+        let entry = retry_state
+            .choose(host, request, Some(&settings.domain))
+            .map_err(|reason| refusal_for(request, reason))?;
         let outcome = attempt_with_timeout(host, request, &entry).await;
         let outcome = match outcome {
             Ok(response) => return Ok(response),
--- a/src/coordination/serving/releases.rs
+++ b/src/coordination/serving/releases.rs
@@ -114,6 +114,6 @@
     let answer = host
         .codec
         .read_answer(response.status(), response.headers());
-    host.note_departure(entry, &answer);
+    host.note_answer(entry, &answer);
     exchange.finish(answer.keep_alive, answer.closing);
 }
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -99,6 +99,8 @@
     pub has_proof: bool,
     /// Another endpoint now uses the address; nothing has run.
     pub replaced: bool,
+    /// Time for which the endpoint wants no requests from this host.
+    pub retry_after: Option<Duration>,
 }
 
 /// A call to an endpoint: path and body.
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -249,6 +249,13 @@
         }
     }
 
+    /// Records that an endpoint wants no calls from this host for a time.
+    pub fn defer(&mut self, now: Time, endpoint: &id::Endpoint, time: Duration) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.health.defer(now, time);
+        }
+    }
+
     /// Records that an endpoint has freed outputs, which makes storage
     /// available.
     pub fn mark_freed(
--- a/src/state/serving/health.rs
+++ b/src/state/serving/health.rs
@@ -25,9 +25,14 @@
 /// one call.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time for which an endpoint can turn this host away with one refusal.
+const MAX_DEFERRAL: Duration = Duration::from_secs(600);
+
 /// The health of one endpoint, as observed by its calls.
 #[derive(Clone, Debug)]
 pub struct Health {
+    /// Until when the endpoint wants no requests from this host.
+    deferred_until: Time,
     /// Number of doublings of the next pause.
     doublings: u32,
     /// Number of consecutive failures.
@@ -40,6 +45,7 @@
 impl Default for Health {
     fn default() -> Self {
         Self {
+            deferred_until: Time::ZERO,
             doublings: 0,
             failures: 0,
             paused_until: Time::ZERO,
@@ -49,14 +55,24 @@
 }
 
 impl Health {
-    /// Returns whether the endpoint is paused.
+    /// Returns whether the endpoint is paused, or deferred.
     pub fn is_paused(&self, now: Time) -> bool {
-        now < self.paused_until
+        now < self.paused_until || self.is_deferred(now)
+    }
+
+    /// Returns whether the endpoint wants no requests from this host now.
+    pub fn is_deferred(&self, now: Time) -> bool {
+        now < self.deferred_until
+    }
+
+    /// Returns until when the endpoint wants no requests from this host.
+    pub fn deferred_until(&self) -> Time {
+        self.deferred_until
     }
 
     /// Returns the time at which the endpoint may be used again.
     pub fn paused_until(&self) -> Time {
-        self.paused_until
+        self.paused_until.max(self.deferred_until)
     }
 
     /// Returns whether calls take much longer than expected.
@@ -101,6 +117,13 @@
         self.paused_until = self.paused_until.max(now + FULL_PAUSE);
     }
 
+    /// Records that the endpoint wants no requests from this host for a time. A
+    /// shorter time does not end a longer one.
+    pub fn defer(&mut self, now: Time, time: Duration) {
+        let until = now + time.min(MAX_DEFERRAL);
+        self.deferred_until = self.deferred_until.max(until);
+    }
+
     /// Records that a call is still running after `ratio` times the expected
     /// duration. A ratio below the current one is ignored, since it is only
     /// a lower bound.
--- a/src/state/serving/placement.rs
+++ b/src/state/serving/placement.rs
@@ -11,7 +11,7 @@
         id, rendezvous,
         serving::{health::Health, roster::Entry},
     },
-    std::{cmp::Reverse, collections::HashMap, sync::Arc},
+    std::{cmp::Reverse, collections::HashMap, sync::Arc, time::Duration},
 };
 
 /// Number of this host's requests at one endpoint, relative to the mean, up to
@@ -53,15 +53,16 @@
 }
 
 impl Placement {
-    /// Removes the endpoints that are no longer listed and have no request of
-    /// this host, and resets the health of those with a new incarnation.
-    pub fn retain<'a>(&mut self, entries: impl Iterator<Item = &'a Arc<Entry>>) {
+    /// Removes the endpoints that are no longer listed, have no request of this host
+    /// and may be sent one if they are listed again, and resets the health of those with a new incarnation.
+    pub fn retain<'a>(&mut self, now: Time, entries: impl Iterator<Item = &'a Arc<Entry>>) {
         let listed = entries
             .map(|entry| (&entry.endpoint, entry.incarnation))
             .collect::<HashMap<&id::Endpoint, u64>>();
 
-        self.endpoints
-            .retain(|endpoint, state| state.running > 0 || listed.contains_key(endpoint));
+        self.endpoints.retain(|endpoint, state| {
+            state.running > 0 || listed.contains_key(endpoint) || state.health.is_deferred(now)
+        });
 
         for (endpoint, state) in &mut self.endpoints {
             let incarnation = listed.get(endpoint).copied().unwrap_or(state.incarnation);
@@ -73,8 +74,8 @@
         }
     }
 
-    /// Returns the endpoint for a request, or `None` if all of them are leaving
-    /// or excluded. Paused endpoints are used only when no other is left.
+    /// Returns the endpoint for a request, or `None` if all of them are leaving,
+    /// deferred or excluded. Paused endpoints are used only when no other is left.
     pub fn choose<'a>(
         &self,
         now: Time,
@@ -82,7 +83,10 @@
         criteria: Criteria,
     ) -> Option<&'a Arc<Entry>> {
         let open = entries
-            .filter(|entry| !entry.leaving && !criteria.exclude.contains(&entry.endpoint))
+            .filter(|entry| {
+                let excluded = criteria.exclude.contains(&entry.endpoint);
+                !entry.leaving && !excluded && !self.is_deferred(now, entry)
+            })
             .collect::<Vec<&Arc<Entry>>>();
         let healthy = (open.iter().copied())
             .filter(|entry| {
@@ -110,6 +114,35 @@
         }
     }
 
+    /// Returns whether an endpoint wants no requests from this host now.
+    pub fn is_deferred(&self, now: Time, entry: &Entry) -> bool {
+        self.health(entry)
+            .is_some_and(|health| health.is_deferred(now))
+    }
+
+    /// Returns the time until the first of the endpoints wants requests again, if
+    /// all of them are deferred.
+    pub fn deferral<'a>(
+        &self,
+        now: Time,
+        entries: impl Iterator<Item = &'a Arc<Entry>>,
+    ) -> Option<Duration> {
+        let mut first: Option<Time> = None;
+
+        for entry in entries {
+            let health = self.health(entry)?;
+
+            if !health.is_deferred(now) {
+                return None;
+            }
+
+            let until = health.deferred_until();
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+
+        first.map(|until| until.since(now))
+    }
+
     /// Records the start of a request at an endpoint.
     pub fn begin(&mut self, entry: &Entry) {
         let state = self.state_mut(entry);
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -42,6 +42,8 @@
     InputGone,
     /// Sends a response that belongs to another request.
     Other,
+    /// Refuses the request and wants no others for a number of seconds.
+    RetryAfter(&'static str),
     /// Refuses the request, and writes the refusal again as the answer to the next
     /// request on the connection.
     RefuseTwice,
@@ -217,6 +219,11 @@
         let items = body["items"].as_array().cloned().unwrap_or_default();
         let delay = {
             let mut state = lock(&self.state);
+
+            if let Some(Fault::RetryAfter(seconds)) = state.faults.pop_front() {
+                return refuse_for(seconds);
+            }
+
             let at = Instant::now();
             let pieces = items.iter().cloned();
             state.pieces.extend(pieces.map(|item| Piece { at, item }));
@@ -260,6 +267,10 @@
                 return refuse_twice();
             }
 
+            if let Some(Fault::RetryAfter(seconds)) = fault {
+                return refuse_for(seconds);
+            }
+
             state.runs.push(Run {
                 at: Instant::now(),
                 headers: request.headers.clone(),
@@ -374,6 +385,13 @@
     raw_reply(text.into_bytes(), Flow::Keep)
 }
 
+fn refuse_for(seconds: &str) -> Reply {
+    mark(
+        refuse("503 Service Unavailable"),
+        &format!("Retry-After: {seconds}"),
+    )
+}
+
 /// Writes a refusal, waits until the client has used the connection again, and
 /// writes the refusal once more.
 fn refuse_twice() -> Reply {
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -9,7 +9,7 @@
             roster::Entry,
         },
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -107,7 +107,7 @@
         incarnation: 2,
         ..entries[0].as_ref().clone()
     });
-    placement.retain(entries.iter());
+    placement.retain(NOW, entries.iter());
     assert!(!placement.health_mut(&entries[0]).is_paused(NOW));
 }
 
@@ -128,3 +128,43 @@
     let chosen = placement.choose(NOW, entries.iter(), criteria).unwrap();
     assert_eq!(chosen, &entries[2]);
 }
+
+/// Guards against requests to an endpoint that wants none from this host, for lack of
+/// a better one.
+#[test]
+fn deferred_endpoint_is_never_chosen() {
+    let entries = entries(2);
+    let mut placement = Placement::default();
+    placement
+        .health_mut(&entries[0])
+        .defer(NOW, Duration::from_secs(2));
+    placement.health_mut(&entries[1]).record_unreachable(NOW);
+    let chosen = placement.choose(NOW, entries.iter(), session(1));
+    assert_eq!(chosen, Some(&entries[1]));
+    assert_eq!(placement.deferral(NOW, entries.iter()), None);
+    placement
+        .health_mut(&entries[1])
+        .defer(NOW, Duration::from_secs(1));
+    assert_eq!(placement.choose(NOW, entries.iter(), session(1)), None);
+    let first = Some(Duration::from_secs(1));
+    assert_eq!(placement.deferral(NOW, entries.iter()), first);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(
+        placement.choose(later, entries.iter(), session(1)),
+        Some(&entries[1])
+    );
+}
+
+/// Guards against a deferral that is forgotten because the endpoint's entry lapsed
+/// for a moment, or because a later refusal names a shorter time.
+#[test]
+fn deferral_outlasts_the_entry_and_a_shorter_one() {
+    let entries = entries(1);
+    let mut placement = Placement::default();
+    let health = placement.health_mut(&entries[0]);
+    health.defer(NOW, Duration::from_secs(2));
+    health.defer(NOW, Duration::from_secs(1));
+    placement.retain(NOW, [].iter());
+    let later = NOW + Duration::from_millis(1900);
+    assert_eq!(placement.choose(later, entries.iter(), session(1)), None);
+}
