Split the start and the resumption of streams from their forwarding

The start of an answer, its resumption and the reports about prompts have files of their own; a broken stream whose engine this host chose alone asks the engine for no connection, since nobody is told the result.

--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -1,21 +1,28 @@
-//! Forwards a stream of events, and resumes an interrupted one at another
-//! endpoint if its route allows that.
+//! Serves requests whose response is a stream of events: starts, forwards and
+//! resumes it.
+
+mod resume;
+mod start;
 
 use {
+    self::{
+        resume::resume,
+        start::{ResponseStart, Stream, event_timeout, start_response},
+    },
     crate::{
         coordination::serving::{
-            answer::{Reason, Refusal},
+            answer::Refusal,
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{Chosen, PlacementGuard},
             host::Host,
-            relay::{Next, RetryState, acquire_retry, refusal_for},
+            relay::{Next, RetryState, refusal_for},
             request::Request,
             stages::StageOutputs,
         },
-        protocol::{adapter::Answer, event_stream::Splitter},
+        protocol::adapter::Answer,
         state::{
             id,
-            serving::{balance::Report, config::RetryMode, roster::Entry},
+            serving::{balance::Report, roster::Entry},
         },
         transport::{
             boot_clock,
@@ -42,21 +49,6 @@
 /// slowly.
 const EVENT_QUEUE_LENGTH: usize = 64;
 
-/// Multiple of the route's event gap after which a resumable stream without an
-/// event continues at another endpoint. The event gap is the longest pause
-/// between two events of an answer that is still on time.
-const GAP_FACTOR: u32 = 4;
-
-/// Pause after which a stream is resumed if its route has no event gap.
-const DEFAULT_EVENT_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// A stream whose first events have arrived.
-struct Stream {
-    events: Vec<u8>,
-    open: OpenResponse,
-    splitter: Splitter,
-}
-
 /// Serves a request whose response is a stream. `stage_outputs` are released
 /// once an endpoint has read them: a stream lasts many times as long, and large
 /// outputs that are kept for its resumption would fill the storage of the
@@ -136,167 +128,22 @@
 /// Sends the report about a prompt without an answer. After a broken connection it
 /// says whether the engine has ended, once that is known.
 fn report_failure(entry: &Entry, guard: Option<PlacementGuard>, outcome: &AttemptOutcome) {
+    let Some(guard) = guard else {
+        return;
+    };
+
     if !matches!(outcome, AttemptOutcome::Disconnected(_)) {
-        return report(guard, outcome.report());
+        return guard.report(outcome.report());
     }
 
     let address = entry.address;
 
     spawn_local(async move {
         let ended = client::refuses_connections(address).await;
-        report(guard, if ended { Report::Lost } else { Report::Failed });
+        guard.report(if ended { Report::Lost } else { Report::Failed });
     });
 }
 
-/// The start of an endpoint's response.
-enum ResponseStart {
-    Stream(Box<Stream>),
-    /// An error response of the endpoint, which is forwarded unchanged.
-    Whole(Response<Body>),
-}
-
-/// Waits for the first events, so that a request whose endpoint fails before
-/// them can go to another endpoint.
-async fn start_response(
-    host: &Rc<Host>,
-    request: &Request,
-    mut open: OpenResponse,
-) -> Result<ResponseStart, AttemptOutcome> {
-    /// Maximum length of an error response that is forwarded, in bytes.
-    const MAX_FAILURE_BYTES: usize = 1024 * 1024;
-
-    let status = open.exchange.response.status();
-
-    if !status.is_success() {
-        let repeat = request.route.retry_mode != RetryMode::Never && status.is_server_error();
-        let headers = host.codec.reply_headers(open.exchange.response.headers());
-        let body = open.exchange.collect(MAX_FAILURE_BYTES).await;
-        record_failure(host, &open);
-
-        let Ok(body) = body else {
-            return Err(AttemptOutcome::Broken(
-                "the response body ended early".into(),
-            ));
-        };
-
-        if repeat && request.attempts.get() < request.route.max_attempts {
-            return Err(AttemptOutcome::Broken(format!(
-                "the endpoint responded with {status}"
-            )));
-        }
-
-        let mut response = Response::new(Body::buffered(body));
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        return Ok(ResponseStart::Whole(response));
-    }
-
-    let stream = read_first_events(host, open, Splitter::default()).await?;
-
-    if stream.events.is_empty() {
-        record_failure(host, &stream.open);
-        return Err(AttemptOutcome::Disconnected(
-            "the stream ended before its first event".into(),
-        ));
-    }
-
-    Ok(ResponseStart::Stream(Box::new(stream)))
-}
-
-/// Waits for the first events with which an endpoint continues a stream. Nothing
-/// of an error response belongs to the stream.
-async fn continue_response(
-    host: &Host,
-    request: &Request,
-    open: OpenResponse,
-    splitter: Splitter,
-) -> Result<Stream, AttemptOutcome> {
-    let status = open.exchange.response.status();
-
-    if !status.is_success() {
-        record_failure(host, &open);
-        return Err(AttemptOutcome::Broken(format!(
-            "the endpoint responded with {status}"
-        )));
-    }
-
-    let Some(limit) = event_timeout(request) else {
-        return read_first_events(host, open, splitter).await;
-    };
-
-    timeout(limit, read_first_events(host, open, splitter))
-        .await
-        .unwrap_or_else(|_| {
-            Err(AttemptOutcome::Broken(
-                "no event within the time limit".into(),
-            ))
-        })
-}
-
-/// Reads a stream up to its first whole events. Returns none only if the body has
-/// ended and its length or last chunk shows that it is complete.
-async fn read_first_events(
-    host: &Host,
-    mut open: OpenResponse,
-    mut splitter: Splitter,
-) -> Result<Stream, AttemptOutcome> {
-    if !open.answer.has_proof {
-        record_failure(host, &open);
-        return Err(AttemptOutcome::Broken(
-            "the response lacks the endpoint's proof".into(),
-        ));
-    }
-
-    loop {
-        let bytes = match open.exchange.next().await {
-            Ok(Some(bytes)) => bytes,
-            Ok(None) if open.exchange.announces_its_end() && !splitter.is_partial() => {
-                return Ok(Stream {
-                    events: Vec::new(),
-                    open,
-                    splitter,
-                });
-            }
-            Ok(None) => {
-                record_failure(host, &open);
-                return Err(AttemptOutcome::Disconnected(
-                    "the stream ended before its first event".into(),
-                ));
-            }
-            Err(Failure::Broken(message) | Failure::Unreachable(message)) => {
-                record_failure(host, &open);
-                return Err(AttemptOutcome::Disconnected(message));
-            }
-        };
-
-        match splitter.push(&bytes) {
-            Some(events) if events.is_empty() => {}
-            Some(events) => {
-                return Ok(Stream {
-                    events,
-                    open,
-                    splitter,
-                });
-            }
-            None => {
-                record_failure(host, &open);
-                return Err(AttemptOutcome::Broken(
-                    "an event of the stream exceeds the length limit".into(),
-                ));
-            }
-        }
-    }
-}
-
-/// Returns the time within which a stream's next event has to arrive, if the
-/// stream can go on at another endpoint otherwise.
-fn event_timeout(request: &Request) -> Option<Duration> {
-    let resumable = request.route.retry_mode == RetryMode::Resume
-        && request.attempts.get() < request.route.max_attempts;
-    let gap = request.route.event_gap;
-    resumable.then(|| gap.map_or(DEFAULT_EVENT_TIMEOUT, |gap| gap * GAP_FACTOR))
-}
-
 fn record_failure(host: &Host, open: &OpenResponse) {
     let mut placement = host.placement.borrow_mut();
     placement
@@ -445,72 +292,6 @@
     }
 }
 
-/// Continues a stream after its last event at another endpoint, if the route
-/// and the retry budget allow that.
-async fn resume(
-    host: &Rc<Host>,
-    request: &Request,
-    retry_state: &mut RetryState,
-    stage_outputs: &mut StageOutputs,
-    last_event: Option<String>,
-    mut splitter: Splitter,
-) -> Option<Stream> {
-    splitter.discard_partial();
-
-    if request.route.retry_mode != RetryMode::Resume || last_event.is_none() {
-        return None;
-    }
-
-    while acquire_retry(host, request) {
-        if let Err(refusal) = stage_outputs.renew(host, request).await {
-            log_not_resumed(request, refusal.reason());
-            return None;
-        }
-
-        let domain = stage_outputs.domain();
-        let Chosen { entry, guard } = match retry_state.choose_engine(host, request, domain).await {
-            Ok(chosen) => chosen,
-            Err(reason) => {
-                log_not_resumed(request, reason);
-                return None;
-            }
-        };
-        let options = AttemptOptions {
-            inputs: &stage_outputs.handles,
-            last_event: last_event.as_deref(),
-        };
-        let outcome = match attempt(host, request, &entry, options).await {
-            AttemptOutcome::Answered(open) => {
-                match continue_response(host, request, *open, splitter.clone()).await {
-                    Ok(stream) => {
-                        report(guard, Report::Started);
-                        return Some(stream);
-                    }
-                    Err(outcome) => {
-                        log_failure(request, &entry, &outcome);
-                        outcome
-                    }
-                }
-            }
-            outcome => outcome,
-        };
-
-        report_failure(&entry, guard, &outcome);
-        retry_state.excluded.push(entry.endpoint.clone());
-        stage_outputs.release();
-    }
-
-    None
-}
-
-fn log_not_resumed(request: &Request, reason: Reason) {
-    log::info!(
-        request = request.id(),
-        reason = reason.name();
-        "stream not resumed"
-    );
-}
-
 /// How copying an endpoint's events ended.
 enum CopyEnd {
     Broken(String),
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -6,6 +6,10 @@
 //! each engine still has to read and remembers the prefixes that it has read
 //! before. A prompt goes to the engine that is expected to reach its end first.
 
+mod report;
+
+pub use report::{Finding, Report};
+
 use {
     crate::state::{
         clock::Time,
@@ -91,58 +95,6 @@
     Quarantined,
 }
 
-/// How a prompt fared at its engine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Report {
-    /// The request ended before the engine answered, for a reason that says
-    /// nothing about the engine.
-    Abandoned,
-    /// The engine broke off or its response was unusable.
-    Failed,
-    /// The engine refused because it is full or leaving.
-    Full,
-    /// The engine ended before it answered.
-    Lost,
-    /// The engine sent its first event.
-    Started,
-    /// The engine could not be reached.
-    Unreachable,
-}
-
-impl Report {
-    /// All reports, for decoding.
-    pub const ALL: [Self; 6] = [
-        Self::Abandoned,
-        Self::Failed,
-        Self::Full,
-        Self::Lost,
-        Self::Started,
-        Self::Unreachable,
-    ];
-
-    /// Returns the name of the report in messages and logs.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Abandoned => "abandoned",
-            Self::Failed => "failed",
-            Self::Full => "full",
-            Self::Lost => "lost",
-            Self::Started => "started",
-            Self::Unreachable => "unreachable",
-        }
-    }
-}
-
-/// What the report about a prompt shows about its parts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Finding {
-    Nothing,
-    /// The part ends engines and has to be quarantined.
-    Harmful(u64),
-    /// A request with the part was answered after its quarantine.
-    Harmless(u64),
-}
-
 /// A prompt that was placed and has no first event yet.
 #[derive(Clone, Debug)]
 struct Pending {
