--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -48,7 +48,7 @@
 }
 
 struct Quarantined {
-  # A part of a prompt that ends the engines that answer it.
+  # A part of a prompt that crashes the engines that answer it.
 
   part @0 :UInt64;
   remainingMs @1 :UInt32;
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -139,7 +139,7 @@
         log::warn!(
             part = format!("{part:x}").as_str(),
             ms = duration.as_millis();
-            "prompt part quarantined: engines end before they answer requests with it"
+            "prompt part quarantined: it crashes engines"
         );
     }
 
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -92,7 +92,7 @@
     },
     /// A part of prompts has to be kept away from the engines.
     Quarantine(u64),
-    /// A part of prompts no longer ends engines.
+    /// A part of prompts no longer crashes engines.
     Release(u64),
     /// The hosts that are registered in the store were listed.
     Registered(Vec<Record>),
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -126,7 +126,7 @@
 }
 
 /// Sends the report about a prompt without an answer. After a broken connection it
-/// says whether the engine has ended, once that is known.
+/// says whether the engine has crashed, once that is known.
 fn report_failure(entry: &Entry, guard: Option<PlacementGuard>, outcome: &AttemptOutcome) {
     let Some(guard) = guard else {
         return;
@@ -139,8 +139,12 @@
     let address = entry.address;
 
     spawn_local(async move {
-        let ended = client::refuses_connections(address).await;
-        guard.report(if ended { Report::Lost } else { Report::Failed });
+        let crashed = client::refuses_connections(address).await;
+        guard.report(if crashed {
+            Report::Lost
+        } else {
+            Report::Failed
+        });
     });
 }
 
--- a/src/state/serving/balance/report.rs
+++ b/src/state/serving/balance/report.rs
@@ -10,7 +10,7 @@
     Failed,
     /// The engine refused because it is full or leaving.
     Full,
-    /// The engine ended before it answered.
+    /// The engine crashed before it answered.
     Lost,
     /// The engine sent its first event.
     Started,
@@ -46,7 +46,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Finding {
     Nothing,
-    /// The part ends engines and has to be quarantined.
+    /// The part crashes engines and has to be quarantined.
     Harmful(u64),
     /// A request with the part was answered after its quarantine.
     Harmless(u64),
--- a/src/state/serving/quarantine.rs
+++ b/src/state/serving/quarantine.rs
@@ -1,7 +1,7 @@
-//! Keeps requests away from the engines whose prompts have a part that ends
+//! Keeps requests away from the engines whose prompts have a part that crashes
 //! every engine that answers them.
 //!
-//! An engine that ends takes all of its requests with it, so a single loss does
+//! An engine that crashes takes all of its requests with it, so a single crash does
 //! not tell which of them caused it. A harmful part shows in a series: one engine
 //! after the other is lost while no request with this part is answered. Parts
 //! that harmful requests share with others are cleared by the answers to these.
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -30,8 +30,8 @@
     /// Closes the connection of a stream after a head that announces neither a
     /// length nor chunks.
     Empty,
-    /// Ends the worker after the head of a stream.
-    End,
+    /// Ends the worker's process after the head of a stream.
+    Crash,
     /// Sends the response twice.
     Extra,
     /// Refuses the request because the worker is full.
@@ -78,7 +78,7 @@
     delay: Duration,
     /// Whether all answers say that the worker is leaving.
     leaving: bool,
-    /// Id of a part of prompts. The worker ends before it answers a request with
+    /// Id of a part of prompts. The worker crashes before it answers a request with
     /// it.
     harmful_part: Option<String>,
 }
@@ -90,7 +90,7 @@
     id: Mutex<String>,
     /// Execution time of a request, and time between two events of a stream.
     pause: Duration,
-    /// `None` once the worker has ended.
+    /// `None` once the worker has crashed.
     server: Arc<Mutex<Option<Server>>>,
     state: Mutex<State>,
 }
@@ -148,13 +148,13 @@
         lock(&self.service.state).leaving = true;
     }
 
-    /// Sets the part of prompts that ends the worker, after the head of the answer.
+    /// Sets the part of prompts that crashes the worker, after the head of the answer.
     pub fn set_harmful_part(&self, part: &str) {
         lock(&self.service.state).harmful_part = Some(part.into());
     }
 
-    /// Returns whether a request has ended the worker.
-    pub fn has_ended(&self) -> bool {
+    /// Returns whether a request has crashed the worker.
+    pub fn has_crashed(&self) -> bool {
         lock(&self.service.server).is_none()
     }
 
@@ -198,13 +198,13 @@
     fn take_fault(&mut self, request: &Request) -> Option<Fault> {
         let prompt = request.headers.get("x-prompt-prefix");
         let harmful = self.harmful_part.as_ref();
-        let ends = prompt.zip(harmful).is_some_and(|(prompt, harmful)| {
+        let crashes = prompt.zip(harmful).is_some_and(|(prompt, harmful)| {
             let mut parts = prompt.split(',').filter_map(|part| part.split_once(':'));
             parts.any(|(id, _)| id.trim() == harmful)
         });
 
-        if ends {
-            Some(Fault::End)
+        if crashes {
+            Some(Fault::Crash)
         } else {
             self.faults.pop_front()
         }
@@ -325,7 +325,7 @@
         Reply::Written(Box::new(move |writer| {
             writer.write_all(head.as_bytes())?;
 
-            if matches!(fault, Some(Fault::End)) {
+            if matches!(fault, Some(Fault::Crash)) {
                 writer.flush()?;
                 drop(lock(&server).take());
                 return Ok(Flow::Close);
--- a/tests/serving/quarantine.rs
+++ b/tests/serving/quarantine.rs
@@ -1,4 +1,4 @@
-//! A part of prompts that ends every engine must be kept away from the engines
+//! A part of prompts that crashes every engine must be kept away from the engines
 //! after a few losses, and no other part.
 
 use {
@@ -11,7 +11,7 @@
     std::time::Duration,
 };
 
-/// The part that ends engines, a part that it shares with sound requests, and a
+/// The part that crashes engines, a part that it shares with sound requests, and a
 /// session's part.
 const HARMFUL: u64 = 1;
 const COMMON: u64 = 2;
@@ -62,7 +62,7 @@
 
 quarantined! {
     /// Guards against requests of one kind that end one engine after the other.
-    part_that_ends_every_engine: [
+    part_that_crashes_every_engine: [
         Loss(0, 1, &[COMMON, HARMFUL, 10]), Answer(&[COMMON, SESSION]),
         Loss(700, 2, &[COMMON, HARMFUL, 11]), Answer(&[COMMON, SESSION]),
         Loss(1400, 3, &[COMMON, HARMFUL, 12]),
@@ -126,7 +126,7 @@
     assert!(shared::<u64>(&[]).is_empty());
 }
 
-/// Guards against a part that stays refused for good, and against one that ends
+/// Guards against a part that stays refused for good, and against one that crashes
 /// three more engines each time its quarantine has passed.
 #[test]
 fn quarantine_ends_and_one_more_loss_renews_it_for_longer() {
@@ -143,7 +143,7 @@
     assert!(quarantine.add(end, HARMFUL) > first);
 }
 
-/// Guards against a part that stays on probation although it no longer ends
+/// Guards against a part that stays on probation although it no longer crashes
 /// engines.
 #[test]
 fn released_part_is_quarantined_only_after_a_new_series() {
