Ask the next balancing host while the first one is silent

What callers saw: while the balancing host was frozen or cut off, requests of one kind went on to crash engine after engine, until the membership named another balancing host.

Cause: a host that got no answer chose alone for 600 ms, for all services, and reported nothing about the engines that its requests crashed, so no host had the whole series. Class: evidence kept by one host without a successor.

Ruled out: counting losses at each host as well, which takes three engines for every host; a shorter pause, since each wait costs the caller 80 ms.

Change: a prompt asks the first two hosts in the dispatch order, and each silent host is left out by itself. The second one knows only the prompts that it placed, and the series that these show.

Test: series_ends_while_the_first_host_is_frozen failed before in 2 of 2 runs (6 engines crashed, at most 5 allowed) and passes in 2 of 2 now; the second and the third host do not balance these engines and passed before, too.

--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -22,12 +22,7 @@
         transport::boot_clock,
     },
     std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        time::Duration,
+        cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
     },
 };
 
@@ -35,7 +30,10 @@
 /// loses more than a balanced engine gains.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Time for which the balancing host is not asked after it has not answered.
+/// Number of hosts that are asked for one prompt.
+const MAX_BALANCERS: usize = 2;
+
+/// Time for which a balancing host is not asked after it has not answered.
 const SILENCE_PAUSE: Duration = Duration::from_millis(600);
 
 /// Timeout of a report, which needs no answer.
@@ -45,11 +43,24 @@
 #[derive(Default)]
 pub struct Balancing {
     balancers: RefCell<HashMap<id::Pool, Balancer>>,
-    /// Until when no other host is asked.
-    silent_until: Cell<Time>,
+    /// Until when hosts that have not answered are not asked.
+    silent_until: RefCell<HashMap<SocketAddr, Time>>,
 }
 
 impl Balancing {
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let silent = self.silent_until.borrow();
+        let until = silent.get(&address);
+        until.is_some_and(|until| boot_clock::now() < *until)
+    }
+
+    fn mark_silent(&self, address: SocketAddr) {
+        let now = boot_clock::now();
+        let mut silent = self.silent_until.borrow_mut();
+        silent.retain(|_, until| now < *until);
+        silent.insert(address, now + SILENCE_PAUSE);
+    }
+
     /// Updates the balancers with the engines that are listed now.
     pub fn update(&self, host: &Host) {
         for (service, balancer) in self.balancers.borrow_mut().iter_mut() {
@@ -228,36 +239,56 @@
     balancer.update(view.roster.service(service).iter(), capacity);
 }
 
-/// Asks the balancing host.
+/// Asks the balancing host, or the next one in order while it is silent: hosts that
+/// choose alone know neither each other's prompts nor the engines that these crashed.
 async fn ask(host: &Rc<Host>, request: &Request, prompt: Prompt) -> Asked {
     let dispatchers = dispatch::dispatchers(host, &prompt.service);
-    let Some(address) = dispatchers.first().copied() else {
-        return Asked::Nothing;
-    };
-    let id = prompt.id.clone();
-    let choice = match address {
-        None => place(host, &prompt),
-        Some(_) if boot_clock::now() < host.balancing.silent_until.get() => return Asked::Nothing,
-        Some(address) => {
-            let answer = host.links.place_prompt(address, &prompt, PLACE_TIMEOUT);
-
-            match answer.await {
-                Ok(choice) => choice,
-                Err(error) => {
-                    let silent_until = boot_clock::now() + SILENCE_PAUSE;
-                    host.balancing.silent_until.set(silent_until);
-                    host.tally.count("balancer_silent", &[]);
-                    log::info!(
-                        request = request.id(),
-                        service = prompt.service.as_str(),
-                        balancer = address.to_string().as_str();
-                        "no engine from the balancing host: {error}"
-                    );
-                    return Asked::Nothing;
-                }
-            }
+
+    for address in dispatchers.iter().take(MAX_BALANCERS) {
+        let choice = match address {
+            None => Some(place(host, &prompt)),
+            Some(address) => ask_peer(host, request, &prompt, *address).await,
+        };
+
+        if let Some(choice) = choice {
+            return accept(host, prompt, *address, choice);
         }
-    };
+    }
+
+    Asked::Nothing
+}
+
+/// Asks another host for the engine of a prompt. Returns `None` if it is silent.
+async fn ask_peer(
+    host: &Rc<Host>,
+    request: &Request,
+    prompt: &Prompt,
+    address: SocketAddr,
+) -> Option<Choice> {
+    if host.balancing.is_silent(address) {
+        return None;
+    }
+
+    let answer = host.links.place_prompt(address, prompt, PLACE_TIMEOUT);
+
+    match answer.await {
+        Ok(choice) => Some(choice),
+        Err(error) => {
+            host.balancing.mark_silent(address);
+            host.tally.count("balancer_silent", &[]);
+            log::info!(
+                request = request.id(),
+                service = prompt.service.as_str(),
+                balancer = address.to_string().as_str();
+                "no engine from the balancing host: {error}"
+            );
+            None
+        }
+    }
+}
+
+/// Turns the answer of a balancing host into a choice of this host.
+fn accept(host: &Rc<Host>, prompt: Prompt, address: Option<SocketAddr>, choice: Choice) -> Asked {
     let endpoint = match choice {
         Choice::Engine(endpoint) => endpoint,
         Choice::NoEngine => return Asked::Nothing,
@@ -266,7 +297,7 @@
     let guard = PlacementGuard {
         address,
         host: Rc::clone(host),
-        prompt: Some((prompt.service, id)),
+        prompt: Some((prompt.service, prompt.id)),
     };
     let view = host.view();
     let placement = host.placement.borrow();
