Pass on a status that promises a retry only from an endpoint that says so

What callers saw: nothing yet; other operators report callers told "not run, try again" for requests that had run.

Cause: 408, 429 and 503 of an endpoint were passed on unchanged, whether or not the endpoint said that it had not run the request. A caller takes these statuses for a promise and sends an order again.

Ruled out: an earlier refusal on a kept connection, which is closed after each refusal. Weighed: the same for what may be repeated, where the endpoint's own answer says more than a 502.

Change: such an answer to what may run only once counts as a broken attempt: 502 without the endpoint's proof, logged as `attempt failed` with the status.

--- a/src/coordination/serving/answer.rs
+++ b/src/coordination/serving/answer.rs
@@ -9,6 +9,18 @@
     std::time::Duration,
 };
 
+/// Returns whether callers take a status to mean that the request has not run and
+/// never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Why no endpoint's response was forwarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        coordination::serving::{host::Host, request::Request},
+        coordination::serving::{answer::promises_not_run, host::Host, request::Request},
         protocol::adapter::{Answer, Forward},
         state::{
             clock::Time,
-            serving::{balance::Report, health::Health, roster::Entry},
+            serving::{balance::Report, config::RetryMode, health::Health, roster::Entry},
         },
         transport::{
             boot_clock,
@@ -212,6 +212,17 @@
         return refused;
     }
 
+    let status = exchange.response.status();
+
+    if request.route.retry_mode == RetryMode::Never && promises_not_run(status) {
+        record(&|health| {
+            health.record_failure(now);
+        });
+        return AttemptOutcome::Broken(format!(
+            "the endpoint responded with {status} but did not say that the request has not run"
+        ));
+    }
+
     AttemptOutcome::Answered(Box::new(OpenResponse {
         answer,
         exchange,
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -47,6 +47,9 @@
     /// Refuses the request, and writes the refusal again as the answer to the next
     /// request on the connection.
     RefuseTwice,
+    /// Runs the request and responds with this status, which only a refusal that
+    /// says so makes a promise that it has not run.
+    Status(&'static str),
     /// Sends a response without a proof. A stream's has an error text in place of
     /// events.
     Unproven,
@@ -302,6 +305,7 @@
         );
 
         match fault {
+            Some(Fault::Status(status)) => return failure(status, attempt),
             Some(Fault::Empty) => {
                 let text = format!("{head}X-Server-Stamp: proof\r\n\r\n");
                 return raw_reply(text.into_bytes(), Flow::Close);
@@ -434,11 +438,21 @@
             let other = response("of-another-request", "X-Server-Stamp: proof\r\n");
             raw_reply(other.into_bytes(), Flow::Keep)
         }
+        Some(Fault::Status(status)) => failure(status, attempt),
         Some(Fault::Unproven) => raw_reply(response(attempt, "").into_bytes(), Flow::Keep),
         _ => raw_reply(complete.into_bytes(), Flow::Keep),
     }
 }
 
+/// Returns the failure of a request that ran.
+fn failure(status: &str, attempt: &str) -> Reply {
+    let text = format!(
+        "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: proof\r\n\
+        Content-Length: 0\r\n\r\n"
+    );
+    raw_reply(text.into_bytes(), Flow::Keep)
+}
+
 fn raw_reply(bytes: Vec<u8>, flow: Flow) -> Reply {
     Reply::Written(Box::new(move |writer: &mut dyn Write| {
         writer.write_all(&bytes)?;
