Close a connection after a refused release of outputs

What callers saw: nothing yet; the pieces of a request ran twice, since an endpoint that wrote the refusal of a release once more answered the next call with pieces on the same connection with it.

Cause: the connection of a request to free outputs was kept whatever its answer was, unlike those of requests and of calls with pieces. A refused release also counted as done, so the dispatcher took memory for free that was not.

Change: only a successful release keeps its connection and is recorded. After a failure the outputs are left to expire, as after a broken connection.

--- a/src/coordination/serving/releases.rs
+++ b/src/coordination/serving/releases.rs
@@ -86,8 +86,7 @@
     let call = async {
         let mut exchange = host.client.send(&entry, request).await?;
         exchange.collect(pools::MAX_RESPONSE_BYTES).await?;
-        reuse_connection(&host, &entry, exchange);
-        Ok::<(), Failure>(())
+        finish(&host, &entry, exchange)
     };
 
     match timeout(RELEASE_TIMEOUT, call).await {
@@ -109,11 +108,19 @@
     }
 }
 
-fn reuse_connection(host: &Host, entry: &Entry, exchange: Exchange) {
-    let response = &exchange.response;
-    let answer = host
-        .codec
-        .read_answer(response.status(), response.headers());
+/// Ends an exchange whose body has been read. The connection of a refusal is closed,
+/// since the refusal might be written once more.
+fn finish(host: &Host, entry: &Entry, exchange: Exchange) -> Result<(), Failure> {
+    let status = exchange.response.status();
+    let answer = host.codec.read_answer(status, exchange.response.headers());
     host.note_answer(entry, &answer);
+
+    if !status.is_success() {
+        return Err(Failure::Broken(format!(
+            "the endpoint responded with {status}"
+        )));
+    }
+
     exchange.finish(answer.keep_alive, answer.closing);
+    Ok(())
 }
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -81,6 +81,9 @@
     delay: Duration,
     /// Whether all answers say that the worker is leaving.
     leaving: bool,
+    /// Whether the next request to free outputs is refused, and the refusal written
+    /// again.
+    refuses_release: bool,
     /// Id of a part of prompts. The worker crashes before it answers a request with
     /// it.
     harmful_part: Option<String>,
@@ -151,6 +154,12 @@
         lock(&self.service.state).leaving = true;
     }
 
+    /// Refuses the next request to free outputs, and writes the refusal again as the
+    /// answer to the next request on the connection.
+    pub fn refuse_release_twice(&self) {
+        lock(&self.service.state).refuses_release = true;
+    }
+
     /// Sets the part of prompts that crashes the worker, after the head of the answer.
     pub fn set_harmful_part(&self, part: &str) {
         lock(&self.service.state).harmful_part = Some(part.into());
@@ -247,7 +256,13 @@
         };
         let handles = body["handles"].as_array().cloned().unwrap_or_default();
         let handles = handles.iter().filter_map(Value::as_str).map(str::to_owned);
-        lock(&self.state).freed.extend(handles);
+        let mut state = lock(&self.state);
+
+        if std::mem::take(&mut state.refuses_release) {
+            return refuse_twice();
+        }
+
+        state.freed.extend(handles);
         Reply::ok(json!({}))
     }
 
