Send large objects of the store packed

What callers saw: requests handled by an older configuration for most of the time that the bound allows. Meanwhile requests waited behind the configuration on the readers' links.

Cause: a reader of the store sends each version in full to a quarter of the fleet, 22 MB a version over a link of 200 Mbit/s, and small hosts receive it over 10 Mbit/s.

Weighed: differences between versions (smaller, but they need the version that the other host has), fewer followers a reader (more calls to the store).

Change: a value of 4 KB or more is compressed once (DEFLATE, fastest level), on the control thread, and its copies share the bytes. A caller says that it unpacks, so hosts of an earlier version get plain values. Unpacking is bounded by 16 MB.

Test: large_configuration_is_sent_packed fails with plain values, which large_configuration_is_sent_plain_to_a_host_that_does_not_unpack shows to be as long as before; packed_values_that_are_damaged_or_too_large_are_refused.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -139,6 +139,8 @@
   revision @1 :UInt64;
   removed @2 :Bool;
   value @3 :Data;
+  packed @4 :Bool;
+  # The value is compressed with DEFLATE.
 }
 
 struct Changes {
@@ -171,8 +173,9 @@
   cancelJob @6 (home :Text, id :UInt64);
   releaseOutputs @7 (service :Text, outputs :List(Output));
   ping @8 ();
-  objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32) -> (changes :Changes);
-  # Waits for a change after the revision, at most `waitMs`.
+  objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32, unpacks :Bool) -> (changes :Changes);
+  # Waits for a change after the revision, at most `waitMs`. Values are packed only
+  # for a caller that unpacks them.
   placePrompt @10 (placement :Placement) -> (endpoint :Text, quarantined :Bool);
   # Chooses the engine of a prompt; empty if there is none, or if a part of the
   # prompt is in quarantine.
--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -46,7 +46,7 @@
         };
         let revision = object.revision;
 
-        match self.store.config(&object.value) {
+        match self.store.config(object.value.as_bytes()) {
             Ok(config) => {
                 let version = config.version;
                 let current = self
@@ -96,7 +96,7 @@
         let mut entries = Vec::new();
 
         for object in replica.mirror.objects() {
-            match self.store.endpoint(&object.name, &object.value) {
+            match self.store.endpoint(&object.name, object.value.as_bytes()) {
                 Ok(entry) => entries.push(entry),
                 Err(fault) if changes.objects.contains(object) => {
                     log::warn!(endpoint = object.name.as_str(); "entry passed over: {fault}");
--- a/src/coordination/serving/control/replica.rs
+++ b/src/coordination/serving/control/replica.rs
@@ -11,6 +11,7 @@
                 mirror::{Mirror, RelayedChanges},
             },
         },
+        transport::packing,
     },
     std::time::Duration,
     tokio::sync::oneshot,
@@ -69,11 +70,11 @@
         };
 
         for waiter in due {
+            let changes = self.mirror.since(waiter.revision);
+            // The thread that sends the answer also serves requests.
+            packing::prepare(&changes);
             // Fails only if the peer no longer waits.
-            let _ = waiter.reply.send(RelayedChanges {
-                age,
-                changes: self.mirror.since(waiter.revision),
-            });
+            let _ = waiter.reply.send(RelayedChanges { age, changes });
         }
     }
 }
--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -13,13 +14,54 @@
 /// further memory.
 const MAX_HISTORY: usize = 1024;
 
+/// The value of an object. Its copies share the bytes, since a reader of the store
+/// sends a large value to many hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Value(Arc<Content>);
+
+#[derive(Debug, Default)]
+struct Content {
+    bytes: Vec<u8>,
+    /// The form in which the value is sent, once it was needed.
+    packed: OnceLock<Vec<u8>>,
+}
+
+impl Value {
+    /// Returns the bytes of the value.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0.bytes
+    }
+
+    /// Returns the packed form. `pack` computes it if no copy has it yet.
+    pub fn packed(&self, pack: impl FnOnce(&[u8]) -> Vec<u8>) -> &[u8] {
+        self.0.packed.get_or_init(|| pack(&self.0.bytes))
+    }
+}
+
+impl From<Vec<u8>> for Value {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self(Arc::new(Content {
+            bytes,
+            packed: OnceLock::new(),
+        }))
+    }
+}
+
+impl PartialEq for Value {
+    fn eq(&self, other: &Self) -> bool {
+        self.as_bytes() == other.as_bytes()
+    }
+}
+
+impl Eq for Value {}
+
 /// An object, or the removal of one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Object {
     pub name: String,
     pub removed: bool,
     pub revision: u64,
-    pub value: Vec<u8>,
+    pub value: Value,
 }
 
 /// The objects that changed, as of `revision`.
@@ -141,7 +183,7 @@
             name: change.name.clone(),
             removed: change.removed,
             revision: change.revision,
-            value: Vec::new(),
+            value: Value::default(),
         };
         self.objects
             .get(&change.name)
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod metrics;
 pub mod object_api;
+pub mod packing;
 pub mod peer_call;
 pub mod peer_capnp;
 pub mod peer_server;
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -179,6 +179,7 @@
                 request.get().set_revision(revision);
                 let millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
                 request.get().set_wait_ms(millis);
+                request.get().set_unpacks(true);
                 let response = request.send().promise.await?;
                 wire::read_changes(response.get()?.get_changes()?)
             })
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -201,6 +201,7 @@
         let params = params.get()?;
         let kind = params.get_kind()?.to_string()?;
         let revision = params.get_revision();
+        let unpacks = params.get_unpacks();
         let wait = Duration::from_millis(params.get_wait_ms().into());
         let changes = self
             .dispatch_and_wait(|reply| PeerCall::ObjectChanges {
@@ -210,7 +211,7 @@
                 wait,
             })
             .await?;
-        wire::write_changes(results.get().init_changes(), &changes);
+        wire::write_changes(results.get().init_changes(), &changes, unpacks);
         Ok(())
     }
 
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -11,13 +11,17 @@
             id,
             serving::{
                 balance::{Part, Prompt, Report},
-                mirror::{Changes, Object, RelayedChanges},
+                mirror::{Changes, Object, RelayedChanges, Value},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
                 quarantine::Entry,
             },
         },
-        transport::peer_capnp::{
-            self, changes, job, member, message, outcome, output, placement, quarantined, subject,
+        transport::{
+            packing,
+            peer_capnp::{
+                self, changes, job, member, message, object, outcome, output, placement,
+                quarantined, subject,
+            },
         },
     },
     capnp::struct_list,
@@ -314,8 +318,9 @@
         .collect()
 }
 
-/// Writes the changed objects of a kind.
-pub fn write_changes(mut builder: changes::Builder, relayed: &RelayedChanges) {
+/// Writes the changed objects of a kind. `unpacks` says whether the reader unpacks
+/// values.
+pub fn write_changes(mut builder: changes::Builder, relayed: &RelayedChanges, unpacks: bool) {
     let changes = &relayed.changes;
     builder.set_age_ms(millis(relayed.age));
     builder.set_revision(changes.revision);
@@ -327,7 +332,9 @@
         row.set_name(&object.name);
         row.set_removed(object.removed);
         row.set_revision(object.revision);
-        row.set_value(&object.value);
+        let packed = unpacks.then(|| packing::pack(&object.value)).flatten();
+        row.set_packed(packed.is_some());
+        row.set_value(packed.unwrap_or(object.value.as_bytes()));
     }
 }
 
@@ -343,7 +350,7 @@
             name: row.get_name()?.to_string()?,
             removed: row.get_removed(),
             revision: row.get_revision(),
-            value: row.get_value()?.to_vec(),
+            value: read_value(row)?,
         })
     });
 
@@ -357,6 +364,17 @@
     })
 }
 
+fn read_value(row: object::Reader) -> capnp::Result<Value> {
+    let bytes = row.get_value()?;
+
+    if !row.get_packed() {
+        return Ok(bytes.to_vec().into());
+    }
+
+    packing::unpack(bytes)
+        .map_err(|error| capnp::Error::failed(format!("a packed value is unreadable: {error}")))
+}
+
 /// Reads a socket address in its text form.
 ///
 /// # Errors
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -14,6 +14,7 @@
 mod graph;
 mod mirror;
 mod overload;
+mod packing;
 mod placement;
 mod quarantine;
 mod readers;
--- a/tests/serving/mirror.rs
+++ b/tests/serving/mirror.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::fuzz,
-    persimmoncleat::state::serving::mirror::{Changes, Mirror, Object},
+    persimmoncleat::state::serving::mirror::{Changes, Mirror, Object, Value},
     proptest::prelude::*,
     std::collections::BTreeMap,
 };
@@ -22,7 +22,7 @@
             name: NAMES[*name].into(),
             removed: *removed,
             revision,
-            value: revision.to_string().into_bytes(),
+            value: revision.to_string().into_bytes().into(),
         })
         .collect()
 }
@@ -137,7 +137,7 @@
         name: name.into(),
         removed,
         revision,
-        value: Vec::new(),
+        value: Value::default(),
     }
 }
 
