Require one more lost engine for a part that was answered before

What callers saw: nothing yet; a sound session may be refused for a minute while another part of prompts crashes engines.

Cause: sound requests that wait at an engine are lost with it. If all three engines of a series had one of a session that was not answered in between, and its report came before that of the harmful request, the session's part reached the limit first.

Weighed: waiting for all reports of a lost engine, which needs a timer and delays the decision.

Change: a part that was answered before needs four engines in a row instead of three, so a part that was never answered reaches its limit first and takes the series' losses away from the others. A part that turns harmful later is found one engine later, still before the fifth.

Test: session_at_engines_that_a_harmful_request_crashes failed before (the session was quarantined); answered_part_that_crashes_engines_now passed before, too.

--- a/src/state/serving/quarantine.rs
+++ b/src/state/serving/quarantine.rs
@@ -18,6 +18,11 @@
 /// part is quarantined.
 const MAX_LOSSES: usize = 3;
 
+/// Number of engines lost in a row for a part that was answered before. Sound requests
+/// that wait at an engine are lost with it and may be reported first, so the harmful
+/// part has to reach its own limit by then.
+const MAX_LOSSES_ANSWERED: usize = MAX_LOSSES + 1;
+
 /// Minimum interval between two losses that count for a part. Many engines may be
 /// lost at the same moment for a reason of their own.
 const LOSS_INTERVAL: Duration = Duration::from_millis(200);
@@ -134,7 +139,7 @@
         let on_probation = |part: u64| quarantine.status(now, part) == Status::Probation;
         let candidates = parts.iter().enumerate().filter(|(_, part)| {
             let losses = self.suspects.get(*part).map_or(0, Vec::len);
-            losses >= MAX_LOSSES || on_probation(**part)
+            losses >= self.max_losses(**part) || on_probation(**part)
         });
         let best = candidates.max_by_key(|(position, part)| {
             let unanswered = !self.answered.contains(*part);
@@ -143,6 +148,14 @@
         best.map(|(_, part)| *part)
     }
 
+    fn max_losses(&self, part: u64) -> usize {
+        if self.answered.contains(&part) {
+            MAX_LOSSES_ANSWERED
+        } else {
+            MAX_LOSSES
+        }
+    }
+
     /// Removes a part's losses from it and from all other parts.
     fn explain(&mut self, part: u64) {
         let explained = self.suspects.remove(&part).unwrap_or_default();
--- a/tests/serving/quarantine.rs
+++ b/tests/serving/quarantine.rs
@@ -91,6 +91,24 @@
         Loss(0, 1, &[COMMON, HARMFUL]), Loss(700, 2, &[COMMON, HARMFUL]),
         Loss(1400, 3, &[COMMON, HARMFUL]), Loss(2100, 5, &[COMMON]),
     ] => Some(HARMFUL);
+    /// Guards against the refusal of a session that was answered before, since its
+    /// sound requests wait at the engines that a harmful one crashes and are reported
+    /// first.
+    session_at_engines_that_a_harmful_request_crashes: [
+        Answer(&[COMMON, SESSION]),
+        Loss(0, 1, &[COMMON, SESSION]), Loss(1, 1, &[COMMON, SESSION, HARMFUL]),
+        Loss(700, 2, &[COMMON, SESSION]), Loss(701, 2, &[COMMON, SESSION, HARMFUL]),
+        Loss(1400, 3, &[COMMON, SESSION]), Loss(1401, 3, &[COMMON, SESSION, HARMFUL]),
+        Loss(2100, 4, &[COMMON, SESSION]),
+    ] => Some(HARMFUL);
+    /// Guards against a part that crashes engines only since their last change.
+    answered_part_that_crashes_engines_now: [
+        Answer(&[COMMON, HARMFUL]),
+        Loss(0, 1, &[COMMON, HARMFUL, 10]), Answer(&[COMMON]),
+        Loss(700, 2, &[COMMON, HARMFUL, 11]), Answer(&[COMMON]),
+        Loss(1400, 3, &[COMMON, HARMFUL, 12]), Answer(&[COMMON]),
+        Loss(2100, 4, &[COMMON, HARMFUL, 13]),
+    ] => Some(HARMFUL);
     /// Guards against the refusal of a part that engines have answered before, in
     /// place of a harmful one that precedes it.
     part_never_answered_among_parts_that_occur_together: [
