Count the cached tokens of a part by its latest size

What callers saw: after requests that gave one part of a prompt two sizes, the balancing host forgot the prefixes of an engine with each prompt, so engines read shared parts again; a debug build panicked in the task that serves the request.

Cause: a known prefix took the new size, but the sum of an engine's cached tokens kept the old one. When the prefix was dropped, the sum went below zero.

Change: the sum loses the old size.

Test: part_may_change_its_size failed before (subtract with overflow).

--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -367,13 +367,10 @@
     /// recently used ones above `limit` tokens.
     fn remember(&mut self, now: Time, prompt: &Prompt, limit: u64) {
         for part in &prompt.parts {
-            if self
-                .cached
-                .insert(part.prefix, (part.tokens, now))
-                .is_none()
-            {
-                self.cached_tokens += u64::from(part.tokens);
-            }
+            let known = self.cached.insert(part.prefix, (part.tokens, now));
+            let known = known.map_or(0, |(tokens, _)| u64::from(tokens));
+            self.cached_tokens += u64::from(part.tokens);
+            self.cached_tokens -= known;
         }
 
         if self.cached_tokens <= limit {
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -128,6 +128,19 @@
 
 /// The prefixes are still at the engines when another host takes over, so a
 /// balancer without knowledge must not scatter the sessions by its load.
+/// Guards against a balancer that panics, or forgets all prefixes, because a caller
+/// gives a part another size than the one before it.
+#[test]
+fn part_may_change_its_size() {
+    let entries = &entries()[..1];
+    let mut balancer = balancer(entries);
+
+    for (number, session, shared, own) in [(0, 7, 0, 10), (1, 7, 200_000, 10), (2, 9, 0, 180_000)] {
+        let prompt = prompt(number, session, shared, own);
+        place(&mut balancer, number, entries, &prompt);
+    }
+}
+
 #[test]
 fn new_balancer_sends_a_session_where_the_one_before_did() {
     let entries = entries();
