Keep the deferral of a stage endpoint while its entry has lapsed

What callers saw: nothing yet; an endpoint of a stage that had refused with Retry-After got calls again within that time, if its entry in the store lapsed and came back, or if the refusal arrived while the entry was missing.

Cause: a dispatcher kept the deferral in the state of a listed endpoint, which goes with the entry. The choice of engines and plain endpoints keeps it.

Change: dispatchers keep deferrals apart from the listing, by incarnation, until they end.

Test: the dispatcher's state machine test now defers endpoints and checks that none of them gets a call; it found this in 3,000 cases (not in 200) and passes 3,000 since. deferral_outlasts_a_lapsed_entry and deferral_of_an_unlisted_endpoint_is_kept failed before; without any deferral the state machine test fails as well.

--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -80,7 +80,7 @@
     /// Keeps an endpoint out of the calls of its pool for a time.
     pub fn defer(&self, now: Time, entry: &Entry, time: Duration) {
         if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&entry.service) {
-            dispatcher.defer(now, &entry.endpoint, time);
+            dispatcher.defer(now, entry, time);
         }
     }
 
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -8,6 +8,7 @@
 //! their latest start; jobs that are already late come last.
 
 mod active_job;
+mod deferrals;
 mod endpoint_state;
 mod fill;
 mod load;
@@ -18,6 +19,7 @@
 use {
     self::{
         active_job::{ActiveJob, Piece},
+        deferrals::Deferrals,
         endpoint_state::EndpointState,
         load::Forecast,
     },
@@ -120,6 +122,7 @@
     bounds: Bounds,
     budget: RetryBudget,
     calls: HashMap<CallId, Call>,
+    deferrals: Deferrals,
     /// Number of hosts that may dispatch to the endpoints.
     hosts: usize,
     next_call: CallId,
@@ -135,6 +138,7 @@
             bounds,
             budget: RetryBudget::default(),
             calls: HashMap::new(),
+            deferrals: Deferrals::default(),
             hosts: 1,
             next_call: 0,
             endpoints: BTreeMap::new(),
@@ -177,10 +181,10 @@
         self.bounds = bounds;
     }
 
-    /// Creates the state of an endpoint, including the calls in progress that
-    /// it received before it was last removed from the roster.
+    /// Creates the state of an endpoint, including its deferral and the calls in
+    /// progress that it received before it was last removed from the roster.
     fn new_endpoint_state(&self, entry: &Arc<Entry>) -> EndpointState {
-        let mut state = EndpointState::new(entry);
+        let mut state = EndpointState::new(entry, self.deferrals.health(entry));
         let belongs =
             |call: &&Call| call.endpoint == entry.endpoint && call.incarnation == entry.incarnation;
 
@@ -249,9 +253,13 @@
         }
     }
 
-    /// Records that an endpoint wants no calls from this host for a time.
-    pub fn defer(&mut self, now: Time, endpoint: &id::Endpoint, time: Duration) {
-        if let Some(state) = self.endpoints.get_mut(endpoint) {
+    /// Records that an endpoint wants no calls from this host for a time, also if it
+    /// is not listed at the moment.
+    pub fn defer(&mut self, now: Time, entry: &Entry, time: Duration) {
+        self.deferrals.record(now, entry, time);
+        let state = self.endpoints.get_mut(&entry.endpoint);
+
+        if let Some(state) = state.filter(|state| state.entry.incarnation == entry.incarnation) {
             state.health.defer(now, time);
         }
     }
--- a/src/state/serving/batch/endpoint_state.rs
+++ b/src/state/serving/batch/endpoint_state.rs
@@ -30,12 +30,12 @@
 }
 
 impl EndpointState {
-    pub(super) fn new(entry: &Arc<Entry>) -> Self {
+    pub(super) fn new(entry: &Arc<Entry>, health: Health) -> Self {
         Self {
             calls: 0,
             entry: Arc::clone(entry),
             remote_use: (0, Time::ZERO),
-            health: Health::default(),
+            health,
             reserved: 0,
             stored: HashMap::new(),
         }
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -123,6 +123,41 @@
     assert_eq!(sent(&actions)[0].2.len(), 6);
 }
 
+macro_rules! deferred_and_listed_again {
+    ($($(#[$doc:meta])* $name:ident: $is_listed:expr, $incarnation:expr, $millis:expr => $calls:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut dispatcher = dispatcher(1);
+                let unlisted: [Arc<Entry>; 0] = [];
+
+                if !$is_listed {
+                    dispatcher.update(&pool(), unlisted.iter(), 1);
+                }
+
+                dispatcher.defer(at(0), &entry(0), Duration::from_millis(500));
+                dispatcher.update(&pool(), unlisted.iter(), 1);
+                let listed = Entry { incarnation: $incarnation, ..(*entry(0)).clone() };
+                dispatcher.update(&pool(), [Arc::new(listed)].iter(), 1);
+                let mut actions = Vec::new();
+                dispatcher.add(at($millis), job(0, 1), &mut actions);
+                assert_eq!(sent(&actions).len(), $calls);
+            }
+        )*
+    };
+}
+
+deferred_and_listed_again! {
+    /// Guards against calls to an endpoint that wants none, since its entry has lapsed
+    /// and come back.
+    deferral_outlasts_a_lapsed_entry: true, 1, 499 => 0;
+    /// Guards against the same if the refusal arrives while the entry is missing.
+    deferral_of_an_unlisted_endpoint_is_kept: false, 1, 499 => 0;
+    deferral_ends: true, 1, 500 => 1;
+    new_incarnation_is_not_deferred: true, 2, 0 => 1;
+}
+
 #[test]
 fn urgent_jobs_go_before_late_and_less_urgent_ones() {
     let mut dispatcher = dispatcher(1);
--- a/tests/serving/batch_fuzz.rs
+++ b/tests/serving/batch_fuzz.rs
@@ -67,6 +67,8 @@
     },
     /// Cancels one of the open jobs.
     Cancel(usize),
+    /// An endpoint wants no calls for this many milliseconds.
+    Defer(usize, u64),
     End(usize, End),
     /// Changes an endpoint's listing: 0 removes it, 1 marks it as leaving, 2
     /// lists it, and 3 lists a new incarnation.
@@ -96,6 +98,7 @@
             urgency,
         }),
         1 => any::<usize>().prop_map(Step::Cancel),
+        1 => (0..ENDPOINTS, 1u64..800).prop_map(|(endpoint, time)| Step::Defer(endpoint, time)),
         10 => (any::<usize>(), end).prop_map(|(call, end)| Step::End(call, end)),
         2 => (0..ENDPOINTS, 0u8..4).prop_map(|(endpoint, state)| Step::List(endpoint, state)),
         4 => any::<usize>().prop_map(Step::Release),
@@ -103,6 +106,18 @@
     ]
 }
 
+fn entry(number: usize, incarnation: u64, leaving: bool) -> Entry {
+    Entry {
+        address: ([127, 0, 0, 1], 1000).into(),
+        domain: "d".into(),
+        endpoint: number.to_string().into(),
+        incarnation,
+        leaving,
+        service: "s".into(),
+        slots: 1,
+    }
+}
+
 /// Generates the steps. It has no state, since the oracle is in `Simulation`.
 #[derive(Debug)]
 struct Steps;
@@ -127,6 +142,8 @@
     /// Calls in progress: endpoint, its incarnation, and the items.
     calls: BTreeMap<CallId, (usize, u64, Vec<Item>)>,
     dispatcher: Dispatcher,
+    /// Incarnation of each endpoint that wants no calls, and until when.
+    deferred: [Option<(u64, Time)>; ENDPOINTS],
     /// Outputs that were delivered to finished jobs, by job.
     delivered: Vec<Vec<(usize, String)>>,
     /// Incarnation of each listed endpoint, and whether it is leaving.
@@ -154,6 +171,7 @@
         let mut simulation = Self {
             bytes: BTreeMap::new(),
             calls: BTreeMap::new(),
+            deferred: [None; ENDPOINTS],
             dispatcher: Dispatcher::new(pool(), BOUNDS),
             delivered: Vec::new(),
             listed: [Some((1, false)); ENDPOINTS],
@@ -178,15 +196,7 @@
         let entries = self.listed.iter().enumerate();
         let entries = entries.filter_map(|(number, listed)| {
             let (incarnation, leaving) = (*listed)?;
-            Some(Arc::new(Entry {
-                address: ([127, 0, 0, 1], 1000).into(),
-                domain: "d".into(),
-                endpoint: number.to_string().into(),
-                incarnation,
-                leaving,
-                service: "s".into(),
-                slots: 1,
-            }))
+            Some(Arc::new(entry(number, incarnation, leaving)))
         });
         let entries = entries.collect::<Vec<Arc<Entry>>>();
         self.dispatcher.update(&pool(), entries.iter(), 1);
@@ -213,6 +223,16 @@
                     self.dispatcher.cancel(now, &id, &mut actions);
                 }
             }
+            Step::Defer(endpoint, time) => {
+                // The endpoint's answer may arrive after its entry has lapsed.
+                let incarnation = self.listed[endpoint].map_or(1, |(incarnation, _)| incarnation);
+                let entry = entry(endpoint, incarnation, false);
+                let time = Duration::from_millis(time);
+                self.dispatcher.defer(now, &entry, time);
+                let known = self.deferred[endpoint].filter(|(known, _)| *known == incarnation);
+                let until = known.map_or(Time::ZERO, |(_, until)| until).max(now + time);
+                self.deferred[endpoint] = Some((incarnation, until));
+            }
             Step::End(index, end) => {
                 if let Some(call) = pick(&self.calls, index) {
                     let outcome = self.outcome(call, end);
@@ -380,6 +400,12 @@
             matches!(listed, Some((_, false))),
             "a call was sent to an endpoint that is leaving or not listed"
         );
+        let (now, incarnation) = (self.time(), entry.incarnation);
+        let wants_none = |(deferred, until): (u64, Time)| deferred == incarnation && now < until;
+        assert!(
+            !self.deferred[endpoint].is_some_and(wants_none),
+            "a call was sent to an endpoint that wants none"
+        );
         assert!(items.len() <= BATCH && !items.is_empty());
         let pieces = items.iter().map(|item| (&item.request, item.piece));
         assert_eq!(pieces.collect::<BTreeSet<_>>().len(), items.len());
