--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -8,6 +8,7 @@
 //! their latest start; jobs that are already late come last.
 
 mod active_job;
+mod call;
 mod deferrals;
 mod endpoint_state;
 mod fill;
@@ -19,6 +20,7 @@
 use {
     self::{
         active_job::{ActiveJob, Piece},
+        call::Call,
         deferrals::Deferrals,
         endpoint_state::EndpointState,
         load::Forecast,
@@ -99,23 +101,6 @@
     Unreachable,
 }
 
-#[derive(Clone, Debug)]
-struct Call {
-    /// Storage reserved for the output of each item, in bytes.
-    bytes: Vec<u64>,
-    endpoint: id::Endpoint,
-    /// Expected duration of the call.
-    expected: Duration,
-    /// Incarnation of the endpoint that received the call.
-    incarnation: u64,
-    /// The job of each item and the index of the piece in it.
-    items: Vec<(JobId, usize)>,
-    sent: Time,
-    /// Whether the call took much longer than expected and its pieces were
-    /// requeued.
-    is_straggler: bool,
-}
-
 /// Queues the pieces of one pool and assigns them to endpoints.
 #[derive(Debug)]
 pub struct Dispatcher {
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -1,6 +1,10 @@
 //! Conversions between the types of the peer schema and those of the state
 //! modules.
 
+mod objects;
+
+pub use objects::{read_changes, write_changes};
+
 use {
     crate::{
         state::{
@@ -11,17 +15,12 @@
             id,
             serving::{
                 balance::{Part, Prompt, Report},
-                mirror::{Changes, Object, RelayedChanges, Value},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
                 quarantine::Entry,
             },
         },
-        transport::{
-            packing,
-            peer_capnp::{
-                self, changes, job, member, message, object, outcome, output, placement,
-                quarantined, subject,
-            },
+        transport::peer_capnp::{
+            self, job, member, message, outcome, output, placement, quarantined, subject,
         },
     },
     capnp::struct_list,
@@ -318,63 +317,6 @@
         .collect()
 }
 
-/// Writes the changed objects of a kind. `unpacks` says whether the reader unpacks
-/// values.
-pub fn write_changes(mut builder: changes::Builder, relayed: &RelayedChanges, unpacks: bool) {
-    let changes = &relayed.changes;
-    builder.set_age_ms(millis(relayed.age));
-    builder.set_revision(changes.revision);
-    builder.set_whole(changes.whole);
-    let mut objects = builder.init_objects(length(changes.objects.len()));
-
-    for (index, object) in (0..).zip(&changes.objects) {
-        let mut row = objects.reborrow().get(index);
-        row.set_name(&object.name);
-        row.set_removed(object.removed);
-        row.set_revision(object.revision);
-        let packed = unpacks.then(|| packing::pack(&object.value)).flatten();
-        row.set_packed(packed.is_some());
-        row.set_value(packed.unwrap_or(object.value.as_bytes()));
-    }
-}
-
-/// Reads the changed objects of a kind.
-///
-/// # Errors
-///
-/// Returns an error for a malformed field.
-pub fn read_changes(reader: changes::Reader) -> capnp::Result<RelayedChanges> {
-    let objects = reader.get_objects()?;
-    let objects = objects.iter().map(|row| {
-        Ok(Object {
-            name: row.get_name()?.to_string()?,
-            removed: row.get_removed(),
-            revision: row.get_revision(),
-            value: read_value(row)?,
-        })
-    });
-
-    Ok(RelayedChanges {
-        age: Duration::from_millis(reader.get_age_ms().into()),
-        changes: Changes {
-            objects: objects.collect::<capnp::Result<Vec<Object>>>()?,
-            revision: reader.get_revision(),
-            whole: reader.get_whole(),
-        },
-    })
-}
-
-fn read_value(row: object::Reader) -> capnp::Result<Value> {
-    let bytes = row.get_value()?;
-
-    if !row.get_packed() {
-        return Ok(bytes.to_vec().into());
-    }
-
-    packing::unpack(bytes)
-        .map_err(|error| capnp::Error::failed(format!("a packed value is unreadable: {error}")))
-}
-
 /// Reads a socket address in its text form.
 ///
 /// # Errors
--- /dev/null
+++ b/stand-ins/src/platform/workers/replies.rs
@@ -0,0 +1,90 @@
+//! The replies of workers, and those of faulty ones.
+
+use {
+    super::Fault,
+    crate::http::{Flow, Reply},
+    std::{io::Write, thread, time::Duration},
+};
+
+pub(super) fn mark(reply: Reply, header: &str) -> Reply {
+    Reply::Marked {
+        header: header.into(),
+        reply: Box::new(reply),
+    }
+}
+
+pub(super) fn refuse(status: &str) -> Reply {
+    let text = format!("HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    raw_reply(text.into_bytes(), Flow::Keep)
+}
+
+pub(super) fn refuse_for(seconds: &str) -> Reply {
+    mark(
+        refuse("503 Service Unavailable"),
+        &format!("Retry-After: {seconds}"),
+    )
+}
+
+/// Writes a refusal, waits until the client has used the connection again, and
+/// writes the refusal once more.
+pub(super) fn refuse_twice() -> Reply {
+    /// Time in which a client uses the connection for its next request.
+    const NEXT_REQUEST_TIME: Duration = Duration::from_millis(150);
+
+    let refusal =
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    Reply::Written(Box::new(move |writer: &mut dyn Write| {
+        writer.write_all(refusal)?;
+        writer.flush()?;
+        thread::sleep(NEXT_REQUEST_TIME);
+        writer.write_all(refusal)?;
+        Ok(Flow::Keep)
+    }))
+}
+
+pub(super) fn plain_reply(attempt: &str, fault: Option<Fault>) -> Reply {
+    let response = |attempt: &str, proof: &str| {
+        let body = format!("answer to {attempt}");
+        let length = body.len();
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{proof}Content-Length: {length}\
+            \r\n\r\n{body}"
+        )
+    };
+    let complete = response(attempt, "X-Server-Stamp: proof\r\n");
+
+    match fault {
+        Some(Fault::AnswerLost) => Reply::Close,
+        Some(Fault::HeadCut) => {
+            let (head, _) = complete.split_at(complete.len() / 2);
+            raw_reply(head.as_bytes().to_vec(), Flow::Close)
+        }
+        Some(Fault::Extra) => raw_reply(
+            [complete.as_bytes(), complete.as_bytes()].concat(),
+            Flow::Keep,
+        ),
+        Some(Fault::Other) => {
+            let other = response("of-another-request", "X-Server-Stamp: proof\r\n");
+            raw_reply(other.into_bytes(), Flow::Keep)
+        }
+        Some(Fault::Status(status)) => failure(status, attempt),
+        Some(Fault::Unproven) => raw_reply(response(attempt, "").into_bytes(), Flow::Keep),
+        _ => raw_reply(complete.into_bytes(), Flow::Keep),
+    }
+}
+
+/// Returns the failure of a request that ran.
+pub(super) fn failure(status: &str, attempt: &str) -> Reply {
+    let text = format!(
+        "HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: proof\r\n\
+        Content-Length: 0\r\n\r\n"
+    );
+    raw_reply(text.into_bytes(), Flow::Keep)
+}
+
+pub(super) fn raw_reply(bytes: Vec<u8>, flow: Flow) -> Reply {
+    Reply::Written(Box::new(move |writer: &mut dyn Write| {
+        writer.write_all(&bytes)?;
+        Ok(flow)
+    }))
+}
