Tell a response to an earlier call with pieces by its handles

What callers saw: nothing yet; a request could get the outputs of another one. Other operators report answers that were written again on a connection in use.

Cause: a response to a call with pieces carries no id of the call. An endpoint that wrote an earlier response again as the answer to the next call passed the outputs of its pieces to those of the next one, if both had as many. The quiet period of 10 ms covers only copies that come at once. The same cause as that of refusals written twice, looked for elsewhere.

Ruled out: an id of our own in the call, which endpoints need not echo and which no caller sent. Weighed: a connection for each call (each has its price).

Change: a dispatcher remembers for 15 s which piece each handle of an endpoint was returned for. A response with a handle of another piece counts as broken, and its connection is closed, since the true response is still to come on it.

--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -11,8 +11,8 @@
             clock::Time,
             id,
             serving::{
-                batch::{Action, CallId, CallOutcome, Dispatcher, Item},
-                piece::{Job, JobId, Outcome},
+                batch::{Action, CallId, CallOutcome, Dispatcher, Item, Origin},
+                piece::{self, Job, JobId, Outcome},
                 roster::Entry,
             },
         },
@@ -272,6 +272,15 @@
         }
 
         match host.codec.piece_results(&body, items.len()) {
+            Ok(results) if origin(host, entry, items, &results) == Origin::EarlierCall => {
+                log::warn!(
+                    endpoint = entry.endpoint.as_str(),
+                    service = entry.service.as_str(),
+                    pieces = items.len();
+                    "response to an earlier call with pieces ignored"
+                );
+                CallOutcome::Broken
+            }
             Ok(results) => {
                 exchange.finish(answer.keep_alive, answer.closing);
                 CallOutcome::Answered(results)
@@ -291,6 +300,15 @@
         .unwrap_or(CallOutcome::Broken)
 }
 
+/// Returns which call a response with pieces answers.
+fn origin(host: &Host, entry: &Entry, items: &[Item], results: &[piece::Result]) -> Origin {
+    let mut dispatchers = host.pools.dispatchers.borrow_mut();
+    let dispatcher = dispatchers.get_mut(&entry.service);
+    dispatcher.map_or(Origin::ThisCall, |dispatcher| {
+        dispatcher.origin(boot_clock::now(), &entry.endpoint, items, results)
+    })
+}
+
 /// Starts a task that ticks the dispatchers while there are jobs, unless one
 /// is running.
 fn start_ticking(host: &Rc<Host>) {
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -12,10 +12,11 @@
 mod deferrals;
 mod endpoint_state;
 mod fill;
+mod handles;
 mod load;
 mod watch;
 
-pub use load::Summary;
+pub use {handles::Origin, load::Summary};
 
 use {
     self::{
@@ -249,6 +250,20 @@
         }
     }
 
+    /// Returns which call a response of an endpoint answers, as far as its handles show.
+    pub fn origin(
+        &mut self,
+        now: Time,
+        endpoint: &id::Endpoint,
+        items: &[Item],
+        results: &[piece::Result],
+    ) -> Origin {
+        let state = self.endpoints.get_mut(endpoint);
+        state.map_or(Origin::ThisCall, |state| {
+            state.handles.origin(now, items, results)
+        })
+    }
+
     /// Records that an endpoint has freed outputs, which makes storage
     /// available.
     pub fn mark_freed(
--- a/src/state/serving/batch/endpoint_state.rs
+++ b/src/state/serving/batch/endpoint_state.rs
@@ -4,7 +4,7 @@
 use {
     crate::state::{
         clock::Time,
-        serving::{config::Pool, health::Health, roster::Entry},
+        serving::{batch::handles::Handles, config::Pool, health::Health, roster::Entry},
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -18,6 +18,7 @@
     /// Number of calls in progress.
     pub(super) calls: usize,
     pub(super) entry: Arc<Entry>,
+    pub(super) handles: Handles,
     /// Storage in bytes that outputs of other dispatchers take, and when it was
     /// observed.
     pub(super) remote_use: (u64, Time),
@@ -34,6 +35,7 @@
         Self {
             calls: 0,
             entry: Arc::clone(entry),
+            handles: Handles::default(),
             remote_use: (0, Time::ZERO),
             health,
             reserved: 0,
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -4,7 +4,9 @@
 mod replies;
 
 use {
-    self::replies::{failure, mark, plain_reply, raw_reply, refuse, refuse_for, refuse_twice},
+    self::replies::{
+        answer_twice, failure, mark, plain_reply, raw_reply, refuse, refuse_for, refuse_twice,
+    },
     crate::{
         http::{Flow, Reply, Request},
         server::{ANY_PORT, Handler, Server, lock},
@@ -27,6 +29,9 @@
 pub enum Fault {
     /// Runs the request and closes the connection without a response.
     AnswerLost,
+    /// Runs the pieces, and writes the response again as the answer to the next request
+    /// on the connection.
+    AnswerTwice,
     /// Closes the connection of a stream within this event.
     Break(usize),
     /// Closes the connection of a stream after a head that announces neither a
@@ -231,17 +236,18 @@
             return Reply::problem(400, "the body cannot be read as JSON");
         };
         let items = body["items"].as_array().cloned().unwrap_or_default();
-        let delay = {
+        let (fault, delay) = {
             let mut state = lock(&self.state);
+            let fault = state.faults.pop_front();
 
-            if let Some(Fault::RetryAfter(seconds)) = state.faults.pop_front() {
+            if let Some(Fault::RetryAfter(seconds)) = fault {
                 return refuse_for(seconds);
             }
 
             let at = Instant::now();
             let pieces = items.iter().cloned();
             state.pieces.extend(pieces.map(|item| Piece { at, item }));
-            state.delay
+            (fault, state.delay)
         };
         thread::sleep(self.pause + delay);
         let id = lock(&self.id).clone();
@@ -249,7 +255,13 @@
             let request = item["id"].as_str().unwrap_or_default();
             json!({ "handle": format!("{id}/{request}.{}.{}", item["phase"], item["piece"]) })
         });
-        Reply::ok(json!({ "items": results.collect::<Vec<Value>>() }))
+        let body = json!({ "items": results.collect::<Vec<Value>>() });
+
+        if matches!(fault, Some(Fault::AnswerTwice)) {
+            answer_twice(&body)
+        } else {
+            Reply::ok(body)
+        }
     }
 
     fn free(&self, request: &Request) -> Reply {
--- a/stand-ins/src/platform/workers/replies.rs
+++ b/stand-ins/src/platform/workers/replies.rs
@@ -3,6 +3,7 @@
 use {
     super::Fault,
     crate::http::{Flow, Reply},
+    serde_json::Value,
     std::{io::Write, thread, time::Duration},
 };
 
@@ -25,19 +26,32 @@
     )
 }
 
-/// Writes a refusal, waits until the client has used the connection again, and
-/// writes the refusal once more.
+/// Writes a refusal, and writes it again as the answer to the next request on the
+/// connection.
 pub(super) fn refuse_twice() -> Reply {
+    let refusal =
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    written_twice(refusal.to_vec())
+}
+
+/// Writes a JSON body with status 200, and writes it again as the answer to the next
+/// request on the connection.
+pub(super) fn answer_twice(body: &Value) -> Reply {
+    let body = body.to_string();
+    let length = body.len();
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+    written_twice(text.into_bytes())
+}
+
+fn written_twice(response: Vec<u8>) -> Reply {
     /// Time in which a client uses the connection for its next request.
     const NEXT_REQUEST_TIME: Duration = Duration::from_millis(150);
 
-    let refusal =
-        b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     Reply::Written(Box::new(move |writer: &mut dyn Write| {
-        writer.write_all(refusal)?;
+        writer.write_all(&response)?;
         writer.flush()?;
         thread::sleep(NEXT_REQUEST_TIME);
-        writer.write_all(refusal)?;
+        writer.write_all(&response)?;
         Ok(Flow::Keep)
     }))
 }
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -5,7 +5,7 @@
     persimmoncleat::state::{
         clock::Time,
         serving::{
-            batch::{Action, CallId, CallOutcome, Dispatcher, Item},
+            batch::{Action, CallId, CallOutcome, Dispatcher, Item, Origin},
             budget::Bounds,
             config::Pool,
             piece::{self, Failure, Input, Job, JobId, Outcome},
@@ -158,6 +158,53 @@
     new_incarnation_is_not_deferred: true, 2, 0 => 1;
 }
 
+/// Returns the item of a request's piece, and a result with a handle.
+fn returned(request: &str, piece: u16, handle: &str) -> (Item, piece::Result) {
+    let item = Item {
+        input: Input::Key("k".into()),
+        piece,
+        remaining: Duration::from_secs(1),
+        request: request.into(),
+        stage: 0,
+    };
+    (item, piece::Result::Done(handle.into()))
+}
+
+macro_rules! response_after {
+    ($($(#[$doc:meta])* $name:ident: $earlier:expr, $millis:expr, $later:expr => $origin:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut dispatcher = dispatcher(1);
+                let mut origin = |millis, (item, result)| {
+                    let endpoint = &entry(0).endpoint;
+                    dispatcher.origin(at(millis), endpoint, &[item], &[result])
+                };
+                assert_eq!(origin(0, $earlier), Origin::ThisCall);
+                assert_eq!(origin($millis, $later), $origin);
+            }
+        )*
+    };
+}
+
+response_after! {
+    /// Guards against a request that gets the outputs of another one, since an endpoint
+    /// wrote an earlier response again.
+    handle_of_another_request_shows_an_earlier_response:
+        returned("r1", 0, "h1"), 14_000, returned("r2", 0, "h1") => Origin::EarlierCall;
+    handle_of_another_piece_shows_an_earlier_response:
+        returned("r1", 0, "h1"), 10, returned("r1", 1, "h1") => Origin::EarlierCall;
+    new_handle_belongs_to_the_call:
+        returned("r1", 0, "h1"), 10, returned("r2", 0, "h2") => Origin::ThisCall;
+    /// An endpoint may name its outputs after their pieces.
+    handle_of_a_piece_that_ran_again_belongs_to_the_call:
+        returned("r1", 0, "h1"), 10, returned("r1", 0, "h1") => Origin::ThisCall;
+    /// Guards against memory that grows with the number of pieces.
+    handle_is_forgotten:
+        returned("r1", 0, "h1"), 15_000, returned("r2", 0, "h1") => Origin::ThisCall;
+}
+
 #[test]
 fn urgent_jobs_go_before_late_and_less_urgent_ones() {
     let mut dispatcher = dispatcher(1);
