--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -54,8 +54,8 @@
     /// Refuses the request, and writes the refusal again as the answer to the next
     /// request on the connection.
     RefuseTwice,
-    /// Runs the request and responds with this status, which only a refusal that
-    /// says so makes a promise that it has not run.
+    /// Runs the request and responds with this status, without saying that it has not
+    /// run.
     Status(&'static str),
     /// Sends a response without a proof. A stream's has an error text in place of
     /// events.
