--- a/tests/links.rs
+++ b/tests/links.rs
@@ -11,6 +11,10 @@
             claims::witness::{Witness, WitnessAnswer},
             clock::Time,
             id::Incarnation,
+            serving::{
+                catch_up::FOLLOW_WAIT,
+                mirror::{Changes, RelayedChanges},
+            },
         },
         transport::{Error, links::Links, peer_call::PeerCall},
     },
@@ -70,6 +74,27 @@
         Self::start(move |call| drop(sender.send(call)))
     }
 
+    /// Starts a server that answers requests for changes after the time for which
+    /// they wait.
+    fn store_reader() -> Self {
+        Self::start(|call| {
+            if let PeerCall::ObjectChanges { reply, wait, .. } = call {
+                thread::spawn(move || {
+                    thread::sleep(wait);
+                    let changes = Changes {
+                        revision: 7,
+                        ..Changes::default()
+                    };
+                    // Fails if the caller has given up.
+                    let _ = reply.send(RelayedChanges {
+                        age: Duration::ZERO,
+                        changes,
+                    });
+                });
+            }
+        })
+    }
+
     /// Starts a server that answers no call. Returns it with the calls that it
     /// receives.
     fn unresponsive() -> (Self, Receiver<PeerCall>) {
@@ -108,6 +133,19 @@
     }
 }
 
+/// Fetches the changes of a kind and waits for the answer.
+fn fetch_changes(
+    links: &Links,
+    address: SocketAddr,
+    wait: Duration,
+) -> Result<RelayedChanges, Error> {
+    let (sender, receiver) = channel();
+    links.object_changes(address, "config", 1, wait, move |answer| {
+        drop(sender.send(answer));
+    });
+    receiver.recv_timeout(LONG_TIMEOUT).unwrap()
+}
+
 /// Repeats the call until it succeeds.
 fn retry_until_ok<T>(mut call: impl FnMut() -> Result<T, Error>) -> T {
     let started = Instant::now();
@@ -228,6 +266,23 @@
     assert_eq!(answer, WitnessAnswer::Granted);
 }
 
+/// Guards against a host that gets a change too late: its connection to the host
+/// that it follows has fallen silent while new connections work.
+#[test]
+fn changes_arrive_although_the_open_connection_is_silent() {
+    let server = Server::store_reader();
+    let relay = Relay::start(Some(server.address)).unwrap();
+    let links = client(KEY);
+    fetch_changes(&links, relay.address(), Duration::ZERO).unwrap();
+
+    let (calling, address) = (links.clone(), relay.address());
+    let waiting = thread::spawn(move || fetch_changes(&calling, address, FOLLOW_WAIT));
+    thread::sleep(Duration::from_millis(50));
+    relay.blackhole();
+    let changes = waiting.join().unwrap().unwrap();
+    assert_eq!(changes.changes.revision, 7);
+}
+
 /// Guards against a claim that permits the send without a grant of the witness,
 /// and against a closed ticket that is granted later.
 #[test]
