Replace a connection between hosts that falls silent while new ones work

What callers saw: 404 for a route 3.5 to 5 s after its version was acknowledged.

Cause: a connection was replaced only after two calls on it had timed out, 1 to 2 s each. After all connections had fallen silent, a host found them one by one: at its reader, at the next reader, and at each host that it asked because it was ahead.

Ruled out: the store. Its readers had each version 0.8 to 1.3 s after the acknowledgement, when their watches had timed out, and the hosts that were asked answered others all the while (logs of all hosts). A shorter timeout for each call: a large configuration over a small link needs it, and ninety connections would still be found one by one. TCP_USER_TIMEOUT: it sees nothing while a host only waits, and it closes connections of lossy links.

Change: while nothing has arrived for 500 ms on a connection with a call in progress, the link pings on it, and opens a new connection if that is not answered in 400 ms. If the new one works and the old one is still silent, it replaces the old one, and requests for changes are sent again on it. A slow host keeps its connection, since its answer arrives before the new connection is open. The log tells a silent connection from a silent host: 'connection to a peer replaced' and 'closed'.

--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -12,9 +12,10 @@
         transport::{
             error::{BrokenSnafu, ConnectSnafu, Error, TimeoutSnafu},
             fleet_key::FleetKey,
-            link::{Link, SendCall},
+            link::{Link, Reply, SendCall},
             link_server,
             peer_call::PeerCall,
+            peer_capnp::peer,
             wire,
         },
     },
@@ -223,11 +224,7 @@
         &self,
         address: SocketAddr,
         timeout: Duration,
-        send: impl FnOnce(
-            crate::transport::peer_capnp::peer::Client,
-        ) -> LocalBoxFuture<'static, capnp::Result<T>>
-        + Send
-        + 'static,
+        send: impl FnOnce(peer::Client) -> Reply<T> + Send + 'static,
     ) -> Result<T, Error> {
         let (sender, receiver) = sync_channel(1);
         let done = move |result| drop(sender.send(result));
@@ -250,17 +247,22 @@
         address: SocketAddr,
         timeout: Duration,
         done: impl FnOnce(Result<T, Error>) + Send + 'static,
-        send: impl FnOnce(
-            crate::transport::peer_capnp::peer::Client,
-        ) -> LocalBoxFuture<'static, capnp::Result<T>>
-        + Send
-        + 'static,
+        send: impl FnOnce(peer::Client) -> Reply<T> + Send + 'static,
+    ) {
+        self.enqueue(address, timeout, done, SendCall::Once(Box::new(send)));
+    }
+
+    fn enqueue<T: 'static>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        done: impl FnOnce(Result<T, Error>) + Send + 'static,
+        send: SendCall<T>,
     ) {
         let started = Instant::now();
         let Ok(slot) = self.0.try_reserve() else {
             return done(unavailable(address));
         };
-        let send: SendCall<T> = Box::new(send);
 
         slot.send(Command {
             address,
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -12,11 +12,12 @@
         },
         transport::{
             error::Error,
+            link::{Reply, SendCall},
             links::{Links, TIMEOUT_MARGIN, unavailable},
+            peer_capnp::peer,
             wire,
         },
     },
-    futures::future::LocalBoxFuture,
     std::{net::SocketAddr, time::Duration},
     tokio::sync::oneshot,
 };
@@ -172,7 +173,7 @@
         wait: Duration,
         done: impl FnOnce(Result<RelayedChanges, Error>) + Send + 'static,
     ) {
-        self.submit(address, wait + TIMEOUT_MARGIN, done, move |peer| {
+        let send = move |peer: peer::Client| -> Reply<RelayedChanges> {
             Box::pin(async move {
                 let mut request = peer.object_changes_request();
                 request.get().set_kind(kind);
@@ -183,18 +184,16 @@
                 let response = request.send().promise.await?;
                 wire::read_changes(response.get()?.get_changes()?)
             })
-        });
+        };
+        let send = SendCall::Repeatable(Box::new(send));
+        self.enqueue(address, wait + TIMEOUT_MARGIN, done, send);
     }
 
     async fn call<T: Send + 'static>(
         &self,
         address: SocketAddr,
         timeout: Duration,
-        send: impl FnOnce(
-            crate::transport::peer_capnp::peer::Client,
-        ) -> LocalBoxFuture<'static, capnp::Result<T>>
-        + Send
-        + 'static,
+        send: impl FnOnce(peer::Client) -> Reply<T> + Send + 'static,
     ) -> Result<T, Error> {
         let (sender, receiver) = oneshot::channel();
         let done = move |result| drop(sender.send(result));
