Read the store while the reader that a host follows is silent

What callers saw: 404 for a route 3.2 s and more after its version was acknowledged, at hosts that reached the store all the while.

Cause: a host waited 2 s for its reader and for each of the hosts to which it turned next, and read the store itself only after four failures, if it was among the first twelve. While most hosts are silent, none of those that are left has a version that the others could learn of from the membership, which takes seconds itself to drop many silent hosts.

Ruled out: shorter waits alone; four silent readers still take four of them. Reading the store after every failure: an outage of the store fails all readers, and the calls would follow the size of the fleet.

Change: a host whose last request to a reader had no answer reads the store, and asks the next reader meanwhile, until one answers. It then stays with that one.

--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -264,7 +264,7 @@
             }
             Event::PeerFailed { kind, purpose } => {
                 let replica = self.replicas.entry(kind).or_default();
-                replica.catch_up.record(now, purpose, false);
+                replica.catch_up.record_silence(now, purpose);
             }
             Event::Quarantine(part) => self.membership.quarantine(now, part),
             Event::Release(part) => self.membership.release(part),
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -65,7 +65,7 @@
 
         for (kind, replica) in &mut self.replicas {
             replica.answer_waiters(now);
-            let role = self.ranking.role(replica.catch_up.failures());
+            let role = replica.catch_up.role(&self.ranking);
             let reading = reading(role, watch_wait).filter(|_| settled);
 
             if role == Role::Read {
--- a/src/state/serving/catch_up.rs
+++ b/src/state/serving/catch_up.rs
@@ -3,11 +3,14 @@
 //! A host that follows a reader has one request waiting there. The reader may
 //! fall silent while it waits, and so may the next one, so a host that learns
 //! from the membership that others have a newer object also asks one of these.
+//! It does not learn that if all of them are silent, so it reads the store itself
+//! until a reader answers. An outage of the store does not cause this: a reader
+//! that has lost the store says so.
 
 use {
     crate::state::{
         clock::Time,
-        serving::readers::{self, Role},
+        serving::readers::{self, READERS, Ranking, Role},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -104,6 +107,8 @@
     last_failure: Option<Time>,
     /// Whether the last request to a reader failed.
     reader_failed: bool,
+    /// Whether the last request to a reader had no answer.
+    reader_silent: bool,
     /// Whether the last request asked if a reader is up to date again.
     rechecks: bool,
 }
@@ -119,7 +124,22 @@
         self.failures = 0;
     }
 
-    /// Records the end of a request. `fresh` says whether it returned a copy that
+    /// Returns how this host stays up to date. One that would follow a reader reads
+    /// the store if its reader is silent.
+    pub fn role(&self, ranking: &Ranking) -> Role {
+        match ranking.role(self.failures) {
+            Role::Follow(reader) if self.reader_silent => Role::ReadFor(reader),
+            role => role,
+        }
+    }
+
+    /// Records a request without an answer.
+    pub fn record_silence(&mut self, now: Time, purpose: Purpose) {
+        self.record(now, purpose, false);
+        self.reader_silent |= purpose == Purpose::Follow;
+    }
+
+    /// Records the answer to a request. `fresh` says whether it returned a copy that
     /// the store confirmed recently.
     pub fn record(&mut self, now: Time, purpose: Purpose, fresh: bool) {
         if purpose == Purpose::CatchUp {
@@ -129,14 +149,16 @@
 
         self.follow.in_progress = false;
         self.reader_failed = !fresh;
+        self.reader_silent = false;
 
         if !fresh {
             self.failures = self.failures.saturating_add(1);
             self.last_failure = Some(now);
-        } else if self.rechecks
-            || (self.last_failure).is_none_or(|failure| now.since(failure) >= RETURN_TIME)
-        {
+        } else if (self.last_failure).is_none_or(|failure| now.since(failure) >= RETURN_TIME) {
             self.failures = 0;
+        } else if self.rechecks {
+            // Selects the same reader again.
+            self.failures %= READERS as u32;
         }
     }
 
--- a/src/state/serving/readers.rs
+++ b/src/state/serving/readers.rs
@@ -138,10 +138,14 @@
 /// Returns the pause before another host is asked for changes, after a number
 /// of consecutive failures.
 pub const fn pause(role: Role, failures: u32) -> Duration {
+    let rounds = failures as usize / READERS;
+
     match role {
-        Role::Read | Role::ReadFor(_) => RECHECK_INTERVAL,
         Role::Follow(_) if failures == 0 => Duration::ZERO,
-        Role::Follow(_) => match failures as usize / READERS {
+        // Another reader probably answers, which ends the calls to the store.
+        Role::ReadFor(_) if failures > 0 && rounds == 0 => RETRY_PAUSE,
+        Role::Read | Role::ReadFor(_) => RECHECK_INTERVAL,
+        Role::Follow(_) => match rounds {
             0 => RETRY_PAUSE,
             1 => REPLACEMENT_PAUSE,
             _ => OUTAGE_PAUSE,
--- a/tests/serving/catch_up.rs
+++ b/tests/serving/catch_up.rs
@@ -2,11 +2,12 @@
 //! follows falls silent, and must not ask for everything twice.
 
 use {
+    crate::readers::members as fleet,
     persimmoncleat::state::{
         clock::Time,
         serving::{
             catch_up::{CatchUp, Purpose, Request, Sources},
-            readers::Role,
+            readers::{READERS, Ranking, Role},
         },
     },
     std::{net::SocketAddr, time::Duration},
@@ -130,3 +131,61 @@
     catch_up.record(later, Purpose::Follow, true);
     assert_eq!(catch_up.failures(), 0);
 }
+
+/// Guards against a host that reaches the store but gets no changes, since it asks
+/// one silent host after the other.
+#[test]
+fn host_reads_the_store_while_its_reader_is_silent() {
+    let members = fleet(295);
+    let local = members.last().unwrap();
+    let ranking = Ranking::new(&local.host, members.iter());
+    let mut catch_up = CatchUp::default();
+    let now = Time::from_micros(60_000_000);
+    assert!(matches!(catch_up.role(&ranking), Role::Follow(_)));
+
+    for _ in 0..40 {
+        catch_up.record_silence(now, Purpose::Follow);
+        assert!(!matches!(catch_up.role(&ranking), Role::Follow(_)));
+    }
+}
+
+/// Guards against a host that goes back to a silent reader as soon as another one
+/// answers.
+#[test]
+fn host_follows_the_reader_that_answers_after_a_silent_one() {
+    let members = fleet(295);
+    let local = members.last().unwrap();
+    let ranking = Ranking::new(&local.host, members.iter());
+    let mut catch_up = CatchUp::default();
+    let now = Time::from_micros(60_000_000);
+    catch_up.record_silence(now, Purpose::Follow);
+    let role = catch_up.role(&ranking);
+    let requests = catch_up.requests(
+        now,
+        &Sources {
+            ahead: None,
+            any: None,
+            role,
+            stale: false,
+        },
+    );
+    assert_eq!(requests.len(), 1);
+    catch_up.record(now, Purpose::Follow, true);
+    assert_eq!(catch_up.role(&ranking), Role::Follow(requests[0].address));
+}
+
+/// Guards against calls that grow with the fleet during an outage of the store, in
+/// which readers answer that they have lost it.
+#[test]
+fn host_does_not_read_the_store_because_readers_have_lost_it() {
+    let members = fleet(295);
+    let local = members.last().unwrap();
+    let ranking = Ranking::new(&local.host, members.iter());
+    let mut catch_up = CatchUp::default();
+    let now = Time::from_micros(60_000_000);
+
+    for _ in 0..2 * READERS {
+        catch_up.record(now, Purpose::Follow, false);
+        assert!(matches!(catch_up.role(&ranking), Role::Follow(_)));
+    }
+}
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -16,7 +16,8 @@
 
 const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
-fn members(count: u16) -> Vec<Member> {
+/// Returns the members of a fleet of equal hosts.
+pub fn members(count: u16) -> Vec<Member> {
     (0..count)
         .map(|host| Member {
             caller_address: ([127, 0, 0, 1], 1000 + host).into(),
