Watch the store from the revision that peers have delivered

Cause: a host that begins to read the store in place of a reader watched it from its own last listing, often that of its start. The store then sends every version since, each in full, over what may be a small link, although the host has all but the last one from its peers; or it answers that the history is gone, and the host lists all objects. The class is that of: a log sent where the state is enough.

Change: the control thread tells the follower the revision of its copy.

watch_begins_at_the_revision_that_peers_have_delivered failed before (5 instead of 90).

--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -66,7 +66,8 @@
         for (kind, replica) in &mut self.replicas {
             replica.answer_waiters(now);
             let role = replica.catch_up.role(&self.ranking);
-            let reading = reading(role, watch_wait).filter(|_| settled);
+            let known = replica.mirror.revision().unwrap_or(0);
+            let reading = reading(role, known, watch_wait).filter(|_| settled);
 
             if role == Role::Read {
                 replica.catch_up.clear_failures();
@@ -93,7 +94,6 @@
                 role,
                 stale: replica.store_failed || now.since(replica.confirmed_at) > stale_after,
             };
-            let known = replica.mirror.revision().unwrap_or(0);
             let due = replica.catch_up.requests(now, &sources);
             requests.extend(due.into_iter().map(|request| (*kind, known, request)));
         }
@@ -161,13 +161,17 @@
 }
 
 /// Returns how a host with a role reads the store.
-fn reading(role: Role, wait: Duration) -> Option<Reading> {
+fn reading(role: Role, known: u64, wait: Duration) -> Option<Reading> {
     let max_backoff = match role {
         Role::Follow(_) => return None,
         Role::Read => MAX_BACKOFF,
         Role::ReadFor(_) => MAX_STANDBY_BACKOFF,
     };
-    Some(Reading { max_backoff, wait })
+    Some(Reading {
+        known,
+        max_backoff,
+        wait,
+    })
 }
 
 /// Returns the highest revision of a kind's objects that a member reported.
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -52,6 +52,8 @@
 /// How a host reads a kind from the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Reading {
+    /// Revision of the objects that this host knows, also from its peers.
+    pub known: u64,
     /// Maximum pause after failed calls.
     pub max_backoff: Duration,
     /// Maximum wait of a watch.
@@ -129,14 +131,18 @@
 }
 
 fn follow(kind: Kind, store: &dyn Store, mode: &Mode, events: &Sender<Event>) {
-    let mut revision = None;
+    let mut revision = None::<u64>;
     let mut consistency = Consistency::MayLag;
     let mut failures = 0u32;
 
     loop {
         let answer = match (revision, mode.get()) {
             (None, _) => store.list(kind, consistency),
-            (Some(revision), Some(reading)) => store.watch(kind, revision, reading.wait),
+            (Some(at), Some(reading)) => {
+                let known = at.max(reading.known);
+                revision = Some(known);
+                store.watch(kind, known, reading.wait)
+            }
             (Some(_), None) => {
                 thread::sleep(IDLE_INTERVAL);
                 continue;
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod dispatchers;
 mod event_stream;
+mod follower;
 mod graph;
 mod mirror;
 mod overload;
