--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -88,6 +88,8 @@
     delay: Duration,
     /// Whether all answers say that the worker is leaving.
     leaving: bool,
+    /// The requests a second that all answers say the worker takes.
+    limit: Option<&'static str>,
     /// Whether the next request to free outputs is refused, and the refusal written
     /// again.
     refuses_release: bool,
@@ -156,6 +158,11 @@
         lock(&self.service.state).delay = delay;
     }
 
+    /// Names a number of requests a second in all answers from now on, or none.
+    pub fn limit(&self, per_second: Option<&'static str>) {
+        lock(&self.service.state).limit = per_second;
+    }
+
     /// Says in all answers from now on that the worker is leaving.
     pub fn leave(&self) {
         lock(&self.service.state).leaving = true;
@@ -391,17 +398,23 @@
             return refuse("421 Misdirected Request");
         }
 
-        let leaving = lock(&self.state).leaving;
-        let reply = match request.path.as_str() {
+        let (leaving, limit) = {
+            let state = lock(&self.state);
+            (state.leaving, state.limit)
+        };
+        let mut reply = match request.path.as_str() {
             "/stage-run" => self.stage(&request),
             "/stage-free" => self.free(&request),
             _ => self.run(&request),
         };
 
         if leaving {
-            mark(reply, "Server-Leaving: 1")
-        } else {
-            reply
+            reply = mark(reply, "Server-Leaving: 1");
+        }
+
+        match limit {
+            Some(limit) => mark(reply, &format!("Server-Limit: {limit}")),
+            None => reply,
         }
     }
 }
