--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -3,12 +3,13 @@
 
 use {
     crate::{
-        http::{Reply, Request},
+        http::{Flow, Reply, Request},
         server::{ANY_PORT, Handler, Server, lock},
     },
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
+        io::Write,
         net::SocketAddr,
         sync::{Arc, Condvar, Mutex, PoisonError},
         thread,
@@ -21,6 +22,8 @@
     /// The history contains only changes after this revision.
     compacted_revision: u64,
     history: Vec<(String, bool, Value)>,
+    /// Contents of objects that are not JSON values, by the text that stands for them.
+    raw: BTreeMap<String, Vec<u8>>,
     objects: BTreeMap<(String, String), Value>,
     /// Whether every call gets a 503 response.
     down: bool,
@@ -64,6 +67,16 @@
         self.objects.put(kind, name, spec);
     }
 
+    /// Creates or replaces an object with any bytes as its content, as another writer
+    /// may.
+    pub fn put_bytes(&self, kind: &str, name: &str, spec: &[u8]) {
+        let marker = format!("content of {kind}/{name}");
+        lock(&self.objects.state)
+            .raw
+            .insert(format!("\"{marker}\""), spec.to_vec());
+        self.objects.put(kind, name, &json!(marker));
+    }
+
     /// Removes an object, if it exists.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = lock(&self.objects.state);
@@ -135,7 +148,7 @@
             .collect::<Vec<Value>>();
         let more = items.len() > PAGE_SIZE;
         items.truncate(PAGE_SIZE);
-        Reply::ok(json!({ "items": items, "hasMore": more, "at": state.revision }))
+        state.reply(&json!({ "items": items, "hasMore": more, "at": state.revision }))
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Reply {
@@ -163,7 +176,7 @@
             let remaining = deadline.saturating_duration_since(Instant::now());
 
             if !events.is_empty() || remaining.is_zero() {
-                return Reply::ok(json!({ "events": events, "at": state.revision }));
+                return state.reply(&json!({ "events": events, "at": state.revision }));
             }
 
             state = self
@@ -175,6 +188,38 @@
     }
 }
 
+impl State {
+    /// Returns a reply with the contents that are not JSON values in their places.
+    fn reply(&self, value: &Value) -> Reply {
+        let text = value.to_string();
+        let is_used = |(marker, _): &(&String, &Vec<u8>)| text.contains(marker.as_str());
+        let raw = self.raw.iter().filter(is_used).collect::<Vec<_>>();
+
+        if raw.is_empty() {
+            return Reply::ok(value);
+        }
+
+        let mut body = text.into_bytes();
+
+        for (marker, content) in raw {
+            while let Some(at) = find(&body, marker.as_bytes()) {
+                body.splice(at..at + marker.len(), content.iter().copied());
+            }
+        }
+
+        Reply::Written(Box::new(move |writer: &mut dyn Write| {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            writer.write_all(head.as_bytes())?;
+            writer.write_all(&body)?;
+            Ok(Flow::Keep)
+        }))
+    }
+}
+
+fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|window| window == part)
+}
+
 impl Handler for Objects {
     fn handle(&self, request: Request) -> Reply {
         let delay = {
--- a/tests/serving/limit.rs
+++ b/tests/serving/limit.rs
@@ -18,15 +18,18 @@
 /// Span over which the requests of an endpoint are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Time between two requests of a host that has more than enough.
-const STEP: Duration = Duration::from_millis(10);
+/// Time for which hosts have requests.
+const DURATION: Duration = Duration::from_secs(120);
+
+/// Time for which hosts have no requests.
+const PAUSE: Duration = Duration::from_secs(60);
 
 /// When each host has requests for the endpoint.
 #[derive(Clone, Copy)]
 enum Demand {
     /// All the time.
     Always,
-    /// All hosts at once, after a pause of a minute.
+    /// All hosts at once, after a pause.
     AfterPause,
 }
 
@@ -40,27 +43,26 @@
     /// Returns the times at which the endpoint receives requests in two minutes.
     fn requests(&self, seed: u64) -> Vec<Time> {
         let mut random = StdRng::seed_from_u64(seed);
-        let mut limits = (0..self.hosts)
-            .map(|_| Limit::new(START, self.rate, self.hosts, random.random()))
-            .collect::<Vec<Limit>>();
         let mut requests = Vec::new();
-        let mut elapsed = Duration::ZERO;
-
-        while elapsed < Duration::from_secs(120) {
-            elapsed += STEP;
-            let now = START + elapsed;
-
-            if matches!(self.demand, Demand::AfterPause) && elapsed < Duration::from_secs(60) {
-                continue;
-            }
-
-            for limit in limits.iter_mut().filter(|limit| limit.allows(now)) {
+        let start = match self.demand {
+            Demand::Always => START,
+            Demand::AfterPause => START + PAUSE,
+        };
+
+        for _ in 0..self.hosts {
+            let mut limit = Limit::new(START, self.rate, self.hosts, random.random());
+            let mut now = start;
+
+            while now < START + DURATION {
+                now = now.max(limit.next(now));
+                assert!(limit.allows(now));
                 limit.record_request(now);
                 limit.renew(now, self.rate, self.hosts);
                 requests.push(now);
             }
         }
 
+        requests.sort_unstable();
         requests
     }
 }
@@ -97,7 +99,7 @@
                     assert!(most(&requests) <= allowed, "seed {seed}: {}", most(&requests));
 
                     if matches!(load.demand, Demand::Always) {
-                        let taken = requests.len() as f64 / 120.0;
+                        let taken = requests.len() as f64 / DURATION.as_secs_f64();
                         assert!(taken >= load.rate * 0.5, "seed {seed}: {taken} a second");
                     }
                 }
