Read the host list beside a record that cannot be read

Cause: the list was parsed into its records at once.

Change: the records are parsed one by one; those that cannot be read are logged once for each revision of the list, and the others are used.

--- a/src/coordination/discovery.rs
+++ b/src/coordination/discovery.rs
@@ -27,7 +27,11 @@
         collections::HashMap,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc::Sender},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+            mpsc::Sender,
+        },
         thread,
         time::Duration,
     },
@@ -57,6 +61,8 @@
     control: Sender<control::Event>,
     host: id::Host,
     host_list: SocketAddr,
+    /// Revision of the host list whose unreadable records were last logged.
+    list_revision: AtomicU64,
     published: PublishedView,
     registry: Mutex<Registry>,
     /// Sequence number of the last cache event read from each engine.
@@ -76,6 +82,7 @@
             control,
             host,
             host_list,
+            list_revision: AtomicU64::default(),
             published,
             registry: Mutex::default(),
             sequences: Mutex::default(),
@@ -112,10 +119,21 @@
 
     /// Reads the host list once. If that fails, the last list stays in use.
     fn refresh_host_list(&self) -> Next {
-        match self.read::<Hosts>(self.host_list, "/v1/hosts", LIST_TIMEOUT) {
+        let body = self.read_body(self.host_list, "/v1/hosts", LIST_TIMEOUT);
+        let list = body.and_then(|body| Hosts::read(&body).map_err(|error| error.to_string()));
+
+        match list {
             Ok(hosts) => {
-                let endpoints = hosts.hosts.iter().filter_map(endpoint).collect();
-                let event = membership::Event::Hosts(hosts.hosts);
+                let (records, errors) = hosts.records();
+
+                if self.list_revision.swap(hosts.revision, Ordering::Relaxed) != hosts.revision {
+                    for error in errors {
+                        warn!("host list: {error}");
+                    }
+                }
+
+                let endpoints = records.iter().filter_map(endpoint).collect();
+                let event = membership::Event::Hosts(records);
                 let _ = self.control.send(control::Event::Membership(event));
                 self.registry()
                     .update(boot_clock::now(), hosts.revision, endpoints);
@@ -231,6 +249,16 @@
         path: &str,
         timeout: Duration,
     ) -> Result<T, String> {
+        let body = self.read_body(address, path, timeout)?;
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
+    }
+
+    fn read_body(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, String> {
         let response = self
             .client
             .get(address, path, &[], timeout)
@@ -241,9 +269,8 @@
             return Err(format!("{address} answered {status}"));
         }
 
-        let body = client::read_body(address, timeout, response)
-            .map_err(|failure| failure.into_error().to_string())?;
-        serde_json::from_slice(&body).map_err(|error| error.to_string())
+        client::read_body(address, timeout, response)
+            .map_err(|failure| failure.into_error().to_string())
     }
 
     fn registry(&self) -> MutexGuard<'_, Registry> {
