Refuse late requests that a stopping host would cut off

What operators of similar systems saw: in a planned stop in calm, requests that came late in the grace period were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

Whether it can happen here: yes. A host took requests until 4.5 s before the end of its grace period, whatever their deadline. One that arrived 3 s after the signal, with 5 s left, at an endpoint that needs 4.8 s, was cut at 7.7 s without an answer.

Cause: the margin covers the longest goal, not the time that a request may take.

Ruled out: refusing everything after the signal; callers use the addresses that they have resolved for some seconds, and the stop would cost each of them a repeat.

Change: from 2.5 s after the signal on, when callers have resolved other addresses, a request is taken only if its deadline and its route's time end before the process does. Others are refused as not run.

--- a/src/coordination/serving/drain.rs
+++ b/src/coordination/serving/drain.rs
@@ -11,11 +11,11 @@
 
 /// Time before the end of the grace period at which the process exits even if
 /// work is in progress.
-const END_MARGIN: Duration = Duration::from_millis(300);
+pub const END_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time for which callers may still use the address of a stopping host: until
 /// the directory response that they have cached expires.
-const ADDRESS_LIFETIME: Duration = Duration::from_millis(2500);
+pub const ADDRESS_LIFETIME: Duration = Duration::from_millis(2500);
 
 /// Interval between checks whether a stopping host can exit.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -5,6 +5,7 @@
     crate::{
         coordination::serving::{
             answer::{Reason, Refusal},
+            drain,
             host::Host,
             relay,
             request::Request,
@@ -36,9 +37,11 @@
 /// yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Delay after which a caller that a stopping host refused may retry at
-/// another one.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// The refusal of a stopping host. The caller may retry at another one almost at once.
+const LEAVING: Refusal = Refusal::NotRun {
+    reason: Reason::Leaving,
+    retry_after: Duration::from_millis(20),
+};
 
 /// Time before the end of the grace period from which on a stopping host
 /// accepts no request: the longest goal and the time of a stream.
@@ -84,14 +87,7 @@
         .leaving_for()
         .is_some_and(|time| time > host.settings().grace.saturating_sub(LAST_REQUEST_MARGIN))
     {
-        return Err(record_refusal(
-            host,
-            head,
-            Refusal::NotRun {
-                reason: Reason::Leaving,
-                retry_after: LEAVING_RETRY_AFTER,
-            },
-        ));
+        return Err(record_refusal(host, head, LEAVING));
     }
 
     let body = read_body(&config, body)
@@ -100,6 +96,7 @@
     let request = accept(host, &config, head, body, started)
         .map_err(|refusal| record_refusal(host, head, refusal))?;
     let request = Rc::new(request);
+    reject_outlasting(host, head, &request)?;
     reject_hopeless(host, &request, &view.quarantine)?;
     host.retries
         .record_request(&host.settings().budget, &request.service);
@@ -112,6 +109,21 @@
     result
 }
 
+/// Refuses a request that a stopping host would cut off: it arrived after callers have
+/// learnt of other hosts, and may last longer than the rest of the grace period.
+fn reject_outlasting(host: &Host, head: &Parts, request: &Request) -> Result<(), Refusal> {
+    let Some(elapsed) = host.leaving_for() else {
+        return Ok(());
+    };
+    let end = host.settings().grace.saturating_sub(drain::END_MARGIN);
+
+    if elapsed < drain::ADDRESS_LIFETIME || request.remaining() <= end.saturating_sub(elapsed) {
+        return Ok(());
+    }
+
+    Err(record_refusal(host, head, LEAVING))
+}
+
 /// Refuses a request that cannot be served, before any stage runs for it: its prompt
 /// has a part in quarantine, or no endpoint wants requests before its deadline.
 fn reject_hopeless(host: &Host, request: &Request, quarantine: &Quarantine) -> Result<(), Refusal> {
