Read on after an interrupted read in the stand-ins

Two of the failures, with the caller's error printed, were reads with the error Interrupted (EINTR) before the first byte, and the host's log shows the request in progress. A read with a timeout is interrupted if its process was stopped and goes on, as happens to all processes of this machine when it is paused. The stand-in of a caller took that for the end of the connection. The relay of the stand-ins ended a connection for the same reason.

Ruled out: a panic or an end of the host (its log), a stop of the host, a timeout (20 s; the failure came within 1 s).

Change: both read on.

--- a/stand-ins/src/platform/caller.rs
+++ b/stand-ins/src/platform/caller.rs
@@ -91,10 +91,8 @@
     let mut byte = [0];
 
     while !bytes.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => bytes.push(byte[0]),
-            _ => return None,
-        }
+        stream.read_exact(&mut byte).ok()?;
+        bytes.push(byte[0]);
     }
 
     let head = String::from_utf8(bytes).ok()?;
@@ -137,10 +135,8 @@
     let mut byte = [0];
 
     while !line.ends_with(b"\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => line.push(byte[0]),
-            _ => return None,
-        }
+        stream.read_exact(&mut byte).ok()?;
+        line.push(byte[0]);
     }
 
     usize::from_str_radix(String::from_utf8_lossy(&line).trim(), 16).ok()
--- a/stand-ins/src/relay.rs
+++ b/stand-ins/src/relay.rs
@@ -226,10 +226,10 @@
         let count = match from.read(&mut buffer) {
             Ok(0) => break,
             Ok(count) => count,
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                continue;
-            }
-            Err(_) => break,
+            Err(error) => match error.kind() {
+                ErrorKind::Interrupted | ErrorKind::TimedOut | ErrorKind::WouldBlock => continue,
+                _ => break,
+            },
         };
 
         if connection.blackholed.load(Ordering::SeqCst) {
