--- /dev/null
+++ b/review/rig/relay.rs
@@ -0,0 +1,82 @@
+//! A relay for TCP connections in front of a machine, whose far side may lose power.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
+
+/// A relay. If a client ends while power is off, the server isn't told. Once power is
+/// back, the connection is closed as soon as the server has sent something on it, as the
+/// client's machine would reset a connection that it doesn't know.
+#[derive(Clone, Default)]
+pub struct Relay {
+    off: Arc<AtomicBool>,
+}
+
+impl Relay {
+    /// Starts a relay from one address to another.
+    pub fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Relay> {
+        let listener = TcpListener::bind(listen)?;
+        let relay = Relay::default();
+        let started = relay.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let Ok(server) = TcpStream::connect(target) else { continue };
+                let _ = client.set_nodelay(true);
+                let _ = server.set_nodelay(true);
+                let (Ok(client_copy), Ok(server_copy)) = (client.try_clone(), server.try_clone()) else {
+                    continue;
+                };
+                let relay = started.clone();
+                let dead = Arc::<AtomicBool>::default();
+                let marked = Arc::clone(&dead);
+                thread::spawn(move || relay.requests(client, server, &marked));
+                let relay = started.clone();
+                thread::spawn(move || relay.answers(server_copy, client_copy, &dead));
+            }
+        });
+        Ok(relay)
+    }
+
+    pub fn set_power(&self, on: bool) {
+        self.off.store(!on, Ordering::SeqCst);
+    }
+
+    fn requests(&self, mut client: TcpStream, mut server: TcpStream, dead: &AtomicBool) {
+        let mut buffer = vec![0; 65536];
+        while let Ok(count) = client.read(&mut buffer) {
+            if count == 0 || server.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        if self.off.load(Ordering::SeqCst) {
+            dead.store(true, Ordering::SeqCst);
+            return;
+        }
+        let _ = server.shutdown(Shutdown::Both);
+        let _ = client.shutdown(Shutdown::Both);
+    }
+
+    fn answers(&self, mut server: TcpStream, mut client: TcpStream, dead: &AtomicBool) {
+        let mut buffer = vec![0; 65536];
+        while let Ok(count) = server.read(&mut buffer) {
+            if count == 0 {
+                break;
+            }
+            if client.write_all(&buffer[..count]).is_err() || dead.load(Ordering::SeqCst) {
+                while self.off.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                break;
+            }
+        }
+        let _ = server.shutdown(Shutdown::Both);
+        let _ = client.shutdown(Shutdown::Both);
+    }
+}
