--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -2,6 +2,8 @@
 
 mod dark;
 mod omitted;
+mod order;
+mod narrow;
 mod restart;
 mod stop;
 
@@ -23,7 +25,9 @@
 pub fn run(case: &str, folder: &Path, trouble: bool) -> Result<Vec<String>, String> {
     match case {
         "dark" => dark::run(folder, trouble),
+        "narrow" => narrow::run(folder, trouble),
         "omitted" => omitted::run(folder, trouble),
+        "order" => order::run(folder, trouble),
         "restart" => restart::run(folder, trouble),
         "stop" => stop::run(folder, trouble),
         _ => Err(format!("no case {case}")),
--- a/review/rig/cases/restart.rs
+++ b/review/rig/cases/restart.rs
@@ -26,6 +26,11 @@
 
 /// Returns a config with a route of streams that has these stages.
 pub fn config_with(stages: &str, call: Duration, item: Duration) -> String {
+    config_version(7, stages, call, item)
+}
+
+/// Returns a version of that config.
+pub fn config_version(version: u32, stages: &str, call: Duration, item: Duration) -> String {
     let route = format!(
         "{{\"name\":\"draft\",\"host\":\"{}\",\"pathPrefix\":\"/draft/\",\"routeKind\":\"stream\",\
         \"timeoutMs\":8000,\"targetLatencyMs\":2000,\"gapGoalMs\":300,\"priority\":1,\"maxAttempts\":1,\
@@ -33,7 +38,7 @@
         super::HOST
     );
     format!(
-        "{{\"version\":7,\"routes\":[{route}],\"services\":[\
+        "{{\"version\":{version},\"routes\":[{route}],\"services\":[\
         {{\"name\":\"model\",\"healthPath\":\"/healthz\",\"maxConns\":370,\"engine\":{{\"slots\":64,\
         \"kvCapacity\":353568,\"kvTokenBytes\":18432,\"linkMbps\":550000}}}},\
         {{\"name\":\"parts\",\"healthPath\":\"/healthz\",\"maxConns\":370,\"pieces\":{{\"slots\":1,\"queue\":2,\
--- a/review/rig/relay.rs
+++ b/review/rig/relay.rs
@@ -8,7 +8,7 @@
         Arc,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A relay. If a client ends while power is off, the server isn't told. Once power is
@@ -80,3 +80,36 @@
         let _ = client.shutdown(Shutdown::Both);
     }
 }
+
+/// Starts a relay in front of a consumer's link: what comes back passes at a bandwidth.
+pub fn narrow(target: SocketAddr, bits_per_second: u64) -> std::io::Result<SocketAddr> {
+    const PART: usize = 16 * 1024;
+    let listener = TcpListener::bind((target.ip(), 0))?;
+    let address = listener.local_addr()?;
+    let pause = Duration::from_micros(PART as u64 * 8 * 1_000_000 / bits_per_second);
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let Ok(server) = TcpStream::connect(target) else { continue };
+            let (Ok(mut from), Ok(mut to)) = (client.try_clone(), server.try_clone()) else { continue };
+            thread::spawn(move || {
+                let _ = std::io::copy(&mut from, &mut to);
+                let _ = to.shutdown(Shutdown::Write);
+            });
+            let (mut from, mut to) = (server, client);
+            thread::spawn(move || {
+                let mut buffer = vec![0; PART];
+                let mut next = Instant::now();
+                while let Ok(count) = from.read(&mut buffer) {
+                    if count == 0 || to.write_all(&buffer[..count]).is_err() {
+                        break;
+                    }
+                    next = next.max(Instant::now()) + pause.mul_f64(count as f64 / PART as f64);
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                }
+                let _ = to.shutdown(Shutdown::Both);
+                let _ = from.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    Ok(address)
+}
--- a/review/rig/workers.rs
+++ b/review/rig/workers.rs
@@ -1,4 +1,4 @@
-//! Workers: stage workers and model workers. They record what they ran
+//! Workers: plain services, stage workers and model workers. They record what they ran
 //! and check the inputs that they are given.
 
 use crate::{
@@ -66,6 +66,8 @@
 
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
+    /// Works for a time and answers with a body of this many bytes.
+    Plain { work: Duration, bytes: usize },
     Stage(Stage),
     /// Sends this many events, with a pause before each.
     Model { events: usize, pause: Duration },
@@ -119,6 +121,7 @@
             }
             ("/stage-run", Kind::Stage(stage)) => self.stage(request, stream, stage),
             ("/stage-free", Kind::Stage(_)) => self.free(request, stream),
+            (_, Kind::Plain { work, bytes }) => self.plain(request, stream, work, bytes),
             (_, Kind::Model { events, pause }) => self.model(request, stream, events, pause),
             _ => http::answer(stream, "404 Not Found", NOT_RUN, b""),
         }
@@ -305,6 +308,20 @@
     }
 }
 
+impl Worker {
+    fn plain(&self, request: &Request, stream: &mut TcpStream, work: Duration, bytes: usize) -> io::Result<bool> {
+        let attempt = self.note(request);
+        thread::sleep(work);
+        let headers = format!(
+            "X-Attempt-Id: {attempt}\r\nX-Server-Stamp: {}.{attempt}\r\nKeep-Alive: timeout=5\r\n",
+            self.id
+        );
+        let mut body = attempt.into_bytes();
+        body.resize(bytes, b'.');
+        http::answer(stream, "200 OK", &headers, &body)
+    }
+}
+
 fn is_closed(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
     let closed = matches!(stream.peek(&mut [0]), Ok(0));
