--- a/review/rig/cases/narrow.rs
+++ b/review/rig/cases/narrow.rs
@@ -1,4 +1,4 @@
-//! A machine is stopped as planned while long answers pass a narrow link.
+//! A machine is stopped as planned while long answers pass narrow links of consumers.
 
 use super::{ask, request_text, Site, HOST};
 use crate::{host, record, relay, workers::Kind};
@@ -8,17 +8,20 @@
     time::{Duration, Instant},
 };
 
-const DEADLINE: Duration = Duration::from_millis(15_000);
+const DEADLINE: Duration = Duration::from_millis(8000);
 const GRACE: Duration = Duration::from_secs(8);
-/// Time for which consumers keep the address of a machine: the directory's `ttlS`.
-const KEPT: Duration = Duration::from_millis(2000);
-const LINK: u64 = 10_000_000;
-const BYTES: usize = 5_000_000;
+/// Time for which consumers still use the address of the machine. The directory's `ttlS`
+/// is 2 s, and some consumers keep its answer three times as long.
+const KEPT: Duration = Duration::from_millis(2400);
+/// Bits a second of the link of a consumer.
+const LINK: u64 = 20_000_000;
+const BYTES: usize = 12_000_000;
+const PAUSE: Duration = Duration::from_millis(400);
 
 fn config() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"read\",\"host\":\"{HOST}\",\"pathPrefix\":\"/read/\",\
-        \"routeKind\":\"idempotent\",\"timeoutMs\":15000,\"targetLatencyMs\":8000,\"priority\":1,\
+        \"routeKind\":\"idempotent\",\"timeoutMs\":8000,\"targetLatencyMs\":4000,\"priority\":1,\
         \"maxAttempts\":1,\"public\":false,\"service\":\"records\"}}],\"services\":[\
         {{\"name\":\"records\",\"healthPath\":\"/healthz\",\"maxConns\":110}}],\
         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
@@ -54,7 +57,7 @@
             let answer = ask(&name, address, &attempt, &text, DEADLINE);
             (attempt, at, Instant::now(), answer)
         }));
-        thread::sleep(Duration::from_millis(400));
+        thread::sleep(PAUSE);
     }
     let mut broken = Vec::new();
     let mut served = 0;
--- a/review/rig/relay.rs
+++ b/review/rig/relay.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, Ordering},
-        Arc,
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -81,12 +81,13 @@
     }
 }
 
-/// Starts a relay in front of a consumer's link: what comes back passes at a bandwidth.
+/// Starts a relay for a link with a bandwidth: what the target sends passes at most that
+/// fast.
 pub fn narrow(target: SocketAddr, bits_per_second: u64) -> std::io::Result<SocketAddr> {
     const PART: usize = 16 * 1024;
     let listener = TcpListener::bind((target.ip(), 0))?;
     let address = listener.local_addr()?;
-    let pause = Duration::from_micros(PART as u64 * 8 * 1_000_000 / bits_per_second);
+    let free = Arc::new(Mutex::new(Instant::now()));
     thread::spawn(move || {
         for client in listener.incoming().flatten() {
             let Ok(server) = TcpStream::connect(target) else { continue };
@@ -95,16 +96,20 @@
                 let _ = std::io::copy(&mut from, &mut to);
                 let _ = to.shutdown(Shutdown::Write);
             });
-            let (mut from, mut to) = (server, client);
+            let (mut from, mut to, free) = (server, client, Arc::clone(&free));
             thread::spawn(move || {
                 let mut buffer = vec![0; PART];
-                let mut next = Instant::now();
                 while let Ok(count) = from.read(&mut buffer) {
                     if count == 0 || to.write_all(&buffer[..count]).is_err() {
                         break;
                     }
-                    next = next.max(Instant::now()) + pause.mul_f64(count as f64 / PART as f64);
-                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                    let time = Duration::from_micros(count as u64 * 8 * 1_000_000 / bits_per_second);
+                    let until = {
+                        let mut free = free.lock().unwrap();
+                        *free = (*free).max(Instant::now()) + time;
+                        *free
+                    };
+                    thread::sleep(until.saturating_duration_since(Instant::now()));
                 }
                 let _ = to.shutdown(Shutdown::Both);
                 let _ = from.shutdown(Shutdown::Both);
