--- a/review/rig/relay.rs
+++ b/review/rig/relay.rs
@@ -11,9 +11,9 @@
     time::{Duration, Instant},
 };
 
-/// A relay. If a client ends while power is off, the server isn't told. Once power is
-/// back, the connection is closed as soon as the server has sent something on it, as the
-/// client's machine would reset a connection that it doesn't know.
+/// A relay. While power is off, the end of a connection on one side isn't told to the other
+/// side. Once power is back, a server is told as soon as it has sent something, as the
+/// client's machine would reset a connection that it doesn't know; a client is told at once.
 #[derive(Clone, Default)]
 pub struct Relay {
     off: Arc<AtomicBool>,
@@ -70,12 +70,12 @@
                 break;
             }
             if client.write_all(&buffer[..count]).is_err() || dead.load(Ordering::SeqCst) {
-                while self.off.load(Ordering::SeqCst) {
-                    thread::sleep(Duration::from_millis(5));
-                }
                 break;
             }
         }
+        while self.off.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
         let _ = server.shutdown(Shutdown::Both);
         let _ = client.shutdown(Shutdown::Both);
     }
