Number jobs across restarts of a host

Cause: a job's id was the host's name and a number that started at 1 in each process. The dispatcher on another host still held job 1 of the earlier process or had a call for it at an endpoint, ignored the new job 1 and sent the outcome of the old one to the new sender. Prompts at the balancing host had the same ids; there a late report of the earlier process ended a prompt of the new one.

Ruled out: the handles of an endpoint (they differ), the endpoint's incarnation (unchanged here), a late second response (caught by its handles before).

Change: the numbers of jobs and prompts start at random in each process, so an id names one job across restarts. A dispatcher that gets the id of a job that it already has refuses it instead of replacing the sender. The schema stays as it is: the number was an opaque 64-bit field already.

Looked at for the same cause: ids of calls of a dispatcher, of links and of requests within them (never leave the process), host records (same content from any process of a host), tickets and leases (carry the incarnation), endpoints (carry theirs).

--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -130,10 +130,7 @@
         let prompt = Prompt {
             domain,
             exclude: closed_engines(host, request, exclude),
-            id: JobId {
-                home: host.settings().host.clone(),
-                number: host.next_job(),
-            },
+            id: host.next_job(),
             parts,
             service: request.service.clone(),
         };
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -14,6 +14,7 @@
             serving::{
                 config::{Config, Limits},
                 health::Notice,
+                piece::{JobId, Numbers},
                 placement::Placement,
                 roster::Entry,
                 view::View,
@@ -59,7 +60,7 @@
     pub retries: Retries,
     pub tally: Tally,
     leaving_since: Cell<Option<Time>>,
-    next_job: Cell<u64>,
+    job_numbers: Numbers,
     settings: RefCell<Arc<File>>,
     view: RefCell<Arc<View>>,
 }
@@ -84,7 +85,7 @@
             dispatch_orders: dispatch::Orders::default(),
             leaving_since: Cell::new(None),
             links,
-            next_job: Cell::new(1),
+            job_numbers: Numbers::starting_at(rand::random()),
             placement: RefCell::default(),
             pools: Pools::default(),
             retries: Retries::default(),
@@ -176,11 +177,12 @@
         self.view.borrow().config.clone()
     }
 
-    /// Returns a job number that is unique within this process.
-    pub fn next_job(&self) -> u64 {
-        let number = self.next_job.get();
-        self.next_job.set(number + 1);
-        number
+    /// Returns the id of a new job or prompt.
+    pub fn next_job(&self) -> JobId {
+        JobId {
+            home: self.settings().host.clone(),
+            number: self.job_numbers.next(),
+        }
     }
 
     /// Records the start of the planned stop; later calls change nothing.
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -115,9 +115,18 @@
     receiver
 }
 
-/// Accepts a job whose outcome goes to `reply`. For an unknown service the
-/// reply is dropped, so that the job's host asks another dispatcher.
+/// Accepts a job whose outcome goes to `reply`. For an unknown service or the id of
+/// another job the reply is dropped, so that the job's host asks another dispatcher.
 pub fn submit(host: &Rc<Host>, job: Job, reply: Sender<Outcome>) {
+    if host.pools.replies.borrow().contains_key(&job.id) {
+        return log::error!(
+            home = job.id.home.as_str(),
+            job = job.id.number,
+            request = job.request.as_str();
+            "job refused: another one has its id"
+        );
+    }
+
     let service = job.service.clone();
     let mut actions = Vec::new();
     let has_pool = with_dispatcher(host, &service, |dispatcher| {
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -16,7 +16,7 @@
                 chain,
                 config::Config,
                 graph::{Graph, Start},
-                piece::{Failure, Input, Job, JobId, Outcome, Output},
+                piece::{Failure, Input, Job, Outcome, Output},
                 placement::Criteria,
             },
         },
@@ -282,10 +282,7 @@
         // they are larger than its output.
         domain: outputs_domain(host, inputs).or(domain.cloned()),
         first: first && !request.may_have_run.get(),
-        id: JobId {
-            home: host.settings().host.clone(),
-            number: host.next_job(),
-        },
+        id: host.next_job(),
         input,
         output_bytes: request.route.stages[start.stage].output_bytes,
         pieces: (0..).take(start.pieces).collect(),
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -302,7 +302,7 @@
     }
 
     fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
-        // A restarted host numbers its prompts from the start again.
+        // An id that occurs twice must not leave the tokens of the first prompt pending.
         self.abandon(now, &prompt.id);
         let Some(engine) = self.engines.get_mut(&entry.endpoint) else {
             return;
--- a/src/state/serving/piece.rs
+++ b/src/state/serving/piece.rs
@@ -1,7 +1,10 @@
 //! Pieces of stages: the jobs that hosts submit to a pool's dispatcher, and
 //! their outcomes.
 
-use {crate::state::id, std::time::Duration};
+use {
+    crate::state::id,
+    std::{cell::Cell, time::Duration},
+};
 
 /// The input of a piece.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -12,14 +15,37 @@
     Outputs(Vec<String>),
 }
 
-/// Identifies a job across the fleet.
+/// Identifies a job across the fleet and across restarts of its home.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobId {
     /// The host that received the request and submitted the job.
     pub home: id::Host,
+    /// One of the home's [`Numbers`].
     pub number: u64,
 }
 
+/// The numbers of the jobs and prompts of one process.
+///
+/// A host keeps its name when it restarts, while other hosts still work for its
+/// earlier process. The numbers start at random, so that those of two processes
+/// differ.
+#[derive(Debug)]
+pub struct Numbers(Cell<u64>);
+
+impl Numbers {
+    /// Returns the numbers from `first` on.
+    pub const fn starting_at(first: u64) -> Self {
+        Self(Cell::new(first))
+    }
+
+    /// Returns a number that was not returned before.
+    pub fn next(&self) -> u64 {
+        let number = self.0.get();
+        self.0.set(number.wrapping_add(1));
+        number
+    }
+}
+
 /// The pieces of one stage of one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Job {
