End a request whose stages cannot all run

Cause: stages::run looped until the graph was done, on the only thread that serves traffic, and a pass without a running stage never waits. A graph that is not done but cannot start a stage came from an outcome with another number of outputs than the job has pieces, and from stages that are numbered in another order than they run in: longest_path and successors looked only at higher numbers, so a stage with large outputs could wait for a path that waited for it. A cycle led to endless recursion instead. By reading, the engine also got the outputs of stages that others consume if these had lower numbers, and a stage that needs a missing one ran without its inputs.

Ruled out: the timer of the dispatchers (it sleeps), the retries of a stage whose input is gone (at most one).

Change: a graph is checked and sorted when it is made, so that a graph which is not done always has a stage that runs or can start. A route whose stages need a missing one or each other is logged when its configuration comes into force; its requests are refused as not run. An outcome that does not have one output for each piece of its job is logged and the next dispatcher is asked. What is left of the loop ends with an error and a refusal if no stage runs.

--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -71,6 +71,15 @@
                     source = source;
                     "configuration in force"
                 );
+
+                for (route, fault) in config.unrunnable_routes() {
+                    log::error!(
+                        version = version,
+                        route = route.name.as_str();
+                        "requests of the route are refused: {fault}"
+                    );
+                }
+
                 self.view.config = Some(Arc::new(config));
                 self.view.config_since = now;
                 self.publish();
--- a/src/coordination/serving/dispatch.rs
+++ b/src/coordination/serving/dispatch.rs
@@ -12,11 +12,12 @@
             id,
             serving::{
                 dispatchers,
-                piece::{Failure, Job, JobId, Outcome, Output},
+                piece::{Failure, Job, JobId, Mismatch, Outcome, Output},
             },
         },
         transport::boot_clock,
     },
+    snafu::{ResultExt, Snafu},
     std::{
         cell::RefCell,
         collections::{HashMap, HashSet},
@@ -61,22 +62,20 @@
             None => run_locally(host, &job).await,
             Some(address) => run_remotely(host, *address, &job).await,
         };
-
-        match result {
+        let failure = match result.and_then(|outcome| check(&job, outcome)) {
             Ok(outcome) => return outcome,
-            Err(message) => {
-                log::warn!(
-                    request = job.request.as_str(),
-                    service = job.service.as_str(),
-                    dispatcher = dispatcher.map_or_else(|| "local".into(), |a| a.to_string()).as_str(),
-                    age_ms = boot_clock::now().since(started).as_millis();
-                    "dispatcher lost: {message}"
-                );
-
-                if let Some(address) = dispatcher {
-                    host.dispatch_orders.record_unreachable(*address);
-                }
-            }
+            Err(failure) => failure,
+        };
+        log::warn!(
+            request = job.request.as_str(),
+            service = job.service.as_str(),
+            dispatcher = dispatcher.map_or_else(|| "local".into(), |a| a.to_string()).as_str(),
+            age_ms = boot_clock::now().since(started).as_millis();
+            "{failure}"
+        );
+
+        if let (Error::Lost { .. }, Some(address)) = (failure, dispatcher) {
+            host.dispatch_orders.record_unreachable(*address);
         }
     }
 
@@ -168,7 +167,24 @@
     }
 }
 
-async fn run_locally(host: &Rc<Host>, job: &Job) -> Result<Outcome, String> {
+/// Why a dispatcher's answer cannot be used.
+#[derive(Debug)]
+#[derive(Snafu)]
+enum Error {
+    #[snafu(display("dispatcher lost: {message}"))]
+    Lost { message: String },
+    #[snafu(display("outcome of a job ignored: {source}"))]
+    Mismatched { source: Mismatch },
+}
+
+/// Checks the outcome of a job. Outputs that do not fit may belong to another
+/// request, so they are not released.
+fn check(job: &Job, outcome: Outcome) -> Result<Outcome, Error> {
+    job.check(&outcome).context(MismatchedSnafu)?;
+    Ok(outcome)
+}
+
+async fn run_locally(host: &Rc<Host>, job: &Job) -> Result<Outcome, Error> {
     let guard = CancelGuard {
         address: None,
         host,
@@ -177,10 +193,15 @@
     let answer = pools::add(host, job.clone());
     let outcome = answer.await;
     guard.disarm();
-    outcome.map_err(|_| "this host does not dispatch to the service".into())
+    outcome.map_err(|_| {
+        let message = "this host does not dispatch to the service or the job";
+        Error::Lost {
+            message: message.into(),
+        }
+    })
 }
 
-async fn run_remotely(host: &Rc<Host>, address: SocketAddr, job: &Job) -> Result<Outcome, String> {
+async fn run_remotely(host: &Rc<Host>, address: SocketAddr, job: &Job) -> Result<Outcome, Error> {
     let guard = CancelGuard {
         address: Some(address),
         host,
@@ -191,8 +212,8 @@
         .run_job(address, job, job.remaining + PING_TIMEOUT);
 
     let result = tokio::select! {
-        answer = answer => answer.map_err(|error| error.to_string()),
-        message = wait_for_failure(host, address) => Err(message),
+        answer = answer => answer.map_err(|error| Error::Lost { message: error.to_string() }),
+        message = wait_for_failure(host, address) => Err(Error::Lost { message }),
     };
 
     if result.is_ok() {
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -64,7 +64,7 @@
         Self {
             handles: Vec::new(),
             guard: OutputGuard {
-                graph: Graph::new(&[], &[]),
+                graph: Graph::default(),
                 host: Rc::clone(host),
             },
             released: false,
@@ -83,42 +83,45 @@
     request: &Request,
 ) -> Result<StageOutputs, Refusal> {
     let stages = &request.route.stages;
+    let graph = Graph::new(stages, &request.call.pieces)
+        .map_err(|fault| refuse_unrunnable(request, &fault.to_string()))?;
     let mut guard = OutputGuard {
-        graph: Graph::new(stages, &request.call.pieces),
+        graph,
         host: Rc::clone(host),
     };
     let domain = target_domain(host, request);
     let mut restarts = 0;
 
-    while !guard.graph.is_done() {
-        let result = run_once(host, config, request, &mut guard, domain.as_ref()).await;
-
-        match result {
-            Ok(()) => {}
-            Err(failed) if failed.failure == Failure::InputGone && restarts < MAX_RESTARTS => {
-                restarts += 1;
-                log::info!(
-                    request = request.id(),
-                    stage = failed.stage,
-                    ms = request.age().as_millis();
-                    "stages run again: an input is gone"
-                );
-                guard.release();
-                guard.graph.restart();
-            }
-            Err(failed) => {
-                log::info!(
-                    request = request.id(),
-                    stage = failed.stage,
-                    failure = failed.failure.name(),
-                    backlog_ms = failed.backlog.as_millis(),
-                    retry_after_ms = failed.retry_after.as_millis(),
-                    left_ms = request.remaining().as_millis();
-                    "stage failed"
-                );
-                return Err(failed.refusal(request));
-            }
+    loop {
+        let failed = match run_once(host, config, request, &mut guard, domain.as_ref()).await {
+            Ok(()) if guard.graph.is_done() => break,
+            // Only a fault of this host can leave a stage that cannot start.
+            Ok(()) => return Err(refuse_unrunnable(request, "a stage can never start")),
+            Err(failed) => failed,
+        };
+
+        if failed.failure != Failure::InputGone || restarts >= MAX_RESTARTS {
+            log::info!(
+                request = request.id(),
+                stage = failed.stage,
+                failure = failed.failure.name(),
+                backlog_ms = failed.backlog.as_millis(),
+                retry_after_ms = failed.retry_after.as_millis(),
+                left_ms = request.remaining().as_millis();
+                "stage failed"
+            );
+            return Err(failed.refusal(request));
         }
+
+        restarts += 1;
+        log::info!(
+            request = request.id(),
+            stage = failed.stage,
+            ms = request.age().as_millis();
+            "stages run again: an input is gone"
+        );
+        guard.release();
+        guard.graph.restart();
     }
 
     Ok(StageOutputs {
@@ -128,6 +131,17 @@
     })
 }
 
+/// Refuses a request whose stages can never all run.
+fn refuse_unrunnable(request: &Request, fault: &str) -> Refusal {
+    log::error!(
+        request = request.id(),
+        route = request.route.name.as_str(),
+        pieces = format!("{:?}", request.call.pieces).as_str();
+        "stages cannot run: {fault}"
+    );
+    refusal_for(request, Reason::StageFailed)
+}
+
 impl StageOutputs {
     /// Returns the failure domain that holds most of the outputs.
     pub fn domain(&self) -> Option<id::Domain> {
@@ -191,6 +205,7 @@
     }
 }
 
+/// Runs the stages until all are done, one fails or no other one can start.
 async fn run_once(
     host: &Rc<Host>,
     config: &Config,
--- a/src/state/serving/config.rs
+++ b/src/state/serving/config.rs
@@ -1,7 +1,10 @@
 //! The configuration of routes, services and teams.
 
 use {
-    crate::state::id,
+    crate::state::{
+        id,
+        serving::graph::{self, Graph},
+    },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -169,6 +172,16 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns the routes whose stages cannot run, with the reason.
+    pub fn unrunnable_routes(&self) -> Vec<(&Route, graph::Fault)> {
+        let routes = self.routes.values().flatten();
+        let faults = routes.filter_map(|route| {
+            let fault = Graph::new(&route.stages, &[]).err()?;
+            Some((&**route, fault))
+        });
+        faults.collect()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/src/state/serving/graph.rs
+++ b/src/state/serving/graph.rs
@@ -1,30 +1,54 @@
 //! The dependency graph of a request's stages: which stages may start and which
 //! outputs they consume.
 
-use crate::state::{
-    id,
-    serving::{config::Stage, piece::Output},
+use {
+    crate::state::{
+        id,
+        serving::{config::Stage, piece::Output},
+    },
+    snafu::Snafu,
 };
 
 /// Size of an output from which a stage starts as late as possible, since an
 /// endpoint can store only about a dozen of them.
 const LARGE_OUTPUT_BYTES: u64 = 500_000;
 
+/// Why the stages of a route cannot run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
+pub enum Fault {
+    #[snafu(display("stage {stage} needs its own outputs"))]
+    Cycle { stage: usize },
+    #[snafu(display("stage {stage} needs the outputs of stage {after}, which does not exist"))]
+    UnknownStage { stage: usize, after: usize },
+}
+
 /// One stage and its progress.
 #[derive(Clone, Debug)]
 struct Node {
-    /// Stages whose outputs this one needs.
-    after: Vec<usize>,
+    /// Stages whose outputs this one consumes. Each of them has pieces.
+    inputs: Vec<usize>,
     /// Expected size of one output.
     output_bytes: u64,
     /// Outputs in the order of the pieces. Empty until the stage is done.
     outputs: Vec<Output>,
+    /// The longest path from this stage to the end of the graph, starting with
+    /// the stage itself. Stages without pieces are left out.
+    path: Vec<usize>,
     /// Number of pieces.
     pieces: usize,
     /// Whether the outputs were handed out for release.
     released: bool,
     service: id::Pool,
     started: bool,
+    /// Stages that consume the outputs of this one.
+    successors: Vec<usize>,
+}
+
+impl Node {
+    fn is_done(&self) -> bool {
+        self.outputs.len() == self.pieces
+    }
 }
 
 /// A stage that can start, with its inputs.
@@ -37,35 +61,52 @@
 }
 
 /// The stages of one request and their outputs, by index of the stage.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Graph(Vec<Node>);
 
 impl Graph {
     /// Creates the graph of a request, with the number of pieces of each stage.
     /// A stage without pieces is skipped: its successors consume the outputs of
-    /// its predecessors.
-    pub fn new(stages: &[Stage], pieces: &[usize]) -> Self {
+    /// its predecessors. Stages may be listed in any order.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if a stage needs one that does not exist, or its own
+    /// outputs.
+    pub fn new(stages: &[Stage], pieces: &[usize]) -> Result<Self, Fault> {
+        let order = topological_order(stages)?;
+        let pieces = |stage: usize| pieces.get(stage).copied().unwrap_or(0);
+        let inputs = inputs(stages, &order, pieces);
+        let mut paths = paths(stages, &order, pieces);
+
         let nodes = stages.iter().enumerate().map(|(index, stage)| Node {
-            after: stage.after.clone(),
+            inputs: inputs[index].clone(),
             output_bytes: stage.output_bytes,
             outputs: Vec::new(),
-            pieces: pieces.get(index).copied().unwrap_or(0),
+            path: std::mem::take(&mut paths[index]),
+            pieces: pieces(index),
             released: false,
             service: stage.service.clone(),
             started: false,
+            successors: (0..stages.len())
+                .filter(|&next| pieces(next) > 0 && inputs[next].contains(&index))
+                .collect(),
         });
 
-        Self(nodes.collect())
+        Ok(Self(nodes.collect()))
     }
 
     /// Returns whether every stage is done.
     pub fn is_done(&self) -> bool {
-        self.0.iter().all(|node| node.outputs.len() == node.pieces)
+        self.0.iter().all(Node::is_done)
     }
 
     /// Returns the stages that can start now and marks them as started. A
     /// stage with large outputs waits until no unfinished path through the graph
     /// is longer than the one that starts with the stage itself.
+    ///
+    /// A graph that is not done always has a stage that can start or has started:
+    /// the inputs of the first stage of the longest unfinished path are done.
     pub fn start(&mut self) -> Vec<Start> {
         let ready = (0..self.0.len())
             .filter(|&stage| self.can_start(stage))
@@ -75,12 +116,12 @@
             .into_iter()
             .map(|stage| {
                 self.0[stage].started = true;
-                let mut inputs = Vec::new();
-                self.inputs(stage, &mut inputs);
+                let node = &self.0[stage];
+                let inputs = node.inputs.iter().flat_map(|&input| &self.0[input].outputs);
                 Start {
-                    inputs,
-                    pieces: self.0[stage].pieces,
-                    service: self.0[stage].service.clone(),
+                    inputs: inputs.cloned().collect(),
+                    pieces: node.pieces,
+                    service: node.service.clone(),
                     stage,
                 }
             })
@@ -114,20 +155,12 @@
     /// Returns the outputs that the request itself consumes, with their
     /// expected sizes in bytes.
     pub fn sized_outputs(&self) -> impl Iterator<Item = (&Output, u64)> {
-        let is_last = move |stage: usize| {
-            let mut successors = Vec::new();
-            self.successors(stage, &mut successors);
-            successors.is_empty()
-        };
+        let last = self.0.iter().filter(|node| node.successors.is_empty());
 
-        self.0
-            .iter()
-            .enumerate()
-            .filter(move |(stage, _)| is_last(*stage))
-            .flat_map(|(_, node)| {
-                let outputs = node.outputs.iter();
-                outputs.map(|output| (output, node.output_bytes))
-            })
+        last.flat_map(|node| {
+            let outputs = node.outputs.iter();
+            outputs.map(|output| (output, node.output_bytes))
+        })
     }
 
     /// Returns the outputs that all of their successors have consumed and marks
@@ -163,96 +196,104 @@
     /// service and the number of pieces of each stage. Includes this stage;
     /// stages without pieces are left out.
     pub fn longest_path(&self, stage: usize) -> Vec<(id::Pool, usize)> {
-        let mut longest = Vec::new();
-
-        for (next, node) in self.0.iter().enumerate() {
-            if next > stage && node.after.contains(&stage) {
-                let path = self.longest_path(next);
-
-                if path.len() > longest.len() {
-                    longest = path;
-                }
-            }
-        }
-
-        if let Some(node) = self.0.get(stage)
-            && node.pieces > 0
-        {
-            longest.insert(0, (node.service.clone(), node.pieces));
-        }
-
-        longest
+        let path = self.0.get(stage).map_or(&[][..], |node| &node.path);
+        let nodes = path.iter().map(|&stage| &self.0[stage]);
+        nodes
+            .map(|node| (node.service.clone(), node.pieces))
+            .collect()
     }
 
     fn can_start(&self, stage: usize) -> bool {
         let node = &self.0[stage];
         node.pieces > 0
             && !node.started
-            && node
-                .after
-                .iter()
-                .all(|&predecessor| self.is_stage_done(predecessor))
+            && node.inputs.iter().all(|&input| self.0[input].is_done())
             && !(node.output_bytes >= LARGE_OUTPUT_BYTES
-                && self.remaining_depth() > self.longest_path(stage).len())
+                && self.remaining_depth() > node.path.len())
     }
 
     /// Returns the number of stages on the longest unfinished path.
     fn remaining_depth(&self) -> usize {
-        (0..self.0.len())
-            .filter(|&stage| !self.is_stage_done(stage))
-            .map(|stage| self.longest_path(stage).len())
-            .max()
-            .unwrap_or(0)
+        let unfinished = self.0.iter().filter(|node| !node.is_done());
+        unfinished.map(|node| node.path.len()).max().unwrap_or(0)
     }
 
     /// Returns whether the stage has outputs and all of its successors, of which
-    /// there must be one, are done. Stages without pieces are skipped.
+    /// there must be one, are done.
     fn is_consumed(&self, stage: usize) -> bool {
-        let mut successors = Vec::new();
-        self.successors(stage, &mut successors);
-        !self.0[stage].outputs.is_empty()
-            && !successors.is_empty()
-            && successors.iter().all(|&next| self.is_stage_done(next))
+        let node = &self.0[stage];
+        !node.outputs.is_empty()
+            && !node.successors.is_empty()
+            && node.successors.iter().all(|&next| self.0[next].is_done())
     }
+}
 
-    /// Adds the stages that consume the outputs of this one to `successors`,
-    /// skipping stages without pieces.
-    fn successors(&self, stage: usize, successors: &mut Vec<usize>) {
-        for (next, node) in self.0.iter().enumerate() {
-            if next > stage && node.after.contains(&stage) {
-                if node.pieces > 0 {
-                    successors.push(next);
-                } else {
-                    self.successors(next, successors);
-                }
-            }
+/// Returns the stages in an order in which each one comes after those that it
+/// needs.
+fn topological_order(stages: &[Stage]) -> Result<Vec<usize>, Fault> {
+    for (stage, node) in stages.iter().enumerate() {
+        if let Some(&after) = node.after.iter().find(|&&after| after >= stages.len()) {
+            return UnknownStageSnafu { stage, after }.fail();
         }
     }
 
-    /// Returns whether a stage is done. A stage without pieces is done as soon
-    /// as its predecessors are.
-    fn is_stage_done(&self, stage: usize) -> bool {
-        let Some(node) = self.0.get(stage) else {
-            return true;
+    let mut order = Vec::with_capacity(stages.len());
+    let mut left = (0..stages.len()).collect::<Vec<usize>>();
+
+    while let Some(&first) = left.first() {
+        let is_free = |stage: &usize| {
+            let mut after = stages[*stage].after.iter();
+            after.all(|after| order.contains(after))
         };
+        let free = left.iter().position(is_free);
+        let free = free.ok_or(Fault::Cycle { stage: first })?;
+        order.push(left.remove(free));
+    }
+
+    Ok(order)
+}
+
+/// Returns the stages with pieces whose outputs each stage consumes.
+fn inputs(stages: &[Stage], order: &[usize], pieces: impl Fn(usize) -> usize) -> Vec<Vec<usize>> {
+    let mut inputs = vec![Vec::new(); stages.len()];
 
-        if node.pieces > 0 {
-            node.outputs.len() == node.pieces
-        } else {
-            node.after
-                .iter()
-                .all(|&predecessor| self.is_stage_done(predecessor))
+    for &stage in order {
+        let mut found = Vec::new();
+
+        for &after in &stages[stage].after {
+            let skipped = &inputs[after];
+            let consumed = if pieces(after) > 0 {
+                std::slice::from_ref(&after)
+            } else {
+                skipped.as_slice()
+            };
+            found.extend(consumed);
         }
+
+        inputs[stage] = found;
     }
 
-    /// Adds the outputs that a stage consumes to `inputs`.
-    fn inputs(&self, stage: usize, inputs: &mut Vec<Output>) {
-        for &predecessor in &self.0[stage].after {
-            match self.0.get(predecessor) {
-                Some(node) if node.pieces > 0 => inputs.extend(node.outputs.iter().cloned()),
-                Some(_) => self.inputs(predecessor, inputs),
-                None => {}
-            }
+    inputs
+}
+
+/// Returns the longest path from each stage to the end of the graph, without the
+/// stages that have no pieces.
+fn paths(stages: &[Stage], order: &[usize], pieces: impl Fn(usize) -> usize) -> Vec<Vec<usize>> {
+    let mut paths = vec![Vec::<usize>::new(); stages.len()];
+
+    for &stage in order.iter().rev() {
+        let mut path = Vec::new();
+
+        if pieces(stage) > 0 {
+            path.push(stage);
         }
+
+        let next = (0..stages.len()).filter(|&next| stages[next].after.contains(&stage));
+        // The first one of those that are equally long.
+        let longest = next.rev().max_by_key(|&next| paths[next].len());
+        path.extend(longest.iter().flat_map(|&next| paths[next].clone()));
+        paths[stage] = path;
     }
+
+    paths
 }
--- a/src/state/serving/piece.rs
+++ b/src/state/serving/piece.rs
@@ -3,7 +3,8 @@
 
 use {
     crate::state::id,
-    std::{cell::Cell, time::Duration},
+    snafu::{Snafu, ensure},
+    std::{cell::Cell, collections::HashSet, time::Duration},
 };
 
 /// The input of a piece.
@@ -72,6 +73,46 @@
     pub urgency: Duration,
 }
 
+impl Job {
+    /// Checks that an outcome without a failure has one output for each piece of
+    /// the job, in their order.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the outcome differs from what the job asked for.
+    pub fn check(&self, outcome: &Outcome) -> std::result::Result<(), Mismatch> {
+        if outcome.failure.is_some() {
+            return Ok(());
+        }
+
+        let outputs = outcome.outputs.len();
+        let pieces = self.pieces.len();
+        ensure!(outputs == pieces, CountSnafu { outputs, pieces });
+        let mut handles = HashSet::new();
+
+        for (output, &expected) in outcome.outputs.iter().zip(&self.pieces) {
+            let piece = output.piece;
+            ensure!(piece == expected, PieceSnafu { expected, piece });
+            let is_new = handles.insert(&output.handle);
+            ensure!(is_new, RepeatedSnafu { piece });
+        }
+
+        Ok(())
+    }
+}
+
+/// How an outcome differs from what its job asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Snafu)]
+pub enum Mismatch {
+    #[snafu(display("{outputs} outputs, expected one for each of {pieces} pieces"))]
+    Count { outputs: usize, pieces: usize },
+    #[snafu(display("output of piece {piece}, expected that of piece {expected}"))]
+    Piece { expected: u16, piece: u16 },
+    #[snafu(display("output of piece {piece} occurs twice"))]
+    Repeated { piece: u16 },
+}
+
 /// The output of a finished piece.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Output {
--- a/tests/serving/graph.rs
+++ b/tests/serving/graph.rs
@@ -3,7 +3,7 @@
 
 use persimmoncleat::state::serving::{
     config::Stage,
-    graph::{Graph, Start},
+    graph::{Fault, Graph, Start},
     piece::Output,
 };
 
@@ -35,7 +35,7 @@
 
 /// Runs all stages and returns those that started together, in order.
 fn order(stages: &[Stage], pieces: &[usize]) -> Vec<Vec<usize>> {
-    let mut graph = Graph::new(stages, pieces);
+    let mut graph = Graph::new(stages, pieces).unwrap();
     let mut order = Vec::new();
 
     while !graph.is_done() {
@@ -75,12 +75,59 @@
         => vec![vec![1], vec![2], vec![0, 3]];
     single_stage_with_large_outputs_starts_at_once: [stage("a", &[], 3_000_000)], [3]
         => [[0]];
+    stage_may_need_one_with_a_higher_number: [stage("a", &[1], 1), stage("b", &[], 1)], [1, 1]
+        => [[1], [0]];
+    stage_with_large_outputs_may_have_a_higher_number_than_its_successors:
+        [stage("a", &[2], 1), stage("b", &[0], 1), stage("c", &[], 3_000_000)], [1, 1, 1]
+        => [[2], [0], [1]];
+    skipped_stage_may_have_a_higher_number_than_its_successor:
+        [stage("a", &[2], 1), stage("b", &[], 1), stage("c", &[1], 1)], [1, 1, 0]
+        => [[1], [0]];
+}
+
+macro_rules! faults {
+    ($($name:ident: $stages:expr => $fault:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let stages = $stages;
+                let graph = Graph::new(&stages, &vec![1; stages.len()]);
+                assert_eq!(graph.unwrap_err(), $fault);
+            }
+        )*
+    };
+}
+
+faults! {
+    stage_that_needs_itself_is_a_fault: [stage("a", &[0], 1)]
+        => Fault::Cycle { stage: 0 };
+    stages_that_need_each_other_are_a_fault:
+        [stage("a", &[], 1), stage("b", &[2], 1), stage("c", &[1], 1)]
+        => Fault::Cycle { stage: 1 };
+    missing_stage_is_a_fault: [stage("a", &[], 1), stage("b", &[0, 2], 1)]
+        => Fault::UnknownStage { stage: 1, after: 2 };
+}
+
+/// The request consumes the outputs of the stages that no other stage needs, whatever
+/// their numbers.
+#[test]
+fn last_stage_may_have_the_lowest_number() {
+    let stages = [stage("a", &[1], 1), stage("b", &[], 1)];
+    let mut graph = Graph::new(&stages, &[1, 1]).unwrap();
+
+    while !graph.is_done() {
+        let starts = graph.start();
+        starts.iter().for_each(|start| finish(&mut graph, start));
+    }
+
+    assert_eq!(graph.outputs(), [output(0, 0)]);
+    assert_eq!(graph.longest_path(1), [("b".into(), 1), ("a".into(), 1)]);
 }
 
 #[test]
 fn only_outputs_of_final_stages_go_to_the_engine() {
     let stages = [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[], 1)];
-    let mut graph = Graph::new(&stages, &[1, 2, 1]);
+    let mut graph = Graph::new(&stages, &[1, 2, 1]).unwrap();
     let first = graph.start();
     first.iter().for_each(|start| finish(&mut graph, start));
     let second = graph.start();
@@ -92,7 +139,7 @@
 #[test]
 fn outputs_pass_through_a_stage_without_pieces() {
     let stages = [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[1], 1)];
-    let mut graph = Graph::new(&stages, &[1, 0, 1]);
+    let mut graph = Graph::new(&stages, &[1, 0, 1]).unwrap();
     let first = graph.start();
     finish(&mut graph, &first[0]);
     assert_eq!(graph.start()[0].inputs, [output(0, 0)]);
@@ -101,7 +148,7 @@
 #[test]
 fn consumed_outputs_are_taken_once() {
     let stages = [stage("a", &[], 1), stage("b", &[0], 1)];
-    let mut graph = Graph::new(&stages, &[1, 1]);
+    let mut graph = Graph::new(&stages, &[1, 1]).unwrap();
     let first = graph.start();
     finish(&mut graph, &first[0]);
     assert!(graph.take_consumed().is_empty());
@@ -116,7 +163,7 @@
 #[test]
 fn restart_runs_every_stage_again() {
     let stages = [stage("a", &[], 1), stage("b", &[0], 1)];
-    let mut graph = Graph::new(&stages, &[1, 1]);
+    let mut graph = Graph::new(&stages, &[1, 1]).unwrap();
     let first = graph.start();
     finish(&mut graph, &first[0]);
     graph.start();
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -17,6 +17,7 @@
 mod mirror;
 mod overload;
 mod packing;
+mod piece;
 mod placement;
 mod quarantine;
 mod readers;
