Tie the calls of a dispatcher to the jobs they were sent for

Cause: the items of a call named their job by id and position. A call goes on at its endpoint after its job was cancelled. A later job with the same id and fewer pieces made the position an index out of bounds; one with as many pieces got the outputs of the earlier job.

Change: a dispatcher numbers the jobs that it accepts, and an item matches only the job it was sent for. Other outputs are released.

Tests: three cases in batch::, two panics and one delivery of wrong outputs before the change. The dispatcher's fuzz test now lets ids come again after their job has ended and failed at once on the code before ("Output ... handle 0/0/0 ... of Job ... request 1").

--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -21,7 +21,7 @@
 use {
     self::{
         active_job::{ActiveJob, Piece},
-        call::Call,
+        call::{Call, Member},
         deferrals::Deferrals,
         endpoint_state::EndpointState,
         load::Forecast,
@@ -112,6 +112,7 @@
     deferrals: Deferrals,
     /// Number of hosts that may dispatch to the endpoints.
     hosts: usize,
+    next_admission: u64,
     next_call: CallId,
     endpoints: BTreeMap<id::Endpoint, EndpointState>,
     pool: Pool,
@@ -127,6 +128,7 @@
             calls: HashMap::new(),
             deferrals: Deferrals::default(),
             hosts: 1,
+            next_admission: 0,
             next_call: 0,
             endpoints: BTreeMap::new(),
             pool,
@@ -218,6 +220,7 @@
         });
 
         let active = ActiveJob {
+            admission: self.next_admission,
             deadline: now + job.remaining,
             output_bytes: (job.output_bytes as f64 * OUTPUT_MARGIN) as u64,
             pieces: pieces.collect(),
@@ -226,6 +229,7 @@
             waiting: job.pieces.len(),
             job,
         };
+        self.next_admission += 1;
         self.active_jobs.insert(active.job.id.clone(), active);
         self.dispatch_queued(now, actions);
     }
@@ -314,7 +318,7 @@
         let mut affected = HashSet::new();
         let mut unused = Vec::new();
 
-        for (index, (id, piece)) in call.items.iter().enumerate() {
+        for (index, member) in call.items.iter().enumerate() {
             let result = match &outcome {
                 CallOutcome::Answered(results) => {
                     results.get(index).cloned().unwrap_or(piece::Result::Failed)
@@ -325,12 +329,13 @@
                 outcome,
                 CallOutcome::Full | CallOutcome::Replaced | CallOutcome::Unreachable
             );
-            let Some(active) = self.active_jobs.get_mut(id) else {
+            let Some(active) = find_job(&mut self.active_jobs, member) else {
                 unused.extend(output(&call, 0, result));
                 continue;
             };
-            let index = active.job.pieces[*piece];
-            let piece_state = &mut active.pieces[*piece];
+            let (id, piece) = (&member.job, member.piece);
+            let index = active.job.pieces[piece];
+            let piece_state = &mut active.pieces[piece];
             piece_state.running = piece_state.running.saturating_sub(1);
 
             if !delivered {
@@ -342,7 +347,7 @@
             match (result, &piece_state.output) {
                 (piece::Result::Done(handle), None) => {
                     piece_state.output = output(&call, index, piece::Result::Done(handle));
-                    active.queue(*piece, false);
+                    active.queue(piece, false);
                 }
                 (piece::Result::Done(handle), Some(_)) => {
                     unused.extend(output(&call, index, piece::Result::Done(handle)));
@@ -355,11 +360,11 @@
                 (piece::Result::NoSpace, None) => {
                     piece_state.attempts = piece_state.attempts.saturating_sub(1);
                     let not_running = piece_state.running == 0;
-                    active.queue(*piece, not_running);
+                    active.queue(piece, not_running);
                 }
                 (piece::Result::Failed, None) => {
                     let not_running = piece_state.running == 0;
-                    active.queue(*piece, not_running);
+                    active.queue(piece, not_running);
                 }
             }
         }
@@ -449,6 +454,16 @@
     }
 }
 
+/// Returns the job of a call's piece, unless it has ended. A later job may have the
+/// same id and other pieces.
+fn find_job<'a>(
+    active_jobs: &'a mut BTreeMap<JobId, ActiveJob>,
+    member: &Member,
+) -> Option<&'a mut ActiveJob> {
+    let active = active_jobs.get_mut(&member.job);
+    active.filter(|active| active.admission == member.admission)
+}
+
 /// Releases outputs, if there are any.
 fn discard(outputs: Vec<Output>, actions: &mut Vec<Action>) {
     if !outputs.is_empty() {
--- a/src/state/serving/batch/active_job.rs
+++ b/src/state/serving/batch/active_job.rs
@@ -33,6 +33,8 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct ActiveJob {
+    /// Number of the job in the order in which the dispatcher accepted them.
+    pub(super) admission: u64,
     pub(super) deadline: Time,
     pub(super) job: Job,
     /// Storage that one output takes.
--- a/src/state/serving/batch/call.rs
+++ b/src/state/serving/batch/call.rs
@@ -14,10 +14,19 @@
     pub(super) expected: Duration,
     /// Incarnation of the endpoint that received the call.
     pub(super) incarnation: u64,
-    /// The job of each item and the index of the piece in it.
-    pub(super) items: Vec<(JobId, usize)>,
+    pub(super) items: Vec<Member>,
     pub(super) sent: Time,
     /// Whether the call took much longer than expected and its pieces were
     /// requeued.
     pub(super) is_straggler: bool,
 }
+
+/// A piece of a job in a call.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    /// Tells jobs apart that have the same id, one after the other.
+    pub(super) admission: u64,
+    pub(super) job: JobId,
+    /// Index of the piece in the job.
+    pub(super) piece: usize,
+}
--- a/src/state/serving/batch/fill.rs
+++ b/src/state/serving/batch/fill.rs
@@ -9,6 +9,7 @@
             batch::{
                 Action, Call, Dispatcher, Item,
                 active_job::{Rank, Urgency},
+                call::Member,
                 endpoint_state::EndpointState,
             },
             piece::JobId,
@@ -101,11 +102,11 @@
 
         let items = chosen
             .iter()
-            .map(|(id, piece)| {
-                let active = &self.active_jobs[id];
+            .map(|member| {
+                let active = &self.active_jobs[&member.job];
                 Item {
                     input: active.job.input.clone(),
-                    piece: active.job.pieces[*piece],
+                    piece: active.job.pieces[member.piece],
                     remaining: active.deadline.since(now),
                     request: active.job.request.clone(),
                     stage: active.job.stage,
@@ -114,7 +115,7 @@
             .collect::<Vec<Item>>();
         let sizes = chosen
             .iter()
-            .map(|(id, _)| self.active_jobs[id].output_bytes);
+            .map(|member| self.active_jobs[&member.job].output_bytes);
         let bytes = sizes.collect::<Vec<u64>>();
         let longest = items.iter().map(|item| item.remaining).max();
         let call = self.next_call;
@@ -150,7 +151,7 @@
     /// Removes the pieces of the next call from the queue. Skips pieces that
     /// wait for their own domain, whose output does not fit, or whose retry
     /// exceeds the budget.
-    fn choose_pieces(&mut self, now: Time, entry: &Entry) -> Vec<(JobId, usize)> {
+    fn choose_pieces(&mut self, now: Time, entry: &Entry) -> Vec<Member> {
         let call = self.call_time(self.pool.batch);
         let mut order = self
             .active_jobs
@@ -211,7 +212,11 @@
                 piece.running += 1;
                 active.queue(index, false);
                 free_storage -= output_bytes;
-                chosen.push((id.clone(), index));
+                chosen.push(Member {
+                    admission: active.admission,
+                    job: id.clone(),
+                    piece: index,
+                });
             }
         }
 
--- a/src/state/serving/batch/watch.rs
+++ b/src/state/serving/batch/watch.rs
@@ -5,7 +5,10 @@
     crate::state::{
         clock::Time,
         serving::{
-            batch::{Call, CallOutcome, Dispatcher, MAX_ATTEMPTS, endpoint_state::EndpointState},
+            batch::{
+                Call, CallOutcome, Dispatcher, MAX_ATTEMPTS, endpoint_state::EndpointState,
+                find_job,
+            },
             piece,
         },
     },
@@ -40,12 +43,12 @@
                 state.health.record_failure(now);
             }
 
-            for (id, piece) in &call.items {
-                if let Some(active) = self.active_jobs.get_mut(id) {
-                    let piece_state = &active.pieces[*piece];
+            for member in &call.items {
+                if let Some(active) = find_job(&mut self.active_jobs, member) {
+                    let piece_state = &active.pieces[member.piece];
                     let needs_hedge =
                         piece_state.output.is_none() && piece_state.attempts < MAX_ATTEMPTS;
-                    active.queue(*piece, needs_hedge);
+                    active.queue(member.piece, needs_hedge);
                 }
             }
         }
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -464,3 +464,51 @@
     dispatcher.finish(at(2000), call, done(&items), &mut actions);
     assert_eq!(outcomes(&actions)[0].1.failure, None);
 }
+
+/// What happens to the call of a cancelled job whose id a later job has.
+enum CallEnd {
+    Answered,
+    /// It takes so long that its pieces would go to another endpoint.
+    Straggling,
+}
+
+macro_rules! calls_of_ended_jobs {
+    ($($(#[$doc:meta])* $name:ident: $pieces:expr, $end:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut dispatcher = dispatcher(1);
+                let mut actions = Vec::new();
+                dispatcher.add(at(0), job(1, 2), &mut actions);
+                let call = sent(&actions).remove(0);
+                dispatcher.cancel(at(10), &job(1, 2).id, &mut actions);
+                actions.clear();
+                let later = Job { request: "later".into(), ..job(1, $pieces) };
+                dispatcher.add(at(20), later, &mut actions);
+
+                match $end {
+                    CallEnd::Answered => {
+                        dispatcher.finish(at(200), call.0, done(&call.2), &mut actions);
+                    }
+                    CallEnd::Straggling => dispatcher.tick(at(2000), &mut actions),
+                }
+
+                assert!(outcomes(&actions).is_empty());
+                let requests = sent(&actions).into_iter().flat_map(|(_, _, items)| items);
+                assert!(requests.clone().all(|item| item.request == "later"));
+                assert!(requests.count() <= $pieces);
+            }
+        )*
+    };
+}
+
+calls_of_ended_jobs! {
+    /// Guards against outputs of an earlier job that become those of a later one.
+    call_of_an_ended_job_does_not_answer_a_later_one: 2, CallEnd::Answered;
+    /// Guards against a panic, which lost the outputs of all jobs in the call.
+    call_of_an_ended_job_may_have_more_pieces_than_a_later_one: 1, CallEnd::Answered;
+    /// Guards against a panic that ended the task which ticks all dispatchers.
+    straggling_call_of_an_ended_job_may_have_more_pieces_than_a_later_one:
+        1, CallEnd::Straggling;
+}
--- a/tests/serving/batch_fuzz.rs
+++ b/tests/serving/batch_fuzz.rs
@@ -31,6 +31,9 @@
 const BATCH: usize = 6;
 const STORAGE_BYTES: u64 = 1000;
 
+/// Number of job ids that come again once their job has ended.
+const REPEATED_IDS: u64 = 3;
+
 const BOUNDS: Bounds = Bounds {
     ratio: 0.2,
     slack: 20.0,
@@ -189,10 +192,7 @@
         let job = Job {
             domain: None,
             first: number.is_multiple_of(2),
-            id: JobId {
-                home: "h".into(),
-                number,
-            },
+            id: self.job_id(number),
             input: Input::Key(number.to_string()),
             output_bytes: bytes,
             pieces: (0..pieces).collect(),
@@ -207,6 +207,18 @@
         job
     }
 
+    /// Returns an id that no open job has. Ids of jobs that have ended come again, as
+    /// from the earlier process of a host that does not tell them apart.
+    fn job_id(&self, number: u64) -> JobId {
+        let id = |number| JobId {
+            home: "h".into(),
+            number,
+        };
+        let again = (0..REPEATED_IDS).map(id);
+        let mut free = again.filter(|id| !self.open.contains_key(id));
+        free.next().unwrap_or_else(|| id(REPEATED_IDS + number))
+    }
+
     fn outcome(&mut self, call: CallId, end: End) -> CallOutcome {
         let (endpoint, _, items) = self.calls.remove(&call).unwrap();
 
@@ -335,13 +347,9 @@
         assert_eq!(pieces.collect::<BTreeSet<_>>().len(), items.len());
 
         for item in &items {
-            let id = JobId {
-                home: "h".into(),
-                number: item.request.parse().unwrap(),
-            };
-            let job = self
-                .open
-                .get(&id)
+            let mut open = self.open.values();
+            let job = open
+                .find(|job| job.request == item.request)
                 .expect("a piece is sent only while its job is open");
             assert_eq!((item.stage, &item.input), (job.stage, &job.input));
 
