Give a piece each of its inputs once

A piece was given each output of a stage twice if its stage needs that stage directly and through one that the request omits, on every such request at any host (MIXED).

Cause: the inputs of a stage were collected by replacing each omitted stage with that stage's own inputs, without a look at those already collected.

Ruled out: the outputs that the engine gets (each stage is listed once), the inputs of chains (one path only).

Change: a stage that is reached in several ways, or named twice, is one input, at its first place. The estimate of the domain that holds most of the inputs counted them twice, too.

--- a/src/state/serving/graph.rs
+++ b/src/state/serving/graph.rs
@@ -7,6 +7,7 @@
         serving::{config::Stage, piece::Output},
     },
     snafu::Snafu,
+    std::collections::HashSet,
 };
 
 /// Size of an output from which a stage starts as late as possible, since an
@@ -26,7 +27,7 @@
 /// One stage and its progress.
 #[derive(Clone, Debug)]
 struct Node {
-    /// Stages whose outputs this one consumes. Each of them has pieces.
+    /// Stages whose outputs this one consumes. Each has pieces and occurs once.
     inputs: Vec<usize>,
     /// Expected size of one output.
     output_bytes: u64,
@@ -253,7 +254,8 @@
     Ok(order)
 }
 
-/// Returns the stages with pieces whose outputs each stage consumes.
+/// Returns the stages with pieces whose outputs each stage consumes. One that is
+/// reached directly and through a stage without pieces occurs once.
 fn inputs(stages: &[Stage], order: &[usize], pieces: impl Fn(usize) -> usize) -> Vec<Vec<usize>> {
     let mut inputs = vec![Vec::new(); stages.len()];
 
@@ -270,6 +272,8 @@
             found.extend(consumed);
         }
 
+        let mut seen = HashSet::new();
+        found.retain(|input| seen.insert(*input));
         inputs[stage] = found;
     }
 
--- a/tests/serving/graph.rs
+++ b/tests/serving/graph.rs
@@ -145,6 +145,44 @@
     assert_eq!(graph.start()[0].inputs, [output(0, 0)]);
 }
 
+macro_rules! inputs {
+    ($($(#[$doc:meta])* $name:ident: $stages:expr, $pieces:expr => $inputs:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut graph = Graph::new(&$stages, &$pieces).unwrap();
+                let mut last = Vec::new();
+
+                while !graph.is_done() {
+                    let starts = graph.start();
+                    starts.iter().for_each(|start| finish(&mut graph, start));
+                    last = starts;
+                }
+
+                assert_eq!(last.remove(0).inputs, $inputs);
+            }
+        )*
+    };
+}
+
+inputs! {
+    /// Guards against inputs given twice: the last stage needs the first one directly
+    /// and through a stage without pieces.
+    stage_that_is_also_reached_through_a_skipped_one_is_an_input_once:
+        [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[0, 1], 1)], [2, 0, 2]
+        => [output(0, 0), output(0, 1)];
+    stage_reached_through_two_skipped_ones_is_an_input_once:
+        [stage("a", &[], 1), stage("b", &[0], 1), stage("c", &[0], 1), stage("d", &[1, 2], 1)],
+        [1, 0, 0, 1]
+        => [output(0, 0)];
+    stage_named_twice_is_an_input_once: [stage("a", &[], 1), stage("b", &[0, 0], 1)], [1, 1]
+        => [output(0, 0)];
+    inputs_keep_the_order_of_the_stages_that_are_needed:
+        [stage("a", &[], 1), stage("b", &[], 1), stage("c", &[1, 0], 1)], [1, 1, 1]
+        => [output(1, 0), output(0, 0)];
+}
+
 #[test]
 fn consumed_outputs_are_taken_once() {
     let stages = [stage("a", &[], 1), stage("b", &[0], 1)];
