Refuse requests that a stopping host cannot finish

Callers whose requests waited for a busy stage pool got a closed connection 7.7 s after the SIGTERM of their host, though nothing had run (LOST).

Cause: the process exits 0.3 s before the end of the grace period, whatever is in progress. Requests were refused for the stop only when they arrived later than 2.5 s after the SIGTERM; nothing ended those accepted before.

Ruled out: the accept queue and reused connections (the requests had been read whole), the dispatcher's host (it may be another one and was not stopped), the timeouts of stages (they end at the request's deadline, after the process).

Change: the course of a stop is state::serving::stop, without I/O. From 2 s before the exit (a long stream needs about as much) a request that no endpoint has is refused as not run, with a Retry-After of 20 ms: its caller still has time for another host. 0.2 s before the exit a request that an endpoint has not answered gets a 502, which leaves open whether it ran. A request whose body has not arrived is refused, too. Stages that start during a stop are given the time until the last start, so that a dispatcher refuses at once what it cannot finish by then.

--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -96,7 +96,7 @@
 
 fn answer_ready(host: &Host, request: &Request<Incoming>) -> Response<Body> {
     let path_matches = request.uri().path() == host.codec.ready_path();
-    let ready = host.view().is_ready() && host.leaving_for().is_none();
+    let ready = host.view().is_ready() && host.stop().is_none();
 
     match (path_matches, ready) {
         (false, _) => text(StatusCode::NOT_FOUND, "no such path\n".into()),
--- a/src/coordination/serving/drain.rs
+++ b/src/coordination/serving/drain.rs
@@ -2,33 +2,26 @@
 
 use {
     crate::{
-        coordination::serving::host::Host,
+        coordination::serving::{
+            answer::{Reason, Refusal},
+            host::Host,
+            request::Request,
+        },
+        state::serving::stop::{Next, Step},
         transport::{boot_clock, http::server::ListenerState},
     },
     std::{rc::Rc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
-/// Time before the end of the grace period at which the process exits even if
-/// work is in progress.
-pub const END_MARGIN: Duration = Duration::from_millis(300);
-
-/// Time for which callers may still use the address of a stopping host: until
-/// the directory response that they have cached expires.
-pub const ADDRESS_LIFETIME: Duration = Duration::from_millis(2500);
-
 /// Interval between checks whether a stopping host can exit.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The next step of a planned stop.
-enum Next {
-    /// Callers may still send requests, or work is in progress.
-    Wait,
-    /// No work is in progress, so the connections can be closed.
-    Close,
-    /// The grace period is over.
-    End,
-}
+/// The refusal of a stopping host. The caller may retry at another one almost at once.
+pub const LEAVING: Refusal = Refusal::NotRun {
+    reason: Reason::Leaving,
+    retry_after: Duration::from_millis(20),
+};
 
 /// Waits for the stop signal, and then until no work is in progress. Callers
 /// that still use the address are served in the meantime.
@@ -46,14 +39,14 @@
     listener_state.send_replace(ListenerState::Leaving);
     let started = boot_clock::now();
 
-    loop {
-        let elapsed = boot_clock::now().since(started);
+    while let Some(stop) = host.stop() {
+        let is_closing = *listener_state.borrow() == ListenerState::Closing;
 
-        match next(host, elapsed) {
+        match stop.next(host.active.get() + host.pools.jobs()) {
             Next::Wait => {}
             // A request that arrived while the connections were being closed
             // is in progress by now.
-            Next::Close if *listener_state.borrow() == ListenerState::Closing => break,
+            Next::Close if is_closing => break,
             Next::Close => {
                 listener_state.send_replace(ListenerState::Closing);
             }
@@ -71,12 +64,26 @@
     );
 }
 
-fn next(host: &Host, elapsed: Duration) -> Next {
-    if elapsed >= host.settings().grace.saturating_sub(END_MARGIN) {
-        Next::End
-    } else if elapsed >= ADDRESS_LIFETIME && host.active.get() == 0 && host.pools.jobs() == 0 {
-        Next::Close
-    } else {
-        Next::Wait
+/// Waits until a planned stop gives a request its answer: that it has not run, or
+/// that it may have.
+pub async fn wait_for_answer(host: &Host, request: &Request) -> Refusal {
+    loop {
+        let may_have_run = request.may_have_run.get();
+
+        match host.wait_for_stop().await.step(may_have_run) {
+            Step::Answer if may_have_run => return Refusal::Unknown(Reason::Leaving),
+            Step::Answer => return LEAVING,
+            Step::Wait(time) => sleep(time).await,
+        }
+    }
+}
+
+/// Waits until a planned stop refuses a request whose body has not arrived.
+pub async fn wait_for_refusal(host: &Host) -> Refusal {
+    loop {
+        match host.wait_for_stop().await.step(false) {
+            Step::Answer => return LEAVING,
+            Step::Wait(time) => sleep(time).await,
+        }
     }
 }
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -17,6 +17,7 @@
                 piece::{JobId, Numbers},
                 placement::Placement,
                 roster::Entry,
+                stop::Stop,
                 view::View,
             },
         },
@@ -59,7 +60,7 @@
     pub pools: Pools,
     pub retries: Retries,
     pub tally: Tally,
-    leaving_since: Cell<Option<Time>>,
+    leaving_since: watch::Sender<Option<Time>>,
     job_numbers: Numbers,
     settings: RefCell<Arc<File>>,
     view: RefCell<Arc<View>>,
@@ -83,7 +84,7 @@
             codec,
             control,
             dispatch_orders: dispatch::Orders::default(),
-            leaving_since: Cell::new(None),
+            leaving_since: watch::Sender::new(None),
             links,
             job_numbers: Numbers::starting_at(rand::random()),
             placement: RefCell::default(),
@@ -187,16 +188,36 @@
 
     /// Records the start of the planned stop; later calls change nothing.
     pub fn leave(&self) {
-        if self.leaving_since.get().is_none() {
-            self.leaving_since.set(Some(boot_clock::now()));
-        }
+        self.leaving_since.send_if_modified(|since| {
+            let is_first = since.is_none();
+            since.get_or_insert_with(boot_clock::now);
+            is_first
+        });
+    }
+
+    /// Returns how far the planned stop is, or `None` before it.
+    pub fn stop(&self) -> Option<Stop> {
+        let since = (*self.leaving_since.borrow())?;
+        Some(Stop::new(
+            boot_clock::now().since(since),
+            self.settings().grace,
+        ))
     }
 
-    /// Returns the time since the planned stop began, or `None` before it.
-    pub fn leaving_for(&self) -> Option<Duration> {
-        self.leaving_since
-            .get()
-            .map(|leaving_since| boot_clock::now().since(leaving_since))
+    /// Waits until the planned stop has begun, and returns how far it is.
+    pub async fn wait_for_stop(&self) -> Stop {
+        let mut leaving_since = self.leaving_since.subscribe();
+
+        loop {
+            if let Some(stop) = self.stop() {
+                return stop;
+            }
+
+            if leaving_since.changed().await.is_err() {
+                // The host, which has the sender, is gone.
+                std::future::pending::<()>().await;
+            }
+        }
     }
 }
 
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -37,16 +37,6 @@
 /// yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// The refusal of a stopping host. The caller may retry at another one almost at once.
-const LEAVING: Refusal = Refusal::NotRun {
-    reason: Reason::Leaving,
-    retry_after: Duration::from_millis(20),
-};
-
-/// Time before the end of the grace period from which on a stopping host
-/// accepts no request: the longest goal and the time of a stream.
-const LAST_REQUEST_MARGIN: Duration = Duration::from_millis(4500);
-
 /// Time before the caller's deadline at which the host sends its own response
 /// instead of waiting for an endpoint.
 const CALLER_MARGIN: Duration = Duration::from_millis(15);
@@ -83,16 +73,15 @@
         ));
     };
 
-    if host
-        .leaving_for()
-        .is_some_and(|time| time > host.settings().grace.saturating_sub(LAST_REQUEST_MARGIN))
-    {
-        return Err(record_refusal(host, head, LEAVING));
+    if host.stop().is_some_and(|stop| !stop.is_open()) {
+        return Err(record_refusal(host, head, drain::LEAVING));
     }
 
-    let body = read_body(&config, body)
-        .await
-        .map_err(|refusal| record_refusal(host, head, refusal))?;
+    let body = tokio::select! {
+        body = read_body(&config, body) => body,
+        refusal = drain::wait_for_refusal(host) => Err(refusal),
+    };
+    let body = body.map_err(|refusal| record_refusal(host, head, refusal))?;
     let request = accept(host, &config, head, body, started)
         .map_err(|refusal| record_refusal(host, head, refusal))?;
     let request = Rc::new(request);
@@ -102,9 +91,14 @@
         .record_request(&host.settings().budget, &request.service);
     let time_limit = request.remaining().saturating_sub(CALLER_MARGIN);
     let departure = Departure(Some((Rc::clone(host), Rc::clone(&request))));
-    let result = timeout(time_limit, run(host, &config, &request)).await;
+    let result = tokio::select! {
+        biased;
+        result = timeout(time_limit, run(host, &config, &request)) => {
+            result.unwrap_or_else(|_| Err(relay::refusal_for(&request, Reason::Deadline)))
+        }
+        refusal = drain::wait_for_answer(host, &request) => Err(refusal),
+    };
     departure.disarm();
-    let result = result.unwrap_or_else(|_| Err(relay::refusal_for(&request, Reason::Deadline)));
     record_outcome(host, &config, &request, &result);
     result
 }
@@ -112,16 +106,12 @@
 /// Refuses a request that a stopping host would cut off: it arrived after callers have
 /// learnt of other hosts, and may last longer than the rest of the grace period.
 fn reject_outlasting(host: &Host, head: &Parts, request: &Request) -> Result<(), Refusal> {
-    let Some(elapsed) = host.leaving_for() else {
-        return Ok(());
-    };
-    let end = host.settings().grace.saturating_sub(drain::END_MARGIN);
-
-    if elapsed < drain::ADDRESS_LIFETIME || request.remaining() <= end.saturating_sub(elapsed) {
-        return Ok(());
+    match host.stop() {
+        Some(stop) if !stop.accepts(request.remaining()) => {
+            Err(record_refusal(host, head, drain::LEAVING))
+        }
+        _ => Ok(()),
     }
-
-    Err(record_refusal(host, head, LEAVING))
 }
 
 /// Refuses a request that cannot be served, before any stage runs for it: its prompt
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -302,7 +302,7 @@
         output_bytes: request.route.stages[start.stage].output_bytes,
         pieces: (0..).take(start.pieces).collect(),
         priority: request.priority,
-        remaining: chain::latest_end(config, &path, request.time_to_respond()),
+        remaining: chain::latest_end(config, &path, time_to_start(host, request)),
         request: request.id().to_owned(),
         service: start.service.clone(),
         stage: u16::try_from(start.stage).unwrap_or(u16::MAX),
@@ -310,6 +310,14 @@
     }
 }
 
+/// Returns the time within which the stages have to be done. On a stopping host an
+/// endpoint also needs time for the request afterwards.
+fn time_to_start(host: &Host, request: &Request) -> Duration {
+    let time = request.time_to_respond();
+    let stop = host.stop();
+    stop.map_or(time, |stop| time.min(stop.until_last_start()))
+}
+
 /// Returns the domain of the engine that would be chosen for the request now.
 fn target_domain(host: &Host, request: &Request) -> Option<id::Domain> {
     let view = host.view();
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -20,4 +20,5 @@
 pub mod quarantine;
 pub mod readers;
 pub mod roster;
+pub mod stop;
 pub mod view;
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -22,6 +22,7 @@
 mod quarantine;
 mod readers;
 mod rendezvous;
+mod stop;
 mod tally;
 
 #[path = "../support/fuzz.rs"]
