Count work on connections from the first byte to the last

A process also ended while the head of a request was arriving.

Cause: what held the process open was a count of requests from their whole head to the hand-over of the answer. The server then still had to write what the kernel does not hold.

Ruled out: the timer of the connection (it guarded the body, which the server takes as a whole), the shutdown of the runtime (it ends what is left).

Change: the phases of a connection are the count. A connection is busy from the first byte of a request to the flush of the last byte of its answer; the count of requests in the handler and in the tasks of streams is gone. A stopping host ends once no connection is open any more. A caller that reads no part of an answer for the idle timeout is disconnected, since its connection would otherwise be busy for good.

--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -7,7 +7,7 @@
         state::{id, serving::directory},
         transport::http::{
             body::Body,
-            server::{self, Limits, ListenerState, OpenConnections},
+            server::{self, Connections, Limits, ListenerState},
             timing::Bounds,
         },
     },
@@ -54,7 +54,7 @@
             listener,
             limits.clone(),
             open_state.clone(),
-            OpenConnections::default(),
+            Connections::default(),
             handler,
         ));
     };
--- a/src/coordination/serving/drain.rs
+++ b/src/coordination/serving/drain.rs
@@ -8,7 +8,10 @@
             request::Request,
         },
         state::serving::stop::{Next, Step},
-        transport::{boot_clock, http::server::ListenerState},
+        transport::{
+            boot_clock,
+            http::server::{Connections, ListenerState},
+        },
     },
     std::{rc::Rc, time::Duration},
     tokio::{sync::watch, time::sleep},
@@ -29,6 +32,7 @@
     host: &Rc<Host>,
     mut leaving: watch::Receiver<bool>,
     listener_state: &watch::Sender<ListenerState>,
+    callers: &Connections,
 ) {
     if leaving.wait_for(|leaving| *leaving).await.is_err() {
         // The signal thread has ended, so no stop signal can arrive.
@@ -42,11 +46,10 @@
     while let Some(stop) = host.stop() {
         let is_closing = *listener_state.borrow() == ListenerState::Closing;
 
-        match stop.next(host.active.get() + host.pools.jobs()) {
+        match stop.next(callers.busy() + host.pools.jobs()) {
             Next::Wait => {}
-            // A request that arrived while the connections were being closed
-            // is in progress by now.
-            Next::Close if is_closing => break,
+            // Connections on which a request arrived meanwhile are still open.
+            Next::Close if is_closing && callers.count() == 0 => break,
             Next::Close => {
                 listener_state.send_replace(ListenerState::Closing);
             }
@@ -57,7 +60,8 @@
     }
 
     log::info!(
-        active = host.active.get(),
+        busy = callers.busy(),
+        open = callers.count(),
         jobs = host.pools.jobs(),
         ms = boot_clock::now().since(started).as_millis();
         "stopped"
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -46,8 +46,6 @@
 
 /// The shared state of the traffic thread.
 pub struct Host {
-    /// Number of requests in progress.
-    pub active: Cell<usize>,
     pub balancing: Balancing,
     pub caller_bounds: Rc<Cell<Bounds>>,
     pub client: Client,
@@ -77,7 +75,6 @@
         tally: Tally,
     ) -> Rc<Self> {
         Rc::new(Self {
-            active: Cell::new(0),
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
             client: Client::default(),
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -10,7 +10,7 @@
             relay,
             request::Request,
             stages::{self, StageOutputs},
-            stream::{self, ActiveRequest},
+            stream,
             timeline::Timeline,
         },
         state::{
@@ -44,10 +44,8 @@
 /// Serves one request.
 pub async fn handle(host: Rc<Host>, message: hyper::Request<Incoming>) -> Response<Body> {
     let started = boot_clock::now();
-    let active = ActiveRequest::new(&host);
     let (head, body) = message.into_parts();
     let result = serve(&host, &head, body, started).await;
-    drop(active);
 
     match result {
         Ok(response) => response,
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -175,7 +175,6 @@
     let host = Rc::clone(host);
 
     spawn_local(async move {
-        let guard = ActiveRequest::new(&host);
         let end = run(
             &host,
             &request,
@@ -196,7 +195,6 @@
             "stream ended"
         );
         host.tally.count("streams", &[("outcome", end.name())]);
-        drop(guard);
     });
 
     response
@@ -361,20 +359,3 @@
     // Fails only if the caller has disconnected.
     let _ = sender.send(Err(io::Error::other(message.to_owned()))).await;
 }
-
-/// Counts a request in progress until it is dropped.
-pub struct ActiveRequest(Rc<Host>);
-
-impl ActiveRequest {
-    /// Adds a request to the requests in progress.
-    pub fn new(host: &Rc<Host>) -> Self {
-        host.active.set(host.active.get() + 1);
-        Self(Rc::clone(host))
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get().saturating_sub(1));
-    }
-}
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -26,7 +26,7 @@
             serving::view::View,
         },
         transport::{
-            http::server::{self, Limits, ListenerState, OpenConnections},
+            http::server::{self, Connections, Limits, ListenerState},
             links::Links,
             peer_call::PeerCall,
             tally::Tally,
@@ -130,16 +130,16 @@
         spawn_local(host::follow_views(Rc::clone(&host), views));
         spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
         spawn_local(serve_peer_calls(Rc::clone(&host), receiver));
-        let open = OpenConnections::default();
+        let callers = Connections::default();
         let (state_sender, listener_state) = watch::channel(ListenerState::Open);
-        serve_callers(&host, listeners.callers, listener_state, open);
+        serve_callers(&host, listeners.callers, listener_state, callers.clone());
         auxiliary::serve(
             &host,
             listeners.directory,
             listeners.ready,
             listeners.metrics,
         );
-        drain::run(&host, leaving, &state_sender).await;
+        drain::run(&host, leaving, &state_sender, &callers).await;
         Ok(())
     })
 }
@@ -264,7 +264,7 @@
     host: &Rc<Host>,
     listener: TcpListener,
     listener_state: watch::Receiver<ListenerState>,
-    open: OpenConnections,
+    connections: Connections,
 ) {
     let limits = Limits {
         bounds: Rc::clone(&host.caller_bounds),
@@ -275,7 +275,7 @@
         listener,
         limits,
         listener_state,
-        open,
+        connections,
         move |request, _| ingress::handle(Rc::clone(&host), request),
     ));
 }
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -8,7 +8,7 @@
         error::{Error, ListenSnafu},
         http::{
             body::{Body, GuardedBody},
-            timing::{Bounds, CloseReason, TimedStream, Timer},
+            timing::{Bounds, CloseReason, TimedStream, Timer, Work},
         },
     },
     hyper::{
@@ -68,14 +68,23 @@
     Closing,
 }
 
-/// Counter of the open connections of a listener.
+/// The open connections of a listener.
 #[derive(Clone, Debug, Default)]
-pub struct OpenConnections(Rc<Cell<usize>>);
+pub struct Connections {
+    busy: Work,
+    open: Rc<Cell<usize>>,
+}
 
-impl OpenConnections {
+impl Connections {
     /// Returns the number of connections.
     pub fn count(&self) -> usize {
-        self.0.get()
+        self.open.get()
+    }
+
+    /// Returns the number of connections with a request in progress: from the first
+    /// byte that was read of it to the last byte written of its answer.
+    pub fn busy(&self) -> usize {
+        self.busy.count()
     }
 }
 
@@ -107,7 +116,7 @@
     listener: StdListener,
     limits: Limits,
     mut state: watch::Receiver<ListenerState>,
-    open: OpenConnections,
+    connections: Connections,
     handler: impl Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<Body>> + 'static,
@@ -124,19 +133,20 @@
         };
 
         match accepted {
-            Ok((stream, peer)) if open.count() < limits.connections => {
-                let guard = ConnectionGuard::new(&open);
+            Ok((stream, peer)) if connections.count() < limits.connections => {
+                let guard = ConnectionGuard::new(&connections);
                 let state = state.clone();
                 let limits = limits.clone();
                 let handler = handler.clone();
+                let timer = Timer::start(&connections.busy);
                 spawn_local(async move {
-                    serve(stream, peer, limits, state, handler).await;
+                    serve(stream, peer, limits, state, timer, handler).await;
                     drop(guard);
                 });
             }
             Ok((_, peer)) => log::warn!(
                 peer = peer.to_string().as_str(),
-                open = open.count();
+                open = connections.count();
                 "connection refused: too many open connections"
             ),
             Err(error) => {
@@ -152,6 +162,7 @@
     peer: SocketAddr,
     limits: Limits,
     mut state: watch::Receiver<ListenerState>,
+    timer: Timer,
     handler: impl Fn(Request<Incoming>, SocketAddr) -> F + 'static,
 ) where
     F: Future<Output = Response<Body>> + 'static,
@@ -160,7 +171,6 @@
         log::debug!("cannot set TCP_NODELAY on a connection: {error}");
     }
 
-    let timer = Timer::start();
     let current = state.clone();
     let service = service_fn(|request| {
         let serving = timer.start_request();
@@ -194,6 +204,12 @@
                     "connection closed: the head of a request did not arrive in time"
                 );
             }
+            CloseReason::Stalled => {
+                return log::info!(
+                    peer = peer.to_string().as_str();
+                    "connection closed: the caller does not read its answer"
+                );
+            }
             CloseReason::Idle => {
                 connection.as_mut().graceful_shutdown();
                 connection.as_mut().await
@@ -210,17 +226,19 @@
     }
 }
 
-struct ConnectionGuard(OpenConnections);
+/// Counts an open connection until it is dropped.
+struct ConnectionGuard(Connections);
 
 impl ConnectionGuard {
-    fn new(open: &OpenConnections) -> Self {
-        open.0.set(open.0.get() + 1);
-        Self(open.clone())
+    fn new(connections: &Connections) -> Self {
+        connections.open.set(connections.open.get() + 1);
+        Self(connections.clone())
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.0.set(self.0.0.get().saturating_sub(1));
+        let open = &self.0.open;
+        open.set(open.get().saturating_sub(1));
     }
 }
--- a/src/transport/http/timing.rs
+++ b/src/transport/http/timing.rs
@@ -43,6 +43,8 @@
     Head,
     /// No request arrived in time.
     Idle,
+    /// The caller has not read any part of an answer for too long.
+    Stalled,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,16 +55,60 @@
     Idle(Time),
     /// A request is being served.
     Serving,
+    /// The rest of an answer is being written, with the last progress at this time.
+    Writing(Time),
+}
+
+/// Counter of the connections that are not idle.
+#[derive(Clone, Debug, Default)]
+pub struct Work(Rc<Cell<usize>>);
+
+impl Work {
+    /// Returns the number of connections.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// The phase of a connection, counted as work unless the connection is idle.
+#[derive(Debug)]
+struct State {
+    phase: Cell<Phase>,
+    work: Work,
+}
+
+impl State {
+    fn set(&self, phase: Phase) {
+        let was_idle = matches!(self.phase.replace(phase), Phase::Idle(_));
+        let is_idle = matches!(phase, Phase::Idle(_));
+        let count = self.work.count();
+
+        match (was_idle, is_idle) {
+            (true, false) => self.work.0.set(count + 1),
+            (false, true) => self.work.0.set(count.saturating_sub(1)),
+            _ => {}
+        }
+    }
+}
+
+impl Drop for State {
+    fn drop(&mut self) {
+        self.set(Phase::Idle(Time::ZERO));
+    }
 }
 
 /// Tracks the phase of a connection.
 #[derive(Clone, Debug)]
-pub struct Timer(Rc<Cell<Phase>>);
+pub struct Timer(Rc<State>);
 
 impl Timer {
-    /// Returns a timer for a new connection.
-    pub fn start() -> Self {
-        Self(Rc::new(Cell::new(Phase::Idle(boot_clock::now()))))
+    /// Returns a timer for a new connection, which counts as `work` while it is
+    /// not idle.
+    pub fn start(work: &Work) -> Self {
+        Self(Rc::new(State {
+            phase: Cell::new(Phase::Idle(boot_clock::now())),
+            work: work.clone(),
+        }))
     }
 
     /// Records that a request is being served until the guard is dropped.
@@ -78,7 +124,7 @@
         loop {
             let bounds = bounds.get();
             let now = boot_clock::now();
-            let (remaining, expiry) = match self.0.get() {
+            let (remaining, expiry) = match self.0.phase.get() {
                 Phase::Head(since) => (
                     (since + bounds.header_timeout).since(now),
                     Some(CloseReason::Head),
@@ -88,6 +134,10 @@
                     Some(CloseReason::Idle),
                 ),
                 Phase::Serving => (bounds.header_timeout, None),
+                Phase::Writing(since) => (
+                    (since + bounds.idle_timeout).since(now),
+                    Some(CloseReason::Stalled),
+                ),
             };
 
             match expiry {
@@ -98,24 +148,40 @@
         }
     }
 
-    fn record_bytes(&self) {
-        if let Phase::Idle(_) = self.0.get() {
+    /// Records that bytes arrived, which belong to the next request's head unless a
+    /// request is being served.
+    fn record_read(&self) {
+        if matches!(self.0.phase.get(), Phase::Idle(_) | Phase::Writing(_)) {
             self.0.set(Phase::Head(boot_clock::now()));
         }
     }
+
+    fn record_write(&self) {
+        if let Phase::Writing(_) = self.0.phase.get() {
+            self.0.set(Phase::Writing(boot_clock::now()));
+        }
+    }
+
+    /// Records that nothing is left to be written.
+    fn record_flush(&self) {
+        if let Phase::Writing(_) = self.0.phase.get() {
+            self.0.set(Phase::Idle(boot_clock::now()));
+        }
+    }
 }
 
-/// Guard for the time in which a request is being served on a connection.
+/// Guard for the time in which a request is being served on a connection. When it is
+/// dropped, the server may still have to write a part of the answer.
 #[derive(Debug)]
 pub struct Serving(Timer);
 
 impl Drop for Serving {
     fn drop(&mut self) {
-        self.0.0.set(Phase::Idle(boot_clock::now()));
+        self.0.0.set(Phase::Writing(boot_clock::now()));
     }
 }
 
-/// A stream that notifies its timer when bytes arrive.
+/// A stream that notifies its timer of bytes that arrive and are written.
 #[derive(Debug)]
 pub struct TimedStream {
     stream: TcpStream,
@@ -127,6 +193,12 @@
     pub fn new(stream: TcpStream, timer: Timer) -> Self {
         Self { stream, timer }
     }
+
+    fn record_write(&self, result: &Poll<io::Result<usize>>) {
+        if matches!(result, Poll::Ready(Ok(1..))) {
+            self.timer.record_write();
+        }
+    }
 }
 
 impl AsyncRead for TimedStream {
@@ -139,7 +211,7 @@
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
 
         if buffer.filled().len() > before {
-            self.timer.record_bytes();
+            self.timer.record_read();
         }
 
         result
@@ -152,10 +224,14 @@
         context: &mut Context,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        // The server flushes the stream only once it has written all of its buffer.
+        self.timer.record_flush();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
@@ -168,7 +244,9 @@
         context: &mut Context,
         slices: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -47,6 +47,8 @@
     HeadCut,
     /// Refuses the request because an input no longer exists.
     InputGone,
+    /// Sends a response with a body of this many bytes.
+    Large(usize),
     /// Sends a response that belongs to another request.
     Other,
     /// Refuses the request and wants no others for a number of seconds.
--- a/stand-ins/src/platform/workers/replies.rs
+++ b/stand-ins/src/platform/workers/replies.rs
@@ -57,8 +57,11 @@
 }
 
 pub(super) fn plain_reply(attempt: &str, fault: Option<Fault>) -> Reply {
+    let body = match fault {
+        Some(Fault::Large(length)) => "x".repeat(length),
+        _ => format!("answer to {attempt}"),
+    };
     let response = |attempt: &str, proof: &str| {
-        let body = format!("answer to {attempt}");
         let length = body.len();
         format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{proof}Content-Length: {length}\
