Bound the memory for bodies and the bytes before a head

An endpoint that sends bytes without end could take down a host with all of its requests: with 40 requests at such an endpoint at once the process used 690 MB for an endless body and 696 MB for endless chunks, more than machines of 160 or 260 MB have. Endless interim answers (100 Continue) kept the traffic thread busy for as long as they came: no request of the host was answered.

Cause: each body was held up to 16 MiB, without a common limit; a body was read whole before its head was found to lack the endpoint's proof. hyper bounds the size of one head, but reads any number of interim responses before it.

Ruled out: endless heads (refused by hyper at 400 KB each) and endless events (256 KB each), which stayed below 30 MB.

Change: all bodies that a host holds as a whole, of requests and of answers, take blocks from one memory: at most half of the new setting memory_mb, which the platform's template fills in. When it is used up, the incomplete body that has taken most fails and the others wait; a first block is always given, so that short answers never wait. A block is free once it is written to the caller. A request body without memory is refused as not run. A successful answer without a proof is not read. Before the head of a response is complete, at most 256 KB are read on a connection, and a head has at most 64 KB.

The streams of callers and of endpoints share one wrapper now, which tells an observer what is read and written.

--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -23,7 +23,7 @@
         },
         transport::{
             boot_clock,
-            http::{client::Client, timing::Bounds},
+            http::{client::Client, memory::Memory, timing::Bounds},
             links::Links,
             tally::Tally,
         },
@@ -54,6 +54,8 @@
     pub control: Sender<Event>,
     pub dispatch_orders: dispatch::Orders,
     pub links: Links,
+    /// Memory for the bodies of requests and responses.
+    pub memory: Memory,
     pub placement: RefCell<Placement>,
     pub pools: Pools,
     pub retries: Retries,
@@ -74,15 +76,17 @@
         view: Arc<View>,
         tally: Tally,
     ) -> Rc<Self> {
+        let memory = Memory::new(settings.body_memory());
         Rc::new(Self {
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
-            client: Client::default(),
+            client: Client::new(memory.clone()),
             codec,
             control,
             dispatch_orders: dispatch::Orders::default(),
             leaving_since: watch::Sender::new(None),
             links,
+            memory,
             job_numbers: Numbers::starting_at(rand::random()),
             placement: RefCell::default(),
             pools: Pools::default(),
@@ -222,6 +226,7 @@
 pub async fn follow_settings(host: Rc<Host>, mut settings: watch::Receiver<Arc<File>>) {
     while settings.changed().await.is_ok() {
         let newest = Arc::clone(&settings.borrow_and_update());
+        host.memory.set_limit(newest.body_memory());
         host.settings.replace(newest);
         host.pools.update(&host);
     }
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -22,7 +22,7 @@
         },
         transport::{boot_clock, http::body::Body},
     },
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    http_body_util::BodyExt,
     hyper::{
         Response,
         body::{Bytes, Incoming},
@@ -37,6 +37,13 @@
 /// yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The refusal of a request whose body the host has no memory for. Most requests take
+/// less than the delay.
+const NO_MEMORY: Refusal = Refusal::NotRun {
+    reason: Reason::Memory,
+    retry_after: Duration::from_millis(300),
+};
+
 /// Time before the caller's deadline at which the host sends its own response
 /// instead of waiting for an endpoint.
 const CALLER_MARGIN: Duration = Duration::from_millis(15);
@@ -76,7 +83,7 @@
     }
 
     let body = tokio::select! {
-        body = read_body(&config, body) => body,
+        body = read_body(host, &config, body) => body,
         refusal = drain::wait_for_refusal(host) => Err(refusal),
     };
     let body = body.map_err(|refusal| record_refusal(host, head, refusal))?;
@@ -183,16 +190,29 @@
     }
 }
 
-async fn read_body(config: &Config, body: Incoming) -> Result<Bytes, Refusal> {
-    let body = Limited::new(body, config.limits.body_bytes);
+async fn read_body(host: &Host, config: &Config, body: Incoming) -> Result<Bytes, Refusal> {
+    let body = collect_body(host, body, config.limits.body_bytes);
+    let body = timeout(config.limits.idle_timeout, body).await;
+    body.unwrap_or(Err(Refusal::Rejected(Reason::Body)))
+}
+
+async fn collect_body(host: &Host, mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let mut collector = host.memory.begin();
 
-    match timeout(config.limits.idle_timeout, body.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::Rejected(Reason::TooLarge))
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::Rejected(Reason::Body))?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+
+        if collector.length() + bytes.len() > limit {
+            return Err(Refusal::Rejected(Reason::TooLarge));
         }
-        Ok(Err(_)) | Err(_) => Err(Refusal::Rejected(Reason::Body)),
+
+        collector.try_push(&bytes).map_err(|_| NO_MEMORY)?;
     }
+
+    Ok(collector.finish_whole())
 }
 
 fn accept(
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -275,6 +275,7 @@
         let Ok(body) = exchange.collect(MAX_RESPONSE_BYTES).await else {
             return CallOutcome::Broken;
         };
+        let body = body.finish_whole();
 
         // Only a connection whose answer can be used is kept: a refusal might be
         // written once more.
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -14,7 +14,10 @@
             id,
             serving::{config::RetryMode, placement::Criteria, quarantine, roster::Entry},
         },
-        transport::{boot_clock, http::body::Body},
+        transport::{
+            boot_clock,
+            http::{body::Body, client::Failure},
+        },
     },
     hyper::Response,
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -278,28 +281,27 @@
     } = *open;
     let status = exchange.response.status();
     let headers = host.codec.reply_headers(exchange.response.headers());
-    let body = exchange.collect(MAX_RESPONSE_BYTES).await;
+    // Nothing of a body without a proof is used.
+    let body = if status.is_success() && !answer.has_proof {
+        Err("the response lacks the endpoint's proof".into())
+    } else {
+        let body = exchange.collect(MAX_RESPONSE_BYTES).await;
+        body.map_err(|failure| match failure {
+            Failure::Broken(message) | Failure::Unreachable(message) => message,
+        })
+    };
     let now = boot_clock::now();
     let mut placement = host.placement.borrow_mut();
     let health = placement.health_mut(&load_guard.entry);
 
     let body = match body {
-        Ok(body) => body,
-        Err(_) => {
+        Ok(body) => body.finish(),
+        Err(message) => {
             health.record_failure(now);
-            return Err(AttemptOutcome::Broken(
-                "the response body ended early".into(),
-            ));
+            return Err(AttemptOutcome::Broken(message));
         }
     };
 
-    if status.is_success() && !answer.has_proof {
-        health.record_failure(now);
-        return Err(AttemptOutcome::Broken(
-            "the response lacks the endpoint's proof".into(),
-        ));
-    }
-
     let repeat = request.route.retry_mode != RetryMode::Never
         && status.is_server_error()
         && request.attempts.get() < request.route.max_attempts;
@@ -319,7 +321,7 @@
         )));
     }
 
-    let mut response = Response::new(Body::buffered(body));
+    let mut response = Response::new(Body::blocks(body));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     Ok(response)
--- a/src/coordination/serving/stream/start.rs
+++ b/src/coordination/serving/stream/start.rs
@@ -69,7 +69,7 @@
             )));
         }
 
-        let mut response = Response::new(Body::buffered(body));
+        let mut response = Response::new(Body::blocks(body.finish()));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         return Ok(ResponseStart::Whole(response));
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -28,7 +28,10 @@
             "ready_address",
         ],
     ),
-    ("limits", &["connections", "grace_s", "keep_addresses_ms"]),
+    (
+        "limits",
+        &["connections", "grace_s", "keep_addresses_ms", "memory_mb"],
+    ),
     ("log", &["level"]),
     ("retries", &["ratio", "slack", "window_s"]),
     ("store", &["address", "kind", "wait_ms"]),
@@ -75,6 +78,8 @@
     /// Time for which callers may cache the addresses.
     pub keep_addresses: Duration,
     pub level: LevelFilter,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     pub peers: Vec<SocketAddr>,
     pub store: Store,
 }
@@ -96,6 +101,12 @@
         Self::parse(&text)
     }
 
+    /// Returns the memory for the bodies of requests and responses, in bytes. The rest
+    /// is for buffers of connections, the configuration and the endpoints.
+    pub const fn body_memory(&self) -> usize {
+        self.memory / 2
+    }
+
     /// Parses and validates the text of a file.
     ///
     /// # Errors
@@ -138,6 +149,7 @@
     let connections = fields.number("limits", "connections", 1, 1_000_000);
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
+    let memory = memory_bytes(fields);
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -162,6 +174,7 @@
         host: host?.into(),
         keep_addresses: Duration::from_millis(keep?),
         level: level.unwrap_or(LevelFilter::Info),
+        memory,
         peers,
         store: Store {
             address: address?,
@@ -171,6 +184,22 @@
     })
 }
 
+/// Returns the memory that the process may use, in bytes.
+fn memory_bytes(fields: &mut Fields) -> usize {
+    /// Memory of a process whose settings do not state it.
+    const DEFAULT_MB: f64 = 256.0;
+    const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
+
+    let memory = fields.optional::<f64>("limits", "memory_mb", EXPECTED);
+    let megabytes = memory.unwrap_or(DEFAULT_MB);
+
+    if !(16.0..=1e6).contains(&megabytes) {
+        fields.add_fault("limits", "memory_mb", &megabytes.to_string(), EXPECTED);
+    }
+
+    (megabytes * 1e6) as usize
+}
+
 /// Returns the capacity of a host: its processor time in percent of a core,
 /// bounded by the bandwidth of its link.
 fn capacity(cores: Option<f64>, link_mbps: Option<f64>) -> u32 {
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -28,6 +28,7 @@
                 "limits.keep_addresses_ms",
                 changed.keep_addresses != current.keep_addresses,
             ),
+            ("limits.memory_mb", changed.memory != current.memory),
             ("log.level", changed.level != current.level),
             ("host.peers", changed.peers != current.peers),
         ];
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -3,5 +3,8 @@
 
 pub mod body;
 pub mod client;
+pub mod head_limit;
+pub mod memory;
+pub mod observed_stream;
 pub mod server;
 pub mod timing;
--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -3,6 +3,7 @@
 use {
     hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint},
     std::{
+        collections::VecDeque,
         io,
         pin::Pin,
         task::{Context, Poll},
@@ -15,7 +16,7 @@
 #[derive(Debug)]
 pub enum Body {
     Stream(Receiver<io::Result<Bytes>>),
-    Buffered(Option<Bytes>),
+    Buffered(VecDeque<Bytes>),
 }
 
 /// A body with a guard that is dropped with it, once the body was sent or its
@@ -59,7 +60,13 @@
 impl Body {
     /// Builds a body from bytes in memory.
     pub fn buffered(bytes: impl Into<Bytes>) -> Self {
-        Self::Buffered(Some(bytes.into()))
+        Self::blocks([bytes.into()])
+    }
+
+    /// Builds a body from blocks in memory.
+    pub fn blocks(blocks: impl IntoIterator<Item = Bytes>) -> Self {
+        let blocks = blocks.into_iter();
+        Self::Buffered(blocks.filter(|block| !block.is_empty()).collect())
     }
 }
 
@@ -75,27 +82,24 @@
             Self::Stream(receiver) => receiver
                 .poll_recv(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
-            Self::Buffered(bytes) => Poll::Ready(
-                bytes
-                    .take()
-                    .filter(|bytes| !bytes.is_empty())
-                    .map(|bytes| Ok(Frame::data(bytes))),
-            ),
+            Self::Buffered(blocks) => {
+                Poll::Ready(blocks.pop_front().map(|block| Ok(Frame::data(block))))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Stream(_) => false,
-            Self::Buffered(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Buffered(blocks) => blocks.is_empty(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Stream(_) => SizeHint::default(),
-            Self::Buffered(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            Self::Buffered(blocks) => {
+                SizeHint::with_exact(blocks.iter().map(|block| block.len() as u64).sum())
             }
         }
     }
--- a/src/transport/http/client.rs
+++ b/src/transport/http/client.rs
@@ -8,7 +8,14 @@
 use {
     crate::{
         state::{clock::Time, id, serving::roster::Entry},
-        transport::boot_clock,
+        transport::{
+            boot_clock,
+            http::{
+                head_limit::{HeadLimit, MAX_HEAD_BYTES},
+                memory::{Collector, Memory},
+                observed_stream::ObservedStream,
+            },
+        },
     },
     http_body_util::{BodyExt, Full},
     hyper::{
@@ -82,6 +89,7 @@
 }
 
 struct Connection {
+    head_limit: HeadLimit,
     sender: SendRequest<Full<Bytes>>,
     /// The task that drives the connection. Dropping it closes the connection.
     _task: AbortOnDrop,
@@ -96,9 +104,11 @@
 }
 
 /// The connections of this host to all endpoints.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     idle: Rc<RefCell<HashMap<id::Endpoint, VecDeque<IdleConnection>>>>,
+    /// Memory for the bodies of responses.
+    memory: Memory,
 }
 
 /// A response whose body is still to be read.
@@ -110,6 +120,15 @@
 }
 
 impl Client {
+    /// Creates a client without connections, which takes memory for the bodies of
+    /// responses from `memory`.
+    pub fn new(memory: Memory) -> Self {
+        Self {
+            idle: Rc::default(),
+            memory,
+        }
+    }
+
     /// Sends a request to an endpoint and waits for the head of its response.
     ///
     /// # Errors
@@ -127,7 +146,11 @@
                 None => (connect(entry.address).await?, false),
             };
 
-            match connection.sender.try_send_request(request).await {
+            connection.head_limit.begin();
+            let response = connection.sender.try_send_request(request).await;
+            connection.head_limit.end();
+
+            match response {
                 Ok(response) => {
                     return Ok(Exchange {
                         client: self.clone(),
@@ -204,13 +227,32 @@
     ///
     /// # Errors
     ///
-    /// Returns a failure if the body is incomplete or too long.
-    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Failure> {
-        let body = http_body_util::Limited::new(self.response.body_mut(), limit);
+    /// Returns a failure if the body is incomplete or too long, or takes most of the
+    /// memory for bodies while that is used up.
+    pub async fn collect(&mut self, limit: usize) -> Result<Collector, Failure> {
+        let mut body = self.client.memory.begin();
+        let exhausted = |length| {
+            Failure::Broken(format!(
+                "no memory for more than {length} bytes of the body"
+            ))
+        };
 
-        match body.collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) => Err(Failure::Broken(error.to_string())),
+        loop {
+            let next = tokio::select! {
+                next = self.next() => next?,
+                () = body.failed() => return Err(exhausted(body.length())),
+            };
+            let Some(bytes) = next else {
+                return Ok(body);
+            };
+
+            if body.length() + bytes.len() > limit {
+                return Err(Failure::Broken(format!("the body exceeds {limit} bytes")));
+            }
+
+            if body.push(&bytes).await.is_err() {
+                return Err(exhausted(body.length()));
+            }
         }
     }
 
@@ -285,7 +327,11 @@
         })?
         .map_err(|error| unreachable(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| unreachable(error.to_string()))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let head_limit = HeadLimit::default();
+    let stream = ObservedStream::new(stream, head_limit.clone());
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
     let task = AbortOnDrop(spawn_local(async move {
@@ -295,6 +341,7 @@
     }));
 
     Ok(Connection {
+        head_limit,
         sender,
         _task: task,
     })
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -8,7 +8,8 @@
         error::{Error, ListenSnafu},
         http::{
             body::{Body, GuardedBody},
-            timing::{Bounds, CloseReason, TimedStream, Timer, Work},
+            observed_stream::ObservedStream,
+            timing::{Bounds, CloseReason, Timer, Work},
         },
     },
     hyper::{
@@ -191,7 +192,7 @@
     builder.header_read_timeout(None).max_buf_size(
         (limits.bounds.get().header_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES),
     );
-    let stream = TokioIo::new(TimedStream::new(stream, timer.clone()));
+    let stream = TokioIo::new(ObservedStream::new(stream, timer.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
 
     let result = tokio::select! {
--- a/src/transport/http/timing.rs
+++ b/src/transport/http/timing.rs
@@ -5,20 +5,12 @@
 //! longer than a head may take, so this module distinguishes the two.
 
 use {
-    crate::{state::clock::Time, transport::boot_clock},
-    std::{
-        cell::Cell,
-        io,
-        pin::Pin,
-        rc::Rc,
-        task::{Context, Poll},
-        time::Duration,
-    },
-    tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        net::TcpStream,
-        time::sleep,
+    crate::{
+        state::clock::Time,
+        transport::{boot_clock, http::observed_stream::Observer},
     },
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::time::sleep,
 };
 
 /// Time that a connection may be idle beyond the timeout announced to callers,
@@ -147,27 +139,6 @@
             }
         }
     }
-
-    /// Records that bytes arrived, which belong to the next request's head unless a
-    /// request is being served.
-    fn record_read(&self) {
-        if matches!(self.0.phase.get(), Phase::Idle(_) | Phase::Writing(_)) {
-            self.0.set(Phase::Head(boot_clock::now()));
-        }
-    }
-
-    fn record_write(&self) {
-        if let Phase::Writing(_) = self.0.phase.get() {
-            self.0.set(Phase::Writing(boot_clock::now()));
-        }
-    }
-
-    /// Records that nothing is left to be written.
-    fn record_flush(&self) {
-        if let Phase::Writing(_) = self.0.phase.get() {
-            self.0.set(Phase::Idle(boot_clock::now()));
-        }
-    }
 }
 
 /// Guard for the time in which a request is being served on a connection. When it is
@@ -181,75 +152,23 @@
     }
 }
 
-/// A stream that notifies its timer of bytes that arrive and are written.
-#[derive(Debug)]
-pub struct TimedStream {
-    stream: TcpStream,
-    timer: Timer,
-}
-
-impl TimedStream {
-    /// Wraps a stream and its timer.
-    pub fn new(stream: TcpStream, timer: Timer) -> Self {
-        Self { stream, timer }
-    }
-
-    fn record_write(&self, result: &Poll<io::Result<usize>>) {
-        if matches!(result, Poll::Ready(Ok(1..))) {
-            self.timer.record_write();
+impl Observer for Timer {
+    fn after_read(&self, _: usize) {
+        // The bytes belong to the next request's head unless one is being served.
+        if matches!(self.0.phase.get(), Phase::Idle(_) | Phase::Writing(_)) {
+            self.0.set(Phase::Head(boot_clock::now()));
         }
     }
-}
 
-impl AsyncRead for TimedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context,
-        buffer: &mut ReadBuf,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-
-        if buffer.filled().len() > before {
-            self.timer.record_read();
+    fn after_write(&self) {
+        if let Phase::Writing(_) = self.0.phase.get() {
+            self.0.set(Phase::Writing(boot_clock::now()));
         }
-
-        result
-    }
-}
-
-impl AsyncWrite for TimedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_write(&result);
-        result
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
-        // The server flushes the stream only once it has written all of its buffer.
-        self.timer.record_flush();
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context,
-        slices: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.record_write(&result);
-        result
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+    fn on_flush(&self) {
+        if let Phase::Writing(_) = self.0.phase.get() {
+            self.0.set(Phase::Idle(boot_clock::now()));
+        }
     }
 }
--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -146,6 +146,21 @@
         self.child.try_wait().expect("the host can be waited for")
     }
 
+    /// Returns the most memory that the process has used so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process has exited.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the process runs");
+        let peak = status.lines().find_map(|line| {
+            let kibibytes = line.strip_prefix("VmHWM:")?.strip_suffix("kB")?;
+            kibibytes.trim().parse::<u64>().ok()
+        });
+        peak.expect("the status of a process has its peak memory") * 1024
+    }
+
     /// Waits until the process exits and returns its exit code, or -1 if a
     /// signal ended it.
     ///
@@ -239,7 +254,7 @@
         peer_address = {advertised}\npeer_listen_address = {listened}\nready_address = {ready}\n\
         peers = {peers}\nfleet_key = a key of the test\n\
         [store]\naddress = {store}\nkind = entry-hosts\nwait_ms = 500\n\
-        [limits]\nconnections = 100\ngrace_s = 8\nkeep_addresses_ms = 1000\n\
+        [limits]\nconnections = 100\ngrace_s = 8\nkeep_addresses_ms = 1000\nmemory_mb = 160\n\
         [retries]\nratio = 0.2\nslack = 52\nwindow_s = 10\n"
     )
 }
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -5,7 +5,8 @@
 
 use {
     self::replies::{
-        answer_twice, failure, mark, plain_reply, raw_reply, refuse, refuse_for, refuse_twice,
+        answer_twice, endless, failure, mark, plain_reply, raw_reply, refuse, refuse_for,
+        refuse_twice,
     },
     crate::{
         http::{Flow, Reply, Request},
@@ -39,6 +40,8 @@
     Empty,
     /// Ends the worker's process after the head of a stream.
     Crash,
+    /// Sends bytes until the caller closes the connection.
+    Endless(Endless),
     /// Sends the response twice.
     Extra,
     /// Refuses the request because the worker is full.
@@ -64,6 +67,21 @@
     Unproven,
 }
 
+/// The part of a response that does not end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endless {
+    /// A body whose length is not announced.
+    Body,
+    /// A chunked body without an answer's proof.
+    Chunks,
+    /// An event of a stream.
+    Event,
+    /// A header field.
+    Head,
+    /// Interim responses.
+    Interim,
+}
+
 /// A request that a worker ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -321,6 +339,10 @@
         };
         thread::sleep(self.pause + delay);
 
+        if let Some(Fault::Endless(part)) = fault {
+            return endless(part, &attempt);
+        }
+
         if request.headers.contains_key("x-token-counts") {
             self.stream(request, &attempt, fault)
         } else {
--- a/stand-ins/src/platform/workers/replies.rs
+++ b/stand-ins/src/platform/workers/replies.rs
@@ -1,7 +1,7 @@
 //! The replies of workers, and those of faulty ones.
 
 use {
-    super::Fault,
+    super::{Endless, Fault},
     crate::http::{Flow, Reply},
     serde_json::Value,
     std::{io::Write, thread, time::Duration},
@@ -105,3 +105,36 @@
         Ok(flow)
     }))
 }
+
+/// Writes a part of a response until the caller closes the connection.
+pub(super) fn endless(part: Endless, attempt: &str) -> Reply {
+    /// Pause between two writes, which leaves processor time for the others.
+    const PAUSE: Duration = Duration::from_millis(5);
+
+    let ok = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n");
+    let proven = format!("{ok}X-Server-Stamp: proof\r\n");
+    let filler = "x".repeat(64 * 1024);
+    let (start, repeated) = match part {
+        Endless::Body => (format!("{proven}\r\n"), filler),
+        Endless::Chunks => (
+            format!("{ok}Transfer-Encoding: chunked\r\n\r\n"),
+            format!("{:x}\r\n{filler}\r\n", filler.len()),
+        ),
+        Endless::Event => (
+            format!("{proven}Content-Type: text/event-stream\r\n\r\nid: 0\ndata: "),
+            filler,
+        ),
+        Endless::Head => (format!("{ok}X-Filler: "), filler),
+        Endless::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(400)),
+    };
+
+    Reply::Written(Box::new(move |writer: &mut dyn Write| {
+        writer.write_all(start.as_bytes())?;
+
+        loop {
+            writer.write_all(repeated.as_bytes())?;
+            writer.flush()?;
+            thread::sleep(PAUSE);
+        }
+    }))
+}
