--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -25,6 +25,7 @@
             boot_clock,
             http::{client::Client, memory::Memory, timing::Bounds},
             links::Links,
+            machine,
             tally::Tally,
         },
     },
@@ -76,7 +77,9 @@
         view: Arc<View>,
         tally: Tally,
     ) -> Rc<Self> {
-        let memory = Memory::new(settings.body_memory());
+        let memory = body_memory(&settings);
+        log::info!(bytes = memory; "memory for bodies");
+        let memory = Memory::new(memory);
         Rc::new(Self {
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
@@ -226,7 +229,7 @@
 pub async fn follow_settings(host: Rc<Host>, mut settings: watch::Receiver<Arc<File>>) {
     while settings.changed().await.is_ok() {
         let newest = Arc::clone(&settings.borrow_and_update());
-        host.memory.set_limit(newest.body_memory());
+        host.memory.set_limit(body_memory(&newest));
         host.settings.replace(newest);
         host.pools.update(&host);
     }
@@ -261,6 +264,12 @@
     }
 }
 
+/// Returns the memory for the bodies of requests and responses, in bytes. The rest is
+/// for the buffers of connections, the configuration and the endpoints.
+fn body_memory(settings: &File) -> usize {
+    settings.memory.unwrap_or_else(machine::memory) / 2
+}
+
 fn bounds(limits: &Limits) -> Bounds {
     Bounds {
         header_bytes: limits.header_bytes,
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -78,8 +78,8 @@
     /// Time for which callers may cache the addresses.
     pub keep_addresses: Duration,
     pub level: LevelFilter,
-    /// Memory that the process may use, in bytes.
-    pub memory: usize,
+    /// Memory that the process may use, in bytes, if it differs from the machine's.
+    pub memory: Option<usize>,
     pub peers: Vec<SocketAddr>,
     pub store: Store,
 }
@@ -101,12 +101,6 @@
         Self::parse(&text)
     }
 
-    /// Returns the memory for the bodies of requests and responses, in bytes. The rest
-    /// is for buffers of connections, the configuration and the endpoints.
-    pub const fn body_memory(&self) -> usize {
-        self.memory / 2
-    }
-
     /// Parses and validates the text of a file.
     ///
     /// # Errors
@@ -185,19 +179,16 @@
 }
 
 /// Returns the memory that the process may use, in bytes.
-fn memory_bytes(fields: &mut Fields) -> usize {
-    /// Memory of a process whose settings do not state it.
-    const DEFAULT_MB: f64 = 256.0;
+fn memory_bytes(fields: &mut Fields) -> Option<usize> {
     const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
 
-    let memory = fields.optional::<f64>("limits", "memory_mb", EXPECTED);
-    let megabytes = memory.unwrap_or(DEFAULT_MB);
+    let megabytes = fields.optional::<f64>("limits", "memory_mb", EXPECTED)?;
 
     if !(16.0..=1e6).contains(&megabytes) {
         fields.add_fault("limits", "memory_mb", &megabytes.to_string(), EXPECTED);
     }
 
-    (megabytes * 1e6) as usize
+    Some((megabytes * 1e6) as usize)
 }
 
 /// Returns the capacity of a host: its processor time in percent of a core,
