--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -336,27 +336,37 @@
         return;
     }
 
-    let host = Rc::clone(host);
+    let ticking = Ticking(Rc::clone(host));
     spawn_local(async move {
+        let host = &ticking.0;
+
         while host.pools.jobs() > 0 {
             sleep(TICK_INTERVAL).await;
-            cancel_orphans(&host);
-            log_summaries(&host);
+            cancel_orphans(host);
+            log_summaries(host);
             let services = host.pools.queued().into_iter().map(|(service, _)| service);
 
             for service in services.collect::<Vec<id::Pool>>() {
                 let mut actions = Vec::new();
-                with_dispatcher(&host, &service, |dispatcher| {
+                with_dispatcher(host, &service, |dispatcher| {
                     dispatcher.tick(boot_clock::now(), &mut actions);
                 });
-                perform(&host, &service, actions);
+                perform(host, &service, actions);
             }
         }
-
-        host.pools.ticking.set(false);
     });
 }
 
+/// Marks the dispatchers as ticking until it is dropped, also by a panic, so that the
+/// next job starts the ticks again.
+struct Ticking(Rc<Host>);
+
+impl Drop for Ticking {
+    fn drop(&mut self) {
+        self.0.pools.ticking.set(false);
+    }
+}
+
 /// Cancels the jobs whose submitting host has closed its link or has ended.
 fn cancel_orphans(host: &Rc<Host>) {
     let replies = host.pools.replies.borrow();
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod link_server;
 pub mod links;
+pub mod machine;
 pub mod metrics;
 pub mod object_api;
 pub mod packing;
