--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         environment::EVENTS,
+        graph::Graph,
         record::{Attempt, End, Record, Route, key_text},
     },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom},
@@ -14,7 +15,7 @@
     },
     std::{
         collections::HashMap,
-        io::{BufReader, ErrorKind, Read, Write},
+        io::{self, BufReader, ErrorKind, Read, Write},
         net::{SocketAddr, TcpStream},
         sync::{
             Arc, Mutex,
@@ -25,9 +26,6 @@
     },
 };
 
-/// Number of pieces of each stage of a draft, as the value of `X-Pieces`.
-pub const PIECES: &str = "1,3";
-
 /// Key of the first piece of a draft.
 pub const PIECE_KEY: &str = "k7";
 
@@ -58,6 +56,7 @@
 /// State that all callers share.
 #[derive(Debug)]
 pub struct Shared {
+    pub graph: Graph,
     pub directories: Vec<SocketAddr>,
     /// Index of each host by its address for callers.
     pub hosts: HashMap<SocketAddr, usize>,
@@ -119,10 +118,19 @@
         let number = self.shared.next_id.fetch_add(1, Ordering::SeqCst);
         let id = format!("{number:08x}");
         let deadline = self.random.random_range(DEADLINE_MS.0..=DEADLINE_MS.1);
+        let pieces = self.shared.graph.draw_pieces(&mut self.random);
+        let request = Draw {
+            deadline,
+            id: &id,
+            key,
+            pieces: &pieces,
+            route,
+        };
         let attempt = Attempt {
             end: None,
             host: self.shared.hosts[&address],
             key,
+            pieces: pieces.clone(),
             route,
             reused,
             sent: Instant::now(),
@@ -136,7 +144,7 @@
                 status: 200,
             }
         } else {
-            self.exchange(&mut stream, &id, route, key, deadline)
+            self.exchange(&mut stream, &request)
         };
         let answered = matches!(end, End::Answered { .. });
 
@@ -151,20 +159,22 @@
         Some(end)
     }
 
-    fn exchange(
-        &mut self,
-        stream: &mut BufReader<TcpStream>,
-        id: &str,
-        route: Route,
-        key: u64,
-        deadline_ms: u64,
-    ) -> End {
+    fn exchange(&mut self, stream: &mut BufReader<TcpStream>, draw: &Draw) -> End {
+        let &Draw {
+            deadline: deadline_ms,
+            id,
+            key,
+            pieces,
+            route,
+        } = draw;
         let extra = match route {
             Route::Check => ENGINE_HEADERS.to_owned(),
             Route::Draft => {
-                format!("{ENGINE_HEADERS}X-Pieces: {PIECES}\r\nX-Piece-Key: {PIECE_KEY}\r\n")
+                let pieces = pieces.iter().map(usize::to_string);
+                let pieces = pieces.collect::<Vec<String>>().join(",");
+                format!("{ENGINE_HEADERS}X-Pieces: {pieces}\r\nX-Piece-Key: {PIECE_KEY}\r\n")
             }
-            Route::Moved | Route::Order | Route::Read => String::new(),
+            Route::Export | Route::Moved | Route::Order | Route::Read => String::new(),
         };
         let request = Request {
             attempt: id,
@@ -193,7 +203,13 @@
 
         let started = Instant::now();
 
-        match read(stream) {
+        let answer = if route == Route::Export {
+            read(&mut SlowReader(stream))
+        } else {
+            read(stream)
+        };
+
+        match answer {
             Some(answer) => classify(id, route, &answer),
             None => End::NoAnswer(format!(
                 "nothing arrived in {:?}, limit {limit:?}",
@@ -230,11 +246,12 @@
     }
 
     fn choose_route(&mut self) -> Route {
-        match self.random.random_range(0..10) {
-            0..3 => Route::Read,
-            3..6 => Route::Order,
-            6 | 7 => Route::Moved,
-            8 => Route::Check,
+        match self.random.random_range(0..24) {
+            0..6 => Route::Read,
+            6..12 => Route::Order,
+            12..16 => Route::Moved,
+            16..18 => Route::Check,
+            18 => Route::Export,
             _ => Route::Draft,
         }
     }
@@ -252,6 +269,35 @@
     }
 }
 
+/// What a caller has drawn for a request.
+struct Draw<'a> {
+    /// Time that the caller waits, in milliseconds.
+    deadline: u64,
+    id: &'a str,
+    key: u64,
+    /// Number of pieces of each stage.
+    pieces: &'a [usize],
+    route: Route,
+}
+
+/// Reads about 10 MB a second.
+struct SlowReader<'a>(&'a mut BufReader<TcpStream>);
+
+impl Read for SlowReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        /// Number of bytes after which the reader pauses.
+        const CHUNK: usize = 256 * 1024;
+        const PAUSE: Duration = Duration::from_millis(25);
+
+        if buffer.len() > CHUNK {
+            thread::sleep(PAUSE);
+        }
+
+        let length = buffer.len().min(CHUNK);
+        self.0.read(&mut buffer[..length])
+    }
+}
+
 enum Unsolicited {
     Bytes,
     Closed,
@@ -307,7 +353,7 @@
 
     if !route.is_stream() {
         let expected = format!("answer to {id}");
-        let same = answer.body == expected || !answer.complete;
+        let same = answer.body.trim_end() == expected || !answer.complete;
         return same
             .then_some(())
             .ok_or_else(|| format!("the body is {:?}, expected {expected:?}", answer.body));
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -5,7 +5,8 @@
 
 use {
     crate::{
-        plan::{FAULTY_REQUESTS, Fault, Step, Transition},
+        graph::Graph,
+        plan::{FAULTY_REQUESTS, Fault, Parameters, Step, Transition},
         record::{Drain, Record, Target, key_text},
     },
     serde_json::json,
@@ -33,6 +34,14 @@
 /// Time that a worker takes for a request, and between two events of a stream.
 const WORK_TIME: Duration = Duration::from_millis(15);
 
+/// Times that a stage worker takes for a call, by seed. The longest ones last longer
+/// than the restart of a host.
+const STAGE_TIMES: [Duration; 3] = [
+    WORK_TIME,
+    Duration::from_millis(150),
+    Duration::from_millis(500),
+];
+
 /// Added to the time that a slow worker takes.
 const SLOW_WORKER_DELAY: Duration = Duration::from_millis(400);
 
@@ -78,6 +87,7 @@
 pub struct Environment {
     binary: PathBuf,
     folder: PathBuf,
+    pub graph: Graph,
     processes: Vec<Process>,
     record: Arc<Mutex<Record>>,
     pub linked_workers: Vec<LinkedWorker>,
@@ -94,35 +104,43 @@
     pub fn start(
         binary: &Path,
         folder: &Path,
-        hosts: usize,
-        workers: usize,
+        parameters: &Parameters,
         record: Arc<Mutex<Record>>,
     ) -> Self {
         let mut environment = Self {
             binary: binary.to_owned(),
             folder: folder.to_owned(),
+            graph: Graph::of_seed(parameters.seed),
             processes: Vec::new(),
             record,
             linked_workers: Vec::new(),
             store: Store::start(),
         };
 
-        for number in 0..workers {
-            environment.add_worker(number);
+        let stage_time = STAGE_TIMES[parameters.seed as usize % STAGE_TIMES.len()];
+
+        for number in 0..parameters.workers {
+            let service = SERVICES[number % SERVICES.len()];
+            let time = if service == "stage" {
+                stage_time
+            } else {
+                WORK_TIME
+            };
+            environment.add_worker(number, service, time);
         }
 
         environment.configure();
-        environment.add_hosts(hosts);
+        environment.add_hosts(parameters.hosts);
         environment
     }
 
-    fn add_worker(&mut self, number: usize) {
-        let worker = Worker::start(&endpoint_name(number, 0), EVENTS, WORK_TIME);
+    fn add_worker(&mut self, number: usize, service: &'static str, time: Duration) {
+        let worker = Worker::start(&endpoint_name(number, 0), EVENTS, time);
         let link = Relay::start(Some(worker.address())).expect("a relay starts");
         self.linked_workers.push(LinkedWorker {
             generation: 0,
             link,
-            service: SERVICES[number % SERVICES.len()],
+            service,
             worker,
         });
         self.list_worker(number, "ready");
@@ -206,6 +224,10 @@
             Fault::HostKilled(host) => self.kill(host),
             Fault::HostPaused(host) => self.pause(host),
             Fault::HostReloaded(host) => self.reload(host),
+            Fault::HostRestarted(host) => {
+                self.kill(host);
+                self.start_host(host);
+            }
             Fault::HostStopped(host) => self.stop(host),
             Fault::PeersCut(host) => self.disturb_peers(host, Relay::cut),
             Fault::PeersForgotten(host) => self.disturb_peers(host, Relay::blackhole),
@@ -264,7 +286,10 @@
 
     fn end_fault(&mut self, fault: &Fault) {
         match *fault {
-            Fault::Configure | Fault::HostReloaded(_) | Fault::HostStopped(_) => {}
+            Fault::Configure
+            | Fault::HostReloaded(_)
+            | Fault::HostRestarted(_)
+            | Fault::HostStopped(_) => {}
             Fault::EveryHostKilled => {
                 (0..self.processes.len()).for_each(|host| self.start_host(host));
             }
@@ -332,6 +357,9 @@
 
         if let Some(routes) = value["routes"].as_array_mut() {
             routes.push(moved);
+            let draft = routes.iter_mut().find(|route| route["name"] == "draft");
+            draft.expect("the configuration has the route of drafts")["stages"] =
+                self.graph.config();
         }
 
         if let Some(services) = value["services"].as_array_mut() {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod callers;
 pub mod environment;
+pub mod graph;
 pub mod oracle;
 pub mod plan;
 pub mod record;
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         callers::PIECE_KEY,
+        graph::Graph,
         record::{Attempt, End, Record, Route, Target, has_key},
     },
     serde_json::Value,
@@ -38,10 +39,6 @@
 /// Retry budget of the settings: window in which requests and repeats count.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
-/// Pieces of the last phase of a draft, whose handles the request itself
-/// receives as inputs: the part of each handle that follows the request id.
-const LAST_STAGE_PIECES: [&str; 3] = ["1.0", "1.1", "1.2"];
-
 /// A guarantee that was violated.
 #[derive(Clone, Debug)]
 pub struct Violation {
@@ -61,6 +58,8 @@
 
 /// The records of callers and workers at one moment.
 pub struct Observations<'a> {
+    /// The stages of all drafts.
+    pub graph: Graph,
     pub record: &'a Record,
     pub workers: &'a [WorkerRecord],
 }
@@ -146,6 +145,7 @@
         }
 
         self.check_pieces()?;
+        self.check_inputs()?;
         self.check_drains()?;
         self.check_budget()
     }
@@ -153,15 +153,23 @@
     fn check_pieces(&self) -> Result<(), Violation> {
         for piece in self.workers.iter().flat_map(|worker| &worker.pieces) {
             let id = piece.item["id"].as_str().unwrap_or_default();
-            let is_draft = self.record.attempts.get(id);
-            let is_draft = is_draft.is_some_and(|attempt| attempt.route == Route::Draft);
-            let input = match piece.item["phase"].as_u64() {
-                Some(0) => piece.item["key"] == PIECE_KEY,
-                Some(1) => handles_match(id, &strings(&piece.item["inputs"]), &["0.0"]),
-                _ => false,
-            };
+            let draft = self.record.attempts.get(id);
+            let draft = draft.filter(|attempt| attempt.route == Route::Draft);
+            let number = |field: &str| piece.item[field].as_u64().map(|number| number as usize);
+            let is_asked_for = draft.is_some_and(|draft| {
+                let (Some(stage), Some(number)) = (number("phase"), number("piece")) else {
+                    return false;
+                };
+                let inputs = self.graph.inputs(stage, &draft.pieces);
+                let has_inputs = if inputs.is_empty() {
+                    piece.item["key"] == PIECE_KEY
+                } else {
+                    handles_match(id, &strings(&piece.item["inputs"]), &inputs)
+                };
+                has_inputs && draft.pieces.get(stage).is_some_and(|count| number < *count)
+            });
 
-            if !is_draft || !input {
+            if !is_asked_for {
                 let detail = format!("piece {}", piece.item);
                 return Err(violation(
                     "a piece receives the inputs of its own request",
@@ -174,6 +182,30 @@
         Ok(())
     }
 
+    /// Checks that an engine receives the outputs of the last stages of a draft.
+    fn check_inputs(&self) -> Result<(), Violation> {
+        for run in self.workers.iter().flat_map(|worker| &worker.runs) {
+            let header = |name: &str| run.headers.get(name).map_or("", String::as_str);
+            let id = header("x-attempt-id");
+            let draft = self.record.attempts.get(id);
+            let Some(draft) = draft.filter(|attempt| attempt.route == Route::Draft) else {
+                continue;
+            };
+            let handles = header("x-inputs").split(',').map(str::to_owned);
+            let handles = handles.collect::<Vec<String>>();
+
+            if !handles_match(id, &handles, &self.graph.last(&draft.pieces)) {
+                return Err(violation(
+                    "a request receives the outputs of its own last stages",
+                    Some(id),
+                    format!("pieces {:?}, inputs {handles:?}", draft.pieces),
+                ));
+            }
+        }
+
+        Ok(())
+    }
+
     fn check_drains(&self) -> Result<(), Violation> {
         let runs = self.workers.iter().flat_map(|worker| &worker.runs);
 
@@ -371,27 +403,13 @@
     Ok(())
 }
 
-fn check_headers(
-    id: &str,
-    attempt: &Attempt,
-    executions: &[Execution],
-    _: &Record,
-) -> Result<(), String> {
+fn check_headers(_: &str, _: &Attempt, executions: &[Execution], _: &Record) -> Result<(), String> {
     for Execution { run, .. } in executions {
         let header = |name: &str| run.headers.get(name).map(String::as_str);
 
         if header("x-tenant") != Some("team") || header("authorization").is_some() {
             return Err("an endpoint received the key, or no team".into());
         }
-
-        let handles = header("x-inputs").unwrap_or_default();
-        let handles = handles.split(',').map(str::to_owned);
-
-        if attempt.route == Route::Draft
-            && !handles_match(id, &handles.collect::<Vec<String>>(), &LAST_STAGE_PIECES)
-        {
-            return Err(format!("its inputs were {:?}", header("x-inputs")));
-        }
     }
 
     Ok(())
@@ -399,7 +417,7 @@
 
 /// Returns whether the handles name exactly these pieces of a request, each
 /// once.
-fn handles_match(id: &str, handles: &[String], pieces: &[&str]) -> bool {
+fn handles_match(id: &str, handles: &[String], pieces: &BTreeSet<String>) -> bool {
     let named = handles
         .iter()
         .filter_map(|handle| {
@@ -410,7 +428,7 @@
                 .strip_prefix('.')
         })
         .collect::<BTreeSet<&str>>();
-    handles.len() == pieces.len() && pieces.iter().all(|piece| named.contains(piece))
+    handles.len() == pieces.len() && pieces.iter().all(|piece| named.contains(piece.as_str()))
 }
 
 fn strings(value: &Value) -> Vec<String> {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -40,6 +40,9 @@
     HostKilled(usize),
     HostPaused(usize),
     HostReloaded(usize),
+    /// The host is killed and started again at once. A series of it hits processes in
+    /// the first second of their traffic.
+    HostRestarted(usize),
     HostStopped(usize),
     /// The link to the host's peer address is cut.
     PeersCut(usize),
@@ -140,7 +143,7 @@
         .choose(random)
         .unwrap_or(&Direction::Both);
 
-    match random.random_range(0..26) {
+    match random.random_range(0..28) {
         0..3 => Fault::Configure,
         3 => Fault::EveryHostKilled,
         4 => Fault::HostKilled(host),
@@ -162,17 +165,32 @@
         22 => Fault::WorkerReset(worker),
         23 => Fault::WorkerSilent(worker, direction),
         24 => Fault::WorkerSlow(worker),
+        25 | 26 => Fault::HostRestarted(host),
         _ => Fault::WorkerFails(worker, random_answer_fault(random)),
     }
 }
 
+fn random_endless(random: &mut StdRng) -> workers::Endless {
+    use workers::Endless;
+
+    let parts = [
+        Endless::Body,
+        Endless::Chunks,
+        Endless::Event,
+        Endless::Head,
+        Endless::Interim,
+    ];
+    *parts.choose(random).unwrap_or(&Endless::Body)
+}
+
 fn random_answer_fault(random: &mut StdRng) -> workers::Fault {
-    match random.random_range(0..6) {
+    match random.random_range(0..8) {
         0 => workers::Fault::AnswerLost,
         1 => workers::Fault::Break(BROKEN_EVENT),
         2 => workers::Fault::Extra,
         3 => workers::Fault::Full,
         4 => workers::Fault::Other,
+        5 | 6 => workers::Fault::Endless(random_endless(random)),
         _ => workers::Fault::Unproven,
     }
 }
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -16,6 +16,8 @@
     Draft,
     /// A repeatable request whose service depends on the configuration version.
     Moved,
+    /// A repeatable request with a large answer, which its caller reads slowly.
+    Export,
     /// A request that is not repeatable.
     Order,
     /// A repeatable request.
@@ -24,9 +26,10 @@
 
 impl Route {
     /// Every route.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Check,
         Self::Draft,
+        Self::Export,
         Self::Moved,
         Self::Order,
         Self::Read,
@@ -37,6 +40,7 @@
         match self {
             Self::Check => "check",
             Self::Draft => "draft",
+            Self::Export => "export",
             Self::Moved => "moved",
             Self::Order => "order",
             Self::Read => "read",
@@ -45,7 +49,7 @@
 
     /// Returns whether requests may run more than once.
     pub const fn is_repeatable(self) -> bool {
-        matches!(self, Self::Check | Self::Moved | Self::Read)
+        matches!(self, Self::Check | Self::Export | Self::Moved | Self::Read)
     }
 
     /// Returns whether the response is a stream of events.
@@ -58,7 +62,7 @@
         match self {
             Self::Check | Self::Draft => "engine",
             Self::Moved if version % 2 == 1 => "spare",
-            Self::Moved | Self::Order | Self::Read => "plain",
+            Self::Export | Self::Moved | Self::Order | Self::Read => "plain",
         }
     }
 }
@@ -84,6 +88,8 @@
     pub host: usize,
     /// Configuration version that introduced the request's key.
     pub key: u64,
+    /// Number of pieces of each stage of a draft.
+    pub pieces: Vec<usize>,
     pub route: Route,
     /// Whether the connection carried an earlier request.
     pub reused: bool,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,6 +5,7 @@
     crate::{
         callers::{Caller, Shared},
         environment::Environment,
+        graph::Graph,
         oracle::{Observations, Violation, WorkerRecord},
         plan::{self, Parameters, Step},
         record::{End, Record, Route},
@@ -70,8 +71,7 @@
     let mut environment = Environment::start(
         &setup.binary,
         &setup.folder,
-        parameters.hosts,
-        parameters.workers,
+        parameters,
         Arc::clone(&record),
     );
     let load = Load::start(&environment.addresses(), &record, setup);
@@ -205,6 +205,7 @@
     let workers = workers.collect::<Vec<WorkerRecord>>();
     let record = lock(record);
     let observations = Observations {
+        graph: environment.graph,
         record: &record,
         workers: &workers,
     };
@@ -234,6 +235,7 @@
     fn start(addresses: &[Addresses], record: &Arc<Mutex<Record>>, setup: &Setup) -> Self {
         let hosts = addresses.iter().enumerate();
         let shared = Arc::new(Shared {
+            graph: Graph::of_seed(setup.parameters.seed),
             directories: addresses.iter().map(|a| a.directory).collect(),
             hosts: hosts.map(|(number, a)| (a.callers, number)).collect(),
             next_id: AtomicU64::new(1),
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -60,4 +60,7 @@
     stop_closed_new_connections: 300, 8;
     /// The same failure, after every host had been killed.
     stop_closed_new_connections_after_kills: 200, 12;
+    /// A piece got each input twice beside an omitted stage
+    /// (`piece_gets_each_input_once_if_a_stage_between_is_omitted`).
+    inputs_given_twice: 1001, 8;
 }
--- a/stand-ins/src/platform/config.rs
+++ b/stand-ins/src/platform/config.rs
@@ -24,6 +24,7 @@
         "routes": [
             route("read", "idempotent", &json!({ "service": "plain" })),
             route("order", "non_idempotent", &json!({ "service": "plain" })),
+            route("export", "idempotent", &json!({ "service": "plain" })),
             route("open", "idempotent", &json!({ "service": "plain", "public": true })),
             route("draft", "stream", &json!({
                 "service": "engine", "stages": stages, "sticky": true, "resumable": false,
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -22,6 +22,10 @@
     },
 };
 
+/// Length of an answer on the path `/export/`: more than the kernel holds for a caller
+/// that reads slowly.
+pub const EXPORT_BYTES: usize = 12_000_000;
+
 /// Body of a stream's response without a proof.
 pub const ERROR_TEXT: &str = "the engine failed\n\n";
 
@@ -50,8 +54,6 @@
     HeadCut,
     /// Refuses the request because an input no longer exists.
     InputGone,
-    /// Sends a response with a body of this many bytes.
-    Large(usize),
     /// Sends a response that belongs to another request.
     Other,
     /// Refuses the request and wants no others for a number of seconds.
@@ -271,6 +273,10 @@
                 return refuse_for(seconds);
             }
 
+            if let Some(Fault::Endless(part)) = fault {
+                return endless(part, "");
+            }
+
             let at = Instant::now();
             let pieces = items.iter().cloned();
             state.pieces.extend(pieces.map(|item| Piece { at, item }));
@@ -346,7 +352,9 @@
         if request.headers.contains_key("x-token-counts") {
             self.stream(request, &attempt, fault)
         } else {
-            plain_reply(&attempt, fault)
+            let is_export = request.path.starts_with("/export/");
+            let length = if is_export { EXPORT_BYTES } else { 0 };
+            plain_reply(&attempt, length, fault)
         }
     }
 
--- a/stand-ins/src/platform/workers/replies.rs
+++ b/stand-ins/src/platform/workers/replies.rs
@@ -56,11 +56,10 @@
     }))
 }
 
-pub(super) fn plain_reply(attempt: &str, fault: Option<Fault>) -> Reply {
-    let body = match fault {
-        Some(Fault::Large(length)) => "x".repeat(length),
-        _ => format!("answer to {attempt}"),
-    };
+/// Answers a request. The body is padded with spaces to `length` bytes.
+pub(super) fn plain_reply(attempt: &str, length: usize, fault: Option<Fault>) -> Reply {
+    let mut body = format!("answer to {attempt}");
+    body.extend(std::iter::repeat_n(' ', length.saturating_sub(body.len())));
     let response = |attempt: &str, proof: &str| {
         let length = body.len();
         format!(
