--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -13,7 +13,7 @@
     stand_ins::{
         platform::{
             config::{config, route},
-            host::{Addresses, Host, Settings},
+            host::{Addresses, Host, STORE_WAIT, Settings},
             store::Store,
             workers::{self, Worker},
         },
@@ -166,6 +166,7 @@
                     peer_address: Some(peer_link.address()),
                     peers: seeds.clone(),
                     store: store_link.address(),
+                    store_wait: STORE_WAIT,
                 },
                 peer_link,
                 store_link,
--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -19,6 +19,9 @@
 /// Port of the first listener.
 const FIRST_PORT: u16 = 7101;
 
+/// Time for which a watch of the store waits, where a test does not depend on it.
+pub const STORE_WAIT: Duration = Duration::from_millis(500);
+
 /// Settings of a host that differ between tests.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -27,6 +30,8 @@
     pub peer_address: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub store: SocketAddr,
+    /// Time for which a watch of the store waits.
+    pub store_wait: Duration,
 }
 
 /// The addresses of one host.
@@ -244,6 +249,7 @@
         ready,
     } = addresses;
     let Settings { name, store, .. } = settings;
+    let wait = settings.store_wait.as_millis();
     let advertised = settings.peer_address.unwrap_or(*listened);
     let peers = settings.peers.iter().map(SocketAddr::to_string);
     let peers = peers.collect::<Vec<String>>().join(",");
@@ -253,7 +259,7 @@
         directory_address = {directory}\nmetrics_address = {metrics}\n\
         peer_address = {advertised}\npeer_listen_address = {listened}\nready_address = {ready}\n\
         peers = {peers}\nfleet_key = a key of the test\n\
-        [store]\naddress = {store}\nkind = entry-hosts\nwait_ms = 500\n\
+        [store]\naddress = {store}\nkind = entry-hosts\nwait_ms = {wait}\n\
         [limits]\nconnections = 100\ngrace_s = 8\nkeep_addresses_ms = 1000\nmemory_mb = 160\n\
         [retries]\nratio = 0.2\nslack = 52\nwindow_s = 10\n"
     )
