Let the soak hit young processes and waiting drafts

Restarts of a host now come 0.7 to 1.8 s apart, calls take 15, 500 or 1,500 ms, and drafts wait for up to 12 s, so that some wait for stages while their host stops. An answer that is not a stream may break off only if its own host is killed or paused: it is complete before it is sent.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -44,6 +44,9 @@
 /// Shortest and longest deadline of a request, in milliseconds.
 const DEADLINE_MS: (u64, u64) = (2000, 4000);
 
+/// Longest deadline of a draft, in milliseconds.
+const MAX_DRAFT_DEADLINE_MS: u64 = 12_000;
+
 /// Fraction of connections that are kept open after a response.
 const KEEP_ALIVE_SHARE: f64 = 0.8;
 
@@ -117,7 +120,11 @@
         let key = self.choose_key();
         let number = self.shared.next_id.fetch_add(1, Ordering::SeqCst);
         let id = format!("{number:08x}");
-        let deadline = self.random.random_range(DEADLINE_MS.0..=DEADLINE_MS.1);
+        let (shortest, longest) = match route {
+            Route::Draft => (DEADLINE_MS.0, MAX_DRAFT_DEADLINE_MS),
+            _ => DEADLINE_MS,
+        };
+        let deadline = self.random.random_range(shortest..=longest);
         let pieces = self.shared.graph.draw_pieces(&mut self.random);
         let request = Draw {
             deadline,
--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -34,14 +34,20 @@
 /// Time that a worker takes for a request, and between two events of a stream.
 const WORK_TIME: Duration = Duration::from_millis(15);
 
-/// Times that a stage worker takes for a call, by seed. The longest ones last longer
-/// than the restart of a host.
+/// Times that a stage worker takes for a call, by seed. The longer ones last longer
+/// than the restart of a host; with the longest one, drafts wait for stages while their
+/// host stops.
 const STAGE_TIMES: [Duration; 3] = [
     WORK_TIME,
-    Duration::from_millis(150),
     Duration::from_millis(500),
+    Duration::from_millis(1500),
 ];
 
+/// Fields of the route of drafts. Callers wait for stages until after the end of a
+/// host's grace period.
+const DRAFT_TIMEOUT_MS: u64 = 15_000;
+const DRAFT_GOAL_MS: u64 = 3500;
+
 /// Added to the time that a slow worker takes.
 const SLOW_WORKER_DELAY: Duration = Duration::from_millis(400);
 
@@ -359,8 +365,10 @@
         if let Some(routes) = value["routes"].as_array_mut() {
             routes.push(moved);
             let draft = routes.iter_mut().find(|route| route["name"] == "draft");
-            draft.expect("the configuration has the route of drafts")["stages"] =
-                self.graph.config();
+            let draft = draft.expect("the configuration has the route of drafts");
+            draft["stages"] = self.graph.config();
+            draft["timeoutMs"] = DRAFT_TIMEOUT_MS.into();
+            draft["targetLatencyMs"] = DRAFT_GOAL_MS.into();
         }
 
         if let Some(services) = value["services"].as_array_mut() {
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -460,12 +460,17 @@
             Err(format!("no response: {reason}"))
         }
         End::Cut { .. } => {
-            let undisturbed = !record.is_disturbed(attempt.sent, *at, |target| {
-                !matches!(target, Target::Stop(_))
-            });
-            undisturbed.then_some(()).map_or(Ok(()), |()| {
-                Err("its response broke off without a disturbance other than planned stops".into())
-            })
+            // An answer that is not a stream is complete before its host sends it.
+            let excuses = |target| match target {
+                Target::Stop(_) => false,
+                target => attempt.route.is_stream() || target == Target::Host(host),
+            };
+
+            if record.is_disturbed(attempt.sent, *at, excuses) {
+                Ok(())
+            } else {
+                Err("its response broke off without a disturbance that excuses it".into())
+            }
         }
         _ => Ok(()),
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -21,6 +21,10 @@
 /// milliseconds.
 const FAULT_GAP_MS: (u64, u64) = (100, 1500);
 
+/// Shortest and longest age of a process that a series of restarts hits, in
+/// milliseconds. Callers fetch its address up to a second after its start.
+const YOUNG_PROCESS_MS: (u64, u64) = (700, 1800);
+
 /// Maximum number of repetitions of a fault in one series.
 const MAX_SERIES_FAULTS: u32 = 3;
 
@@ -107,7 +111,10 @@
         let mut next = at;
 
         for _ in 0..random.random_range(1..=MAX_SERIES_FAULTS) {
-            let length = random_duration(&mut random, FAULT_LENGTH_MS);
+            let length = match fault {
+                Fault::HostRestarted(_) => random_duration(&mut random, YOUNG_PROCESS_MS),
+                _ => random_duration(&mut random, FAULT_LENGTH_MS),
+            };
             steps.push(Step {
                 at: next,
                 transition: Transition::Begin,
@@ -118,7 +125,11 @@
                 transition: Transition::End,
                 fault: fault.clone(),
             });
-            next += length + random_duration(&mut random, FAULT_GAP_MS);
+            next += length;
+
+            if !matches!(fault, Fault::HostRestarted(_)) {
+                next += random_duration(&mut random, FAULT_GAP_MS);
+            }
 
             if next >= parameters.length {
                 break;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -37,7 +37,7 @@
 const RECOVERY_ATTEMPTS: usize = 10;
 
 /// Maximum time for open requests to end when the load stops.
-const DRAIN_LIMIT: Duration = Duration::from_secs(6);
+const DRAIN_LIMIT: Duration = Duration::from_secs(14);
 
 /// Configuration of a run.
 #[derive(Clone, Debug)]
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -63,4 +63,7 @@
     /// A piece got each input twice beside an omitted stage
     /// (`piece_gets_each_input_once_if_a_stage_between_is_omitted`).
     inputs_given_twice: 1001, 8;
+    /// A restarted host's request got the outputs of its earlier process's request
+    /// (`killed_host_gives_each_request_its_own_outputs`).
+    outputs_of_an_earlier_process: 2116, 12;
 }
