--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -45,6 +45,10 @@
   # What the member can carry, relative to others.
   endpoints @11 :UInt64;
   # Revision of the newest entry in the member's list of endpoints.
+  evacuations @12 :UInt64;
+  # Revision of the newest change of the evacuated failure domains.
+  headroom @13 :UInt8;
+  # Unused processor time of the member, in percent; 0 if it does not tell.
 }
 
 struct Quarantined {
@@ -94,6 +98,8 @@
   # Where the outputs will be used; empty if it is not known.
   outputBytes @13 :UInt64;
   # Expected size of one output.
+  team @14 :Text;
+  # Empty for requests without a team.
 }
 
 struct Output {
@@ -132,6 +138,17 @@
   # Engines that must not be chosen.
   domain @5 :Text;
   # Where the inputs are; empty if there are none.
+  priority @6 :UInt8;
+  remainingMs @7 :UInt32;
+  # Time until the caller's deadline.
+  urgencyMs @8 :UInt32;
+  # Time until the request has to be at an engine to meet its goal.
+  outputTokens @9 :UInt32;
+  # Expected length of the answer.
+  team @10 :Text;
+  # Empty for requests without a team.
+  waits @11 :Bool;
+  # The host asks again if no engine has room.
 }
 
 struct Object {
@@ -176,9 +193,10 @@
   objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32, unpacks :Bool) -> (changes :Changes);
   # Waits for a change after the revision, at most `waitMs`. Values are packed only
   # for a caller that unpacks them.
-  placePrompt @10 (placement :Placement) -> (endpoint :Text, quarantined :Bool);
-  # Chooses the engine of a prompt; empty if there is none, or if a part of the
-  # prompt is in quarantine.
+  placePrompt @10 (placement :Placement) -> (endpoint :Text, quarantined :Bool, waitMs :UInt32, refused :Bool, retryAfterMs :UInt32, backlogMs :UInt32, counted :Bool);
+  # Chooses the engine of a prompt; empty if there is none, if a part of the prompt
+  # is in quarantine, if it has to wait (`waitMs` is above 0) or if it would miss its
+  # deadline (`refused`). The host reports the end of a `counted` prompt, too.
   reportPrompt @11 (service :Text, home :Text, id :UInt64, result :Text);
   # Tells how the prompt fared at its engine.
 }
