Handle stop signals from the first statement of the process

Cause: the handlers were set after the settings were read, the log was started and the listeners were bound; until then the default action ends the process. Ruled out: a connection of the host that was cut, since it had no listener yet.

Change: both programs take over their signals in the first statement of main and pass them to the part that handles them. A signal that arrives before is kept.

Test: host_that_is_stopped_before_it_has_read_its_settings_stops_as_planned, with a pipe as the settings file. The former program ends with signal 15 (exit code 143 in the shell) in the same situation.

--- a/src/bin/persimmoncleatd.rs
+++ b/src/bin/persimmoncleatd.rs
@@ -15,6 +15,13 @@
 }
 
 fn main() -> ExitCode {
+    let signals = match daemon::stop_signals() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let options = match options() {
         Ok(options) => options,
         Err(code) => return code,
@@ -41,7 +48,7 @@
         }
     };
 
-    let code = match daemon::run(file) {
+    let code = match daemon::run(file, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{error}");
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -55,13 +55,23 @@
     },
 };
 
+/// Takes over SIGINT and SIGTERM, which are kept until [`run`] handles them. The
+/// first statement of the process: until then a signal ends it without a planned
+/// stop.
+///
+/// # Errors
+///
+/// Returns an error if a signal cannot be handled.
+pub fn stop_signals() -> Result<Signals, Error> {
+    Signals::new([SIGINT, SIGTERM]).context(SignalsSnafu)
+}
+
 /// Runs the daemon until its drain is complete.
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound or if a thread or the signal
-/// handler cannot be started.
-pub fn run(file: File) -> Result<(), Error> {
+/// Returns an error if an address cannot be bound or if a thread cannot be started.
+pub fn run(file: File, signals: Signals) -> Result<(), Error> {
     let server = Server::bind(file.host.caller_address, server_limits(&file))
         .map_err(protocol::Error::from)?;
     let caller_address = server.address().map_err(protocol::Error::from)?;
@@ -73,7 +83,7 @@
     let gateway = Arc::new(gateway(&file, &view, links, control)?);
     let in_flight = server.in_flight();
 
-    handle_signals(&gateway)?;
+    handle_signals(&gateway, signals);
     start_control(&file, view, &gateway, events)?;
     gauges::start(Arc::clone(&gateway)).context(ThreadSnafu)?;
     start_discovery(&file, &gateway)?;
@@ -230,8 +240,7 @@
 
 /// Handles SIGINT and SIGTERM: the first signal starts the drain, the second
 /// one exits the process at once.
-fn handle_signals(gateway: &Arc<Gateway>) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGINT, SIGTERM]).context(SignalsSnafu)?;
+fn handle_signals(gateway: &Arc<Gateway>, mut signals: Signals) {
     let gateway = Arc::clone(gateway);
 
     thread::spawn(move || {
@@ -242,6 +251,4 @@
         drain::log_abandoned(&gateway);
         json_log::exit(1);
     });
-
-    Ok(())
 }
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -66,17 +66,29 @@
     ready: TcpListener,
 }
 
+/// Takes over SIGHUP, SIGINT and SIGTERM, which are kept until [`run`] handles them.
+/// The first statement of the process: until then a signal ends it without a
+/// planned stop.
+///
+/// # Errors
+///
+/// Returns an error if a signal cannot be handled.
+pub fn signals() -> Result<Signals, Error> {
+    Signals::new([SIGHUP, SIGINT, SIGTERM]).context(SignalsSnafu)
+}
+
 /// Runs a host until its planned stop is complete.
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound, a signal cannot be handled
-/// or a thread cannot be started.
+/// Returns an error if an address cannot be bound or a thread cannot be
+/// started.
 pub fn run(
     settings: File,
     source: Source,
     codec: Arc<dyn Codec>,
     store: Arc<dyn Store>,
+    signals: Signals,
 ) -> Result<(), Error> {
     let settings = Arc::new(settings);
     let listeners = listen(&settings)?;
@@ -86,7 +98,7 @@
     let (leave, leaving) = watch::channel(false);
     let (published_settings, followed_settings) = watch::channel(Arc::clone(&settings));
     let (reload, reloads) = mpsc::channel();
-    handle_signals(sender.clone(), reload, leave)?;
+    handle_signals(signals, sender.clone(), reload, leave)?;
     let follower = Follower::new(source, published_settings, sender.clone());
     spawn("settings", move || follower.run(&reloads))?;
     let runtime = Builder::new_current_thread()
@@ -211,12 +223,11 @@
 }
 
 fn handle_signals(
+    mut signals: Signals,
     control: Sender<Event>,
     reload: Sender<reload::Request>,
     leave: watch::Sender<bool>,
 ) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).context(SignalsSnafu)?;
-
     spawn("signals", move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
--- a/tests/stop_process.rs
+++ b/tests/stop_process.rs
@@ -11,7 +11,13 @@
         outcome::Outcome,
         synthetic,
     },
-    std::{thread, time::Duration},
+    std::{
+        fs::{self, File},
+        io::Write,
+        process::{Command, Stdio},
+        thread,
+        time::Duration,
+    },
 };
 
 const LIMIT: Duration = Duration::from_secs(30);
@@ -174,3 +180,32 @@
     /// is unavailable.
     host_stopping_during_an_outage_completes_its_requests: ["h1"], outage true;
 }
+
+/// Guards against a SIGTERM that ends the process without a planned stop because it
+/// arrives while the host starts. The settings file is a pipe, so the host waits
+/// for its settings when the signal arrives.
+#[test]
+fn host_that_is_stopped_before_it_has_read_its_settings_stops_as_planned() {
+    let fleet = Fleet::without_hosts(env!("CARGO_BIN_EXE_persimmoncleatd"));
+    let config = fleet.write_config("h1", "d1", ([127, 0, 0, 1], 1).into());
+    let settings = fs::read(&config).expect("the settings");
+    let pipe = config.with_extension("pipe");
+    let made = Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.is_ok_and(|status| status.success()), "no pipe");
+    let mut host = Command::new(env!("CARGO_BIN_EXE_persimmoncleatd"))
+        .arg("--config")
+        .arg(&pipe)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the host starts");
+    // Opens only once the host opens the pipe, too.
+    let mut writer = File::options().write(true).open(&pipe).expect("the pipe");
+    let killed = Command::new("kill").arg(host.id().to_string()).status();
+    assert!(killed.is_ok_and(|status| status.success()), "no signal");
+    writer.write_all(&settings).expect("the settings are sent");
+    drop(writer);
+    let status = wait("exit of the host", LIMIT, || {
+        host.try_wait().expect("the host can be waited for")
+    });
+    assert!(status.success(), "{status}");
+}
