Weight the hosts of a caller's directory answer by capacity

All callers of a failure domain got the same 64 addresses, so a host of 0.12 cores got as many callers as one of 0.5, and the hosts of a domain got all the callers that moved there.

Without the key, the answers are those of before.

Member records have the headroom of a host, which nothing sets yet.

--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -16,7 +16,12 @@
         body::Incoming,
         header::{CONTENT_TYPE, HeaderValue},
     },
-    std::{cell::Cell, net::TcpListener, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        net::{IpAddr, SocketAddr, TcpListener},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{sync::watch, task::spawn_local},
 };
 
@@ -31,6 +36,9 @@
 /// Maximum number of connections to one of these listeners.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Answers a request of the caller with the given address.
+type Answer = fn(&Host, &Request<Incoming>, IpAddr) -> Response<Body>;
+
 /// Starts to serve the directory, the readiness check and, if it has a
 /// listener, the metrics.
 pub fn serve(
@@ -44,10 +52,10 @@
         bounds: Rc::new(Cell::new(AUXILIARY_BOUNDS)),
         connections: MAX_CONNECTIONS,
     };
-    let listen = |listener, answer: fn(&Host, &Request<Incoming>) -> Response<Body>| {
+    let listen = |listener, answer: Answer| {
         let host = Rc::clone(host);
-        let handler = move |request: Request<Incoming>, _| {
-            let response = answer(&host, &request);
+        let handler = move |request: Request<Incoming>, caller: SocketAddr| {
+            let response = answer(&host, &request, caller.ip());
             async move { response }
         };
         spawn_local(server::run(
@@ -63,11 +71,13 @@
     listen(ready, answer_ready);
 
     if let Some(metrics) = metrics {
-        listen(metrics, |host, _| text(StatusCode::OK, host.tally.render()));
+        listen(metrics, |host, _, _| {
+            text(StatusCode::OK, host.tally.render())
+        });
     }
 }
 
-fn answer_directory(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+fn answer_directory(host: &Host, request: &Request<Incoming>, caller: IpAddr) -> Response<Body> {
     let uri = request.uri();
     let Some(address_query) = host
         .codec
@@ -78,8 +88,15 @@
     let view = host.view();
     let domain = address_query.domain.as_deref().map(id::Domain::from);
     let ready = view.is_ready().then_some(&view.local);
-    let others = view.members.iter();
-    let addresses = directory::addresses(others.chain(ready), domain.as_ref());
+    let members = view.members.iter().chain(ready);
+    let weighted = host.settings().weighted_directory;
+    let addresses = if weighted {
+        directory::weighted_addresses(members, caller)
+    } else {
+        directory::addresses(members, domain.as_ref())
+    };
+    let kind = if weighted { "weighted" } else { "by_domain" };
+    host.tally.count("directory_answers", &[("kind", kind)]);
 
     if addresses.is_empty() {
         return text(StatusCode::SERVICE_UNAVAILABLE, "no host is ready\n".into());
@@ -94,7 +111,7 @@
     response
 }
 
-fn answer_ready(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+fn answer_ready(host: &Host, request: &Request<Incoming>, _: IpAddr) -> Response<Body> {
     let path_matches = request.uri().path() == host.codec.ready_path();
     let ready = host.view().is_ready() && host.stop().is_none();
 
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -196,6 +196,7 @@
         demand: BTreeMap::new(),
         domain: settings.domain.clone(),
         endpoints: 0,
+        headroom: None,
         host: settings.host.clone(),
         incarnation: id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
         outstanding: 0,
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -11,6 +11,8 @@
 
 /// Known sections and keys, sorted.
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
+    ("directory", &["weighted"]),
+    ("endpoints", &["load_reports"]),
     (
         "host",
         &[
@@ -28,6 +30,7 @@
             "ready_address",
         ],
     ),
+    ("hosts", &["headroom"]),
     (
         "limits",
         &["connections", "grace_s", "keep_addresses_ms", "memory_mb"],
@@ -70,18 +73,27 @@
     pub capacity: u32,
     /// Maximum number of connections from callers.
     pub connections: usize,
+    /// Processor time that the process may use, in cores, if it is known.
+    pub cores: Option<f64>,
     pub domain: id::Domain,
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
+    /// Whether this host measures and reports its headroom.
+    pub headroom: bool,
     pub host: id::Host,
     /// Time for which callers may cache the addresses.
     pub keep_addresses: Duration,
     pub level: LevelFilter,
+    /// Whether the load that endpoints report decides which of them are used.
+    pub load_reports: bool,
     /// Memory that the process may use, in bytes, if it differs from the machine's.
     pub memory: Option<usize>,
     pub peers: Vec<SocketAddr>,
     pub store: Store,
+    /// Whether the directory weights hosts by their capacity and the answers differ by
+    /// caller.
+    pub weighted_directory: bool,
 }
 
 impl File {
@@ -144,6 +156,9 @@
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
     let memory = memory_bytes(fields);
+    let headroom = switch(fields, "hosts", "headroom");
+    let load_reports = switch(fields, "endpoints", "load_reports");
+    let weighted_directory = switch(fields, "directory", "weighted");
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -162,12 +177,15 @@
         },
         capacity: capacity(cores, link),
         connections: usize::try_from(connections?).ok()?,
+        cores,
         domain: domain?.into(),
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
+        headroom,
         host: host?.into(),
         keep_addresses: Duration::from_millis(keep?),
         level: level.unwrap_or(LevelFilter::Info),
+        load_reports,
         memory,
         peers,
         store: Store {
@@ -175,9 +193,16 @@
             kind: kind?,
             wait: Duration::from_millis(wait?),
         },
+        weighted_directory,
     })
 }
 
+/// Returns whether a part is enabled. Parts whose key is missing are off.
+fn switch(fields: &mut Fields, section: &str, key: &str) -> bool {
+    let value = fields.optional(section, key, "true or false");
+    value.unwrap_or(false)
+}
+
 /// Returns the memory that the process may use, in bytes.
 fn memory_bytes(fields: &mut Fields) -> Option<usize> {
     const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -31,6 +31,15 @@
             ("limits.memory_mb", changed.memory != current.memory),
             ("log.level", changed.level != current.level),
             ("host.peers", changed.peers != current.peers),
+            (
+                "directory.weighted",
+                changed.weighted_directory != current.weighted_directory,
+            ),
+            (
+                "endpoints.load_reports",
+                changed.load_reports != current.load_reports,
+            ),
+            ("hosts.headroom", changed.headroom != current.headroom),
         ];
         let deferred = [
             (
@@ -39,7 +48,8 @@
             ),
             (
                 "host.cores and link_mbps",
-                restore(&mut changed.capacity, &current.capacity),
+                restore(&mut changed.capacity, &current.capacity)
+                    | restore(&mut changed.cores, &current.cores),
             ),
             (
                 "limits.connections",
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -24,6 +24,7 @@
 mod rendezvous;
 mod stop;
 mod tally;
+mod weighted_directory;
 
 #[path = "../support/fuzz.rs"]
 mod fuzz;
