Report the headroom of a host and rank dispatchers by it

A host that is slowed down, or whose processor time other work uses, kept its role as a dispatcher and its callers: only its capacity counted.

With [hosts] headroom, a host measures the lateness of a timer on its traffic thread and its share of processor time, and reports the unused part in its member record, in steps of 25 percent. A step is lowered only after it was too high for 1.5 s, since after a burst of half a second the average is too high for one, and raised only after 3 s.

The weight of a dispatcher is the cube of capacity times headroom. Headroom above one half counts as whole: the work of a dispatcher lowers its own headroom, and the role would return as soon as the host is idle again.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod follower;
+pub mod headroom;
 pub mod host;
 pub mod ingress;
 pub mod pools;
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -9,7 +9,7 @@
             serving::{
                 auxiliary, balancing,
                 control::{self, Call, Control, Event},
-                drain,
+                drain, headroom,
                 host::{self, Host},
                 ingress, pools, releases,
                 reload::{self, Follower, Source},
@@ -129,6 +129,7 @@
         let host = Host::new(settings, codec, sender, links, view, tally);
         spawn_local(host::follow_views(Rc::clone(&host), views));
         spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
+        spawn_local(headroom::run(Rc::clone(&host)));
         spawn_local(serve_peer_calls(Rc::clone(&host), receiver));
         let callers = Connections::default();
         let (state_sender, listener_state) = watch::channel(ListenerState::Open);
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod event_stream;
 mod follower;
 mod graph;
+mod headroom;
 mod limit;
 mod mirror;
 mod overload;
@@ -28,3 +29,6 @@
 
 #[path = "../support/fuzz.rs"]
 mod fuzz;
+
+#[path = "../support/fleet.rs"]
+mod fleet;
