Use the load that endpoints report

Endpoints report their running and waiting calls and the pace of their machine in X-Instance-Load, which nothing read: a dispatcher sent calls to an endpoint that had just said that its neighbours slow it down, and repeated them elsewhere because they took long.

With [endpoints] load_reports, a dispatcher orders endpoints by the reported pace, which loses half of its weight in 300 ms, and by the calls of others that wait there; the expected duration of a call grows with the pace. Where calls take clearly longer or shorter than reported, the measured ratio corrects the reports. Plain services avoid endpoints that report a slow pace or no free slot; where no pace is reported, response times stand in, in a slow and a fast estimate. All estimates return to 1 without new figures.

An invalid report is logged once for each endpoint and ignored.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -13,6 +13,7 @@
 pub mod headroom;
 pub mod host;
 pub mod ingress;
+pub mod loads;
 pub mod pools;
 pub mod relay;
 pub mod releases;
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -3,7 +3,12 @@
 use {
     crate::{
         coordination::serving::{
-            balancing::Balancing, control::Event, dispatch, pools::Pools, retries::Retries,
+            balancing::Balancing,
+            control::Event,
+            dispatch,
+            loads::{self, Loads},
+            pools::Pools,
+            retries::Retries,
         },
         protocol::{
             adapter::{Answer, Codec},
@@ -55,6 +60,7 @@
     pub control: Sender<Event>,
     pub dispatch_orders: dispatch::Orders,
     pub links: Links,
+    pub loads: Loads,
     /// Memory for the bodies of requests and responses.
     pub memory: Memory,
     pub placement: RefCell<Placement>,
@@ -89,6 +95,7 @@
             dispatch_orders: dispatch::Orders::default(),
             leaving_since: watch::Sender::new(None),
             links,
+            loads: Loads::default(),
             memory,
             job_numbers: Numbers::starting_at(rand::random()),
             placement: RefCell::default(),
@@ -114,6 +121,7 @@
         }
 
         self.note_limit(entry, answer.limit, sent);
+        loads::note(self, entry, answer);
 
         if let Some(time) = answer.retry_after {
             log::info!(
@@ -231,6 +239,7 @@
         let newest = Arc::clone(&settings.borrow_and_update());
         host.memory.set_limit(body_memory(&newest));
         host.settings.replace(newest);
+        loads::follow_settings(&host);
         host.pools.update(&host);
     }
 }
@@ -247,6 +256,7 @@
                 .retain(boot_clock::now(), view.roster.entries());
             host.client
                 .sweep(|endpoint| view.roster.get(endpoint).is_some());
+            host.loads.retain(&view.roster);
         }
 
         if let Some(config) = &view.config {
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -13,6 +13,7 @@
             serving::{
                 batch::{Action, CallId, CallOutcome, Dispatcher, Item, Origin},
                 health::Notice,
+                pace::Load,
                 piece::{self, Job, JobId, Outcome},
                 roster::Entry,
             },
@@ -93,6 +94,19 @@
         }
     }
 
+    /// Records the load that an endpoint reports in an answer.
+    pub fn record_load(&self, now: Time, entry: &Entry, load: Load) {
+        if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&entry.service) {
+            dispatcher.record_load(now, entry, load);
+        }
+    }
+
+    /// Forgets the load that endpoints have reported.
+    pub fn forget_loads(&self) {
+        let mut dispatchers = self.dispatchers.borrow_mut();
+        dispatchers.values_mut().for_each(Dispatcher::forget_loads);
+    }
+
     /// Returns the number of jobs in progress.
     pub fn jobs(&self) -> usize {
         self.replies.borrow().len()
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -310,6 +310,11 @@
         health.record_failure(now);
     } else {
         health.record_success(1.0);
+
+        if host.settings().load_reports {
+            let elapsed = now.since(load_guard.sent);
+            placement.record_response(now, &load_guard.entry, elapsed);
+        }
     }
 
     drop(placement);
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -6,7 +6,7 @@
 use {
     crate::state::{
         fleet::record::Record,
-        serving::{batch::Item, config::Config, mirror::Changes, piece, roster::Entry},
+        serving::{batch::Item, config::Config, mirror::Changes, pace::Load, piece, roster::Entry},
     },
     hyper::{HeaderMap, StatusCode, http::request},
     snafu::Snafu,
@@ -14,7 +14,7 @@
 };
 
 /// A field of a message whose value cannot be used.
-#[derive(Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Snafu)]
 #[snafu(display("{field} is {value:?}, expected {expected}"))]
 pub struct Fault {
@@ -96,6 +96,8 @@
     /// Requests a second that the endpoint takes from all hosts together, while it
     /// names a number.
     pub limit: Option<f64>,
+    /// The load that the endpoint reports, or what is wrong with the report.
+    pub load: Option<Result<Load, Fault>>,
     /// The endpoint states that it has not run the request.
     pub not_run: bool,
     /// The answer carries the endpoint's proof.
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -33,6 +33,7 @@
             budget::{Bounds, RetryBudget},
             config::Pool,
             health::Notice,
+            pace::{Load, Pace},
             piece::{self, Failure, Input, Job, JobId, Outcome, Output},
             roster::Entry,
         },
@@ -268,6 +269,22 @@
         }
     }
 
+    /// Records the load that an endpoint reports in an answer.
+    pub fn record_load(&mut self, now: Time, entry: &Entry, load: Load) {
+        let state = self.endpoints.get_mut(&entry.endpoint);
+
+        if let Some(state) = state.filter(|state| state.entry.incarnation == entry.incarnation) {
+            state.pace.record_report(now, load, state.calls);
+        }
+    }
+
+    /// Forgets the load that endpoints have reported.
+    pub fn forget_loads(&mut self) {
+        for state in self.endpoints.values_mut() {
+            state.pace = Pace::default();
+        }
+    }
+
     /// Returns which call a response of an endpoint answers, as far as its handles show.
     pub fn origin(
         &mut self,
--- a/src/state/serving/batch/call.rs
+++ b/src/state/serving/batch/call.rs
@@ -16,11 +16,24 @@
     pub(super) incarnation: u64,
     pub(super) items: Vec<Member>,
     pub(super) sent: Time,
+    /// Pace by which the usual duration was multiplied.
+    pub(super) pace: f64,
+    /// Load of the endpoint that was known when the call was sent.
+    pub(super) load: f64,
     /// Whether the call took much longer than expected and its pieces were
     /// requeued.
     pub(super) is_straggler: bool,
 }
 
+impl Call {
+    /// Returns how long the call has taken, relative to the usual duration of its
+    /// pieces.
+    pub(super) fn ratio(&self, now: Time) -> f64 {
+        let usual = self.expected.as_secs_f64() / self.pace;
+        now.since(self.sent).as_secs_f64() / usual.max(0.001)
+    }
+}
+
 /// A piece of a job in a call.
 #[derive(Clone, Debug)]
 pub(super) struct Member {
--- a/src/state/serving/batch/endpoint_state.rs
+++ b/src/state/serving/batch/endpoint_state.rs
@@ -4,7 +4,13 @@
 use {
     crate::state::{
         clock::Time,
-        serving::{batch::handles::Handles, config::Pool, health::Health, roster::Entry},
+        serving::{
+            batch::handles::Handles,
+            config::Pool,
+            health::Health,
+            pace::{self, Pace},
+            roster::Entry,
+        },
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -23,6 +29,8 @@
     /// observed.
     pub(super) remote_use: (u64, Time),
     pub(super) health: Health,
+    /// The pace that the endpoint reports.
+    pub(super) pace: Pace,
     /// Storage in bytes reserved for the outputs of calls in progress.
     pub(super) reserved: u64,
     /// Size in bytes and expiry of the outputs that are not freed yet, by
@@ -38,11 +46,26 @@
             handles: Handles::default(),
             remote_use: (0, Time::ZERO),
             health,
+            pace: Pace::default(),
             reserved: 0,
             stored: HashMap::new(),
         }
     }
 
+    /// Returns the duration of calls, relative to the usual one: as reported if the
+    /// endpoint reports its load, otherwise as measured. `call` is the usual duration.
+    pub(super) fn latency_ratio(&self, now: Time, call: Duration) -> f64 {
+        let reported = self.pace.ratio(now, call);
+        reported.unwrap_or_else(|| self.health.latency_ratio())
+    }
+
+    /// Returns whether calls take much longer than usual. Of an endpoint that reports
+    /// its load, a smaller deviation is significant.
+    pub(super) fn is_slow(&self, now: Time, call: Duration) -> bool {
+        let reported = self.pace.ratio(now, call);
+        reported.map_or_else(|| self.health.is_slow(), |pace| pace >= pace::SLOW_PACE)
+    }
+
     /// Returns the storage left for outputs, in bytes.
     pub(super) fn free_storage(&self, now: Time, pool: &Pool) -> u64 {
         let (bytes, observed) = self.remote_use;
--- a/src/state/serving/batch/fill.rs
+++ b/src/state/serving/batch/fill.rs
@@ -60,6 +60,7 @@
         }
 
         let preferred = self.first_domain(now);
+        let call = self.call_time(self.pool.batch);
 
         usable
             .into_iter()
@@ -67,8 +68,8 @@
                 let in_other_domain = preferred
                     .as_ref()
                     .is_some_and(|preferred| *preferred != state.entry.domain);
-                let latency_ratio = (state.health.latency_ratio() * 4.0) as u64;
-                (state.health.is_slow(), in_other_domain, latency_ratio)
+                let latency_ratio = (state.latency_ratio(now, call) * 4.0) as u64;
+                (state.is_slow(now, call), in_other_domain, latency_ratio)
             })
             .map(|state| state.entry.endpoint.clone())
     }
@@ -120,14 +121,22 @@
         let longest = items.iter().map(|item| item.remaining).max();
         let call = self.next_call;
         self.next_call += 1;
+        let usual = self.call_time(items.len());
+        let state = self.endpoints.get(endpoint);
+        let (pace, load) = state.map_or((1.0, 1.0), |state| {
+            let pace = &state.pace;
+            (pace.expected(now, usual), pace.known(now, usual))
+        });
         self.calls.insert(
             call,
             Call {
                 bytes: bytes.clone(),
                 endpoint: endpoint.clone(),
-                expected: self.call_time(items.len()),
+                expected: usual.mul_f64(pace),
                 incarnation: entry.incarnation,
                 items: chosen,
+                load,
+                pace,
                 sent: now,
                 is_straggler: false,
             },
@@ -250,8 +259,9 @@
 
     /// Returns the domains of endpoints that accept calls and are not slow.
     fn open_domains(&self, now: Time) -> Vec<id::Domain> {
+        let call = self.call_time(self.pool.batch);
         let open = self.endpoints.values().filter(|state| {
-            !state.entry.leaving && !state.health.is_paused(now) && !state.health.is_slow()
+            !state.entry.leaving && !state.health.is_paused(now) && !state.is_slow(now, call)
         });
         open.map(|state| state.entry.domain.clone()).collect()
     }
--- a/src/state/serving/batch/watch.rs
+++ b/src/state/serving/batch/watch.rs
@@ -40,6 +40,9 @@
             if let Some(state) = self.endpoints.get_mut(&call.endpoint) {
                 let ratio = elapsed.as_secs_f64() / call.expected.as_secs_f64();
                 state.health.record_lower_bound(ratio);
+                state
+                    .pace
+                    .record_lower_bound(now, call.ratio(now), call.load);
                 state.health.record_failure(now);
             }
 
@@ -97,6 +100,7 @@
         match outcome {
             CallOutcome::Answered(_) => {
                 let elapsed = now.since(call.sent).as_secs_f64();
+                state.pace.record_call(now, call.ratio(now), call.load);
                 state
                     .health
                     .record_success(elapsed / call.expected.as_secs_f64());
--- a/src/state/serving/placement.rs
+++ b/src/state/serving/placement.rs
@@ -11,6 +11,10 @@
         id, rendezvous,
         serving::{
             health::{Health, Notice},
+            pace::{
+                Load, Pace, SLOW_PACE,
+                response::{Responses, Usual},
+            },
             roster::Entry,
         },
     },
@@ -34,6 +38,9 @@
 struct EndpointState {
     health: Health,
     incarnation: u64,
+    /// The pace that the endpoint reports.
+    pace: Pace,
+    responses: Responses,
     /// Number of this host's requests in progress.
     running: u32,
 }
@@ -53,6 +60,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     endpoints: HashMap<id::Endpoint, EndpointState>,
+    /// Usual response times of services.
+    usual: HashMap<id::Pool, Usual>,
 }
 
 impl Placement {
@@ -72,6 +81,8 @@
 
             if incarnation != state.incarnation {
                 state.health = Health::default();
+                state.pace = Pace::default();
+                state.responses = Responses::default();
                 state.incarnation = incarnation;
             }
         }
@@ -113,7 +124,7 @@
 
         match criteria.session {
             Some(session) => self.by_session(candidates, session),
-            None => self.by_load(candidates, criteria.domain),
+            None => self.by_load(now, candidates, criteria.domain),
         }
     }
 
@@ -160,6 +171,47 @@
         known && self.health_mut(entry).record_notice(now, notice)
     }
 
+    /// Records the load that an endpoint reports in an answer.
+    pub fn record_load(&mut self, now: Time, entry: &Entry, load: Load) {
+        let state = self.state_mut(entry);
+        let running = usize::try_from(state.running).unwrap_or(usize::MAX);
+        state.pace.record_report(now, load, running);
+    }
+
+    /// Records the response time of a request.
+    pub fn record_response(&mut self, now: Time, entry: &Entry, elapsed: Duration) {
+        let usual = self.usual.entry(entry.service.clone()).or_default();
+        let ratio = usual.record(elapsed);
+        self.state_mut(entry).responses.record(now, ratio);
+    }
+
+    /// Forgets the load that endpoints have reported, and their response times.
+    pub fn forget_loads(&mut self) {
+        self.usual.clear();
+
+        for state in self.endpoints.values_mut() {
+            state.pace = Pace::default();
+            state.responses = Responses::default();
+        }
+    }
+
+    /// Returns how many times its usual time an endpoint takes at present.
+    fn pace(&self, now: Time, entry: &Entry) -> f64 {
+        let state = self.endpoints.get(&entry.endpoint);
+        let state = state.filter(|state| state.incarnation == entry.incarnation);
+        state.map_or(1.0, |state| {
+            let reported = state.pace.reported(now);
+            let reported = reported.filter(|_| state.pace.has_pace());
+            reported.unwrap_or_else(|| state.responses.ratio(now))
+        })
+    }
+
+    /// Returns whether an endpoint has reported just now that a request would wait.
+    fn is_full(&self, now: Time, entry: &Entry) -> bool {
+        let state = self.endpoints.get(&entry.endpoint);
+        state.is_some_and(|state| state.pace.is_full(now))
+    }
+
     /// Records the end of a request at an endpoint.
     pub fn end(&mut self, entry: &Entry) {
         let state = self.state_mut(entry);
@@ -205,10 +257,11 @@
             .copied()
     }
 
-    /// Returns the endpoint with the least load, preferring the host's own
-    /// failure domain. Ties are broken at random.
+    /// Returns the endpoint with the least load, preferring those that are not slow at
+    /// present and the host's own failure domain. Ties are broken at random.
     fn by_load<'a>(
         &self,
+        now: Time,
         candidates: Vec<&'a Arc<Entry>>,
         domain: Option<&id::Domain>,
     ) -> Option<&'a Arc<Entry>> {
@@ -216,7 +269,10 @@
             let running = self.running(&entry.endpoint);
             let in_other_domain = domain.is_some_and(|domain| *domain != entry.domain);
             let over_share = f64::from(running) >= entry.slots as f64 * LOCAL_SHARE;
-            (over_share, in_other_domain, running, rand::random::<u16>())
+            let over_share = over_share || self.is_full(now, entry);
+            let pace = (self.pace(now, entry) / SLOW_PACE) as u64;
+            let random = rand::random::<u16>();
+            (over_share, pace, in_other_domain, running, random)
         })
     }
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -17,6 +17,7 @@
 mod limit;
 mod mirror;
 mod overload;
+mod pace;
 mod packing;
 mod piece;
 mod placement;
@@ -25,6 +26,7 @@
 mod rendezvous;
 mod stop;
 mod tally;
+mod uneven;
 mod weighted_directory;
 
 #[path = "../support/fuzz.rs"]
