--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -4,11 +4,14 @@
 use {
     crate::{
         coordination::serving::host::Host,
-        state::{id, serving::directory},
-        transport::http::{
-            body::Body,
-            server::{self, Connections, Limits, ListenerState},
-            timing::Bounds,
+        state::{clock::Time, id, serving::directory},
+        transport::{
+            boot_clock,
+            http::{
+                body::Body,
+                server::{self, Connections, Limits, ListenerState},
+                timing::Bounds,
+            },
         },
     },
     hyper::{
@@ -36,6 +39,33 @@
 /// Maximum number of connections to one of these listeners.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Interval between log lines about the answers of the directory.
+const DIRECTORY_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Logs how many answers the directory has given, at most once per interval.
+#[derive(Debug, Default)]
+pub struct DirectoryLog {
+    answers: Cell<u64>,
+    logged: Cell<Time>,
+}
+
+impl DirectoryLog {
+    fn record(&self, kind: &str, addresses: usize) {
+        let now = boot_clock::now();
+        self.answers.set(self.answers.get() + 1);
+
+        if now.since(self.logged.get()) >= DIRECTORY_LOG_INTERVAL {
+            self.logged.set(now);
+            log::info!(
+                kind = kind,
+                addresses = addresses,
+                answers = self.answers.take();
+                "directory answers"
+            );
+        }
+    }
+}
+
 /// Answers a request of the caller with the given address.
 type Answer = fn(&Host, &Request<Incoming>, IpAddr) -> Response<Body>;
 
@@ -97,6 +127,7 @@
     };
     let kind = if weighted { "weighted" } else { "by_domain" };
     host.tally.count("directory_answers", &[("kind", kind)]);
+    host.directory_log.record(kind, addresses.len());
 
     if addresses.is_empty() {
         return text(StatusCode::SERVICE_UNAVAILABLE, "no host is ready\n".into());
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         coordination::serving::{
+            auxiliary::DirectoryLog,
             balancing::Balancing,
             control::Event,
             dispatch,
@@ -58,6 +59,7 @@
     pub codec: Arc<dyn Codec>,
     /// Sends events to the control thread.
     pub control: Sender<Event>,
+    pub directory_log: DirectoryLog,
     pub dispatch_orders: dispatch::Orders,
     pub links: Links,
     pub loads: Loads,
@@ -92,6 +94,7 @@
             client: Client::new(memory.clone()),
             codec,
             control,
+            directory_log: DirectoryLog::default(),
             dispatch_orders: dispatch::Orders::default(),
             leaving_since: watch::Sender::new(None),
             links,
--- a/src/coordination/serving/loads.rs
+++ b/src/coordination/serving/loads.rs
@@ -5,6 +5,7 @@
         coordination::serving::host::Host,
         protocol::adapter::{Answer, Fault},
         state::{
+            clock::Time,
             id,
             serving::{
                 pace::{Load, SLOW_PACE},
@@ -14,21 +15,40 @@
         transport::boot_clock,
     },
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{HashMap, HashSet},
+        time::Duration,
     },
 };
 
+/// Maximum number of log lines a second about changes of a pace. Noisy neighbours come
+/// and go many times a second.
+const MAX_LINES: u32 = 5;
+
+/// Interval in which that many lines are logged.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What is known of the endpoints that report their load.
 #[derive(Debug, Default)]
 pub struct Loads {
     /// Endpoints whose invalid report was logged.
     faulty: RefCell<HashSet<id::Endpoint>>,
+    /// When the current interval of log lines began, and the number of its lines.
+    lines: Cell<(Time, u32)>,
     /// Whether an endpoint's last report had a slow pace.
     slow: RefCell<HashMap<id::Endpoint, bool>>,
 }
 
 impl Loads {
+    /// Returns whether another line may be logged now, and counts it.
+    fn may_log(&self, now: Time) -> bool {
+        let (began, lines) = self.lines.get();
+        let is_over = now.since(began) >= LINE_INTERVAL;
+        let (began, lines) = if is_over { (now, 0) } else { (began, lines) };
+        self.lines.set((began, lines + 1));
+        lines < MAX_LINES
+    }
+
     /// Forgets the endpoints that are no longer listed.
     pub fn retain(&self, roster: &Roster) {
         let is_listed = |endpoint: &id::Endpoint| roster.get(endpoint).is_some();
@@ -64,12 +84,11 @@
     let now = boot_clock::now();
     host.pools.record_load(now, entry, load);
     host.placement.borrow_mut().record_load(now, entry, load);
-    note_pace(host, entry, load);
+    note_pace(host, now, entry, load);
 }
 
-/// Counts the changes between a slow and the usual pace. They are frequent, so the log
-/// has them on the level for debugging only.
-fn note_pace(host: &Host, entry: &Entry, load: Load) {
+/// Notes a change between a slow and the usual pace.
+fn note_pace(host: &Host, now: Time, entry: &Entry, load: Load) {
     let Some(pace) = load.pace else {
         return;
     };
@@ -86,14 +105,17 @@
         "endpoint_paces",
         &[("service", entry.service.as_str()), ("state", state)],
     );
-    log::debug!(
-        endpoint = entry.endpoint.as_str(),
-        service = entry.service.as_str(),
-        pace = pace,
-        running = load.running,
-        waiting = load.waiting;
-        "endpoint pace changed"
-    );
+
+    if host.loads.may_log(now) {
+        log::info!(
+            endpoint = entry.endpoint.as_str(),
+            service = entry.service.as_str(),
+            pace = pace,
+            running = load.running,
+            waiting = load.waiting;
+            "endpoint pace changed"
+        );
+    }
 }
 
 fn note_fault(host: &Host, entry: &Entry, fault: &Fault) {
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -112,6 +112,8 @@
     leaving: bool,
     /// The requests a second that all answers say the worker takes.
     limit: Option<&'static str>,
+    /// The load that all answers report.
+    load: Option<&'static str>,
     /// Whether the next request to free outputs is refused, and the refusal written
     /// again.
     refuses_release: bool,
@@ -185,6 +187,11 @@
         lock(&self.service.state).limit = per_second;
     }
 
+    /// Reports a load in all answers from now on, or none.
+    pub fn report_load(&self, load: Option<&'static str>) {
+        lock(&self.service.state).load = load;
+    }
+
     /// Says in all answers from now on that the worker is leaving.
     pub fn leave(&self) {
         lock(&self.service.state).leaving = true;
@@ -430,9 +437,9 @@
             return refuse("421 Misdirected Request");
         }
 
-        let (leaving, limit) = {
+        let (leaving, limit, load) = {
             let state = lock(&self.state);
-            (state.leaving, state.limit)
+            (state.leaving, state.limit, state.load)
         };
         let mut reply = match request.path.as_str() {
             "/stage-run" => self.stage(&request),
@@ -444,6 +451,10 @@
             reply = mark(reply, "Server-Leaving: 1");
         }
 
+        if let Some(load) = load {
+            reply = mark(reply, &format!("X-Instance-Load: {load}"));
+        }
+
         match limit {
             Some(limit) => mark(reply, &format!("Server-Limit: {limit}")),
             None => reply,
