Take endpoints whose slots are just taken as not full

An endpoint with one slot may count the answered call as running, and was then avoided by plain requests for 300 ms after each of its answers. Only more calls than slots count as full.

--- a/src/state/serving/pace.rs
+++ b/src/state/serving/pace.rs
@@ -52,9 +52,10 @@
 }
 
 impl Load {
-    /// Returns whether another call would have to wait.
+    /// Returns whether another call would have to wait. The answered call may count as
+    /// running, so an endpoint whose slots are just taken is not full.
     pub fn is_full(&self) -> bool {
-        self.running.saturating_add(self.waiting) >= self.slots
+        self.running.saturating_add(self.waiting) > self.slots
     }
 }
 
--- a/tests/serving/pace.rs
+++ b/tests/serving/pace.rs
@@ -135,6 +135,13 @@
     assert!(!pace.is_full(at(900)));
 }
 
+/// Guards against an endpoint with one slot that is avoided after each of its answers,
+/// since it counts the answered call as running.
+#[test]
+fn endpoint_without_waiting_calls_is_not_full() {
+    assert!(!reported(1.0).is_full(at(0)));
+}
+
 #[test]
 fn own_waiting_calls_are_not_those_of_others() {
     let mut pace = Pace::default();
