--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -4,11 +4,14 @@
 use {
     crate::{
         coordination::serving::host::Host,
-        state::{id, serving::directory},
-        transport::http::{
-            body::Body,
-            server::{self, Connections, Limits, ListenerState},
-            timing::Bounds,
+        state::{clock::Time, id, serving::directory},
+        transport::{
+            boot_clock,
+            http::{
+                body::Body,
+                server::{self, Connections, Limits, ListenerState},
+                timing::Bounds,
+            },
         },
     },
     hyper::{
@@ -16,7 +19,12 @@
         body::Incoming,
         header::{CONTENT_TYPE, HeaderValue},
     },
-    std::{cell::Cell, net::TcpListener, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        net::{IpAddr, SocketAddr, TcpListener},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{sync::watch, task::spawn_local},
 };
 
@@ -31,6 +39,36 @@
 /// Maximum number of connections to one of these listeners.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Interval between log lines about the answers of the directory.
+const DIRECTORY_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Logs how many answers the directory has given, at most once per interval.
+#[derive(Debug, Default)]
+pub struct DirectoryLog {
+    answers: Cell<u64>,
+    logged: Cell<Time>,
+}
+
+impl DirectoryLog {
+    fn record(&self, kind: &str, addresses: usize) {
+        let now = boot_clock::now();
+        self.answers.set(self.answers.get() + 1);
+
+        if now.since(self.logged.get()) >= DIRECTORY_LOG_INTERVAL {
+            self.logged.set(now);
+            log::info!(
+                kind = kind,
+                addresses = addresses,
+                answers = self.answers.take();
+                "directory answers"
+            );
+        }
+    }
+}
+
+/// Answers a request of the caller with the given address.
+type Answer = fn(&Host, &Request<Incoming>, IpAddr) -> Response<Body>;
+
 /// Starts to serve the directory, the readiness check and, if it has a
 /// listener, the metrics.
 pub fn serve(
@@ -44,10 +82,10 @@
         bounds: Rc::new(Cell::new(AUXILIARY_BOUNDS)),
         connections: MAX_CONNECTIONS,
     };
-    let listen = |listener, answer: fn(&Host, &Request<Incoming>) -> Response<Body>| {
+    let listen = |listener, answer: Answer| {
         let host = Rc::clone(host);
-        let handler = move |request: Request<Incoming>, _| {
-            let response = answer(&host, &request);
+        let handler = move |request: Request<Incoming>, caller: SocketAddr| {
+            let response = answer(&host, &request, caller.ip());
             async move { response }
         };
         spawn_local(server::run(
@@ -63,11 +101,13 @@
     listen(ready, answer_ready);
 
     if let Some(metrics) = metrics {
-        listen(metrics, |host, _| text(StatusCode::OK, host.tally.render()));
+        listen(metrics, |host, _, _| {
+            text(StatusCode::OK, host.tally.render())
+        });
     }
 }
 
-fn answer_directory(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+fn answer_directory(host: &Host, request: &Request<Incoming>, caller: IpAddr) -> Response<Body> {
     let uri = request.uri();
     let Some(address_query) = host
         .codec
@@ -78,8 +118,16 @@
     let view = host.view();
     let domain = address_query.domain.as_deref().map(id::Domain::from);
     let ready = view.is_ready().then_some(&view.local);
-    let others = view.members.iter();
-    let addresses = directory::addresses(others.chain(ready), domain.as_ref());
+    let members = view.members.iter().chain(ready);
+    let weighted = host.settings().weighted_directory;
+    let addresses = if weighted {
+        directory::weighted_addresses(members, caller)
+    } else {
+        directory::addresses(members, domain.as_ref())
+    };
+    let kind = if weighted { "weighted" } else { "by_domain" };
+    host.tally.count("directory_answers", &[("kind", kind)]);
+    host.directory_log.record(kind, addresses.len());
 
     if addresses.is_empty() {
         return text(StatusCode::SERVICE_UNAVAILABLE, "no host is ready\n".into());
@@ -94,7 +142,7 @@
     response
 }
 
-fn answer_ready(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+fn answer_ready(host: &Host, request: &Request<Incoming>, _: IpAddr) -> Response<Body> {
     let path_matches = request.uri().path() == host.codec.ready_path();
     let ready = host.view().is_ready() && host.stop().is_none();
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -13,9 +13,11 @@
 mod event_stream;
 mod follower;
 mod graph;
+mod headroom;
 mod limit;
 mod mirror;
 mod overload;
+mod pace;
 mod packing;
 mod piece;
 mod placement;
@@ -24,6 +26,11 @@
 mod rendezvous;
 mod stop;
 mod tally;
+mod uneven;
+mod weighted_directory;
 
 #[path = "../support/fuzz.rs"]
 mod fuzz;
+
+#[path = "../support/fleet.rs"]
+mod fleet;
