Follow evacuations of failure domains

An operator who empties a failure domain could not keep hosts from sending work there: only an endpoint's own entry could close it. Evacuations are a third kind of object that hosts follow like the configuration, if the settings say so; the endpoints of an evacuated domain are published as leaving. A host publishes no endpoints before it has listed the evacuations.

Members report the newest change of an evacuation including removals, since an evacuation that ends leaves no object behind whose revision could tell. A host compares it with the revision of its copy: one that listed the objects after a removal never sees the removal's revision.

--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -8,6 +8,7 @@
             balance::{Balancer, Part, Prompt, Report},
             piece::JobId,
             quarantine::Quarantine,
+            cold::Cold,
             roster::Entry,
         },
     },
@@ -29,6 +30,7 @@
 fn entry(number: usize) -> Arc<Entry> {
     Arc::new(Entry {
         address: ([127, 0, 0, 1], 1000).into(),
+        cold: Cold::default(),
         domain: format!("d{}", number % 6).into(),
         endpoint: format!("e{number}").into(),
         incarnation: 1,
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -19,9 +19,12 @@
             id,
             serving::{
                 catch_up::Purpose,
+                cold,
                 departures::Departures,
+                evacuation::Evacuations,
                 mirror::{Changes, RelayedChanges},
                 readers::Ranking,
+                roster::Roster,
                 view::View,
             },
             view,
@@ -113,9 +116,35 @@
     },
 }
 
+/// The settings of the control thread.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// The bound on requests to cold endpoints, if they are limited.
+    pub cold: Option<cold::Bounds>,
+    /// Whether evacuations are followed.
+    pub follow_evacuations: bool,
+    /// Time for which a watch waits in a fleet in which every host reads the
+    /// store.
+    pub watch_wait: Duration,
+}
+
+impl Options {
+    /// Returns the kinds of objects that this host follows.
+    fn kinds(&self) -> impl Iterator<Item = Kind> {
+        let follow_evacuations = self.follow_evacuations;
+        let kinds = Kind::ALL.into_iter();
+        kinds.filter(move |kind| *kind != Kind::Evacuations || follow_evacuations)
+    }
+}
+
 /// The state of the control thread.
 pub struct Control {
     departures: Departures,
+    evacuations: Evacuations,
+    /// The endpoints as listed, of which the published ones in evacuated domains are
+    /// closed. `None` before the first listing.
+    listed: Option<Roster>,
+    options: Options,
     replicas: BTreeMap<Kind, Replica>,
     links: Links,
     membership: Membership,
@@ -128,11 +157,10 @@
     member_view: view::View,
     sender: Sender<Event>,
     started: Time,
+    /// When the endpoints started.
+    starts: cold::Starts,
     store: Arc<dyn Store>,
     view: View,
-    /// Time for which a watch waits in a fleet in which every host reads the
-    /// store.
-    watch_wait: Duration,
 }
 
 impl Control {
@@ -142,7 +170,7 @@
         membership: Membership,
         links: Links,
         store: Arc<dyn Store>,
-        watch_wait: Duration,
+        options: Options,
         published: watch::Sender<Arc<View>>,
         sender: Sender<Event>,
     ) -> Self {
@@ -150,7 +178,17 @@
 
         Self {
             departures: Departures::default(),
-            replicas: Kind::ALL.map(|kind| (kind, Replica::default())).into(),
+            evacuations: if options.follow_evacuations {
+                Evacuations::default()
+            } else {
+                Evacuations::unfollowed()
+            },
+            listed: None,
+            options,
+            replicas: options
+                .kinds()
+                .map(|kind| (kind, Replica::default()))
+                .collect(),
             links,
             membership,
             published,
@@ -167,9 +205,9 @@
             },
             sender,
             started: boot_clock::now(),
+            starts: cold::Starts::default(),
             store,
             view,
-            watch_wait,
         }
     }
 
@@ -178,6 +216,7 @@
         View {
             config: None,
             config_since: Time::ZERO,
+            evacuated: Arc::default(),
             leaving: false,
             local,
             members: Arc::default(),
@@ -314,6 +353,9 @@
         let newest = |kind| self.replicas.get(&kind).map_or(0, Replica::newest_revision);
         self.member_view.local.settings = newest(Kind::Config);
         self.member_view.local.endpoints = newest(Kind::Endpoints);
+        let evacuations = self.replicas.get(&Kind::Evacuations);
+        self.member_view.local.evacuations =
+            evacuations.map_or(0, |replica| replica.mirror.newest_change());
         self.membership.tick(now, &mut self.member_view);
         self.ask_peers(now);
         let local = &self.member_view.local;
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -47,9 +47,9 @@
     /// Returns the time for which a watch waits.
     fn watch_wait(&self) -> Duration {
         if self.ranking.has_followers() {
-            self.watch_wait.min(MAX_FOLLOWED_WATCH_WAIT)
+            self.options.watch_wait.min(MAX_FOLLOWED_WATCH_WAIT)
         } else {
-            self.watch_wait
+            self.options.watch_wait
         }
     }
 
@@ -84,7 +84,7 @@
                 );
             }
 
-            let newest = replica.newest_revision();
+            let newest = replica.covered_revision(*kind);
             let ahead = choose(&members, |member| {
                 revision(member, *kind) > newest && member.phase != Phase::Gone
             });
@@ -179,6 +179,7 @@
     match kind {
         Kind::Config => member.settings,
         Kind::Endpoints => member.endpoints,
+        Kind::Evacuations => member.evacuations,
     }
 }
 
--- a/src/coordination/serving/control/replica.rs
+++ b/src/coordination/serving/control/replica.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         coordination::serving::follower,
+        protocol::adapter::Kind,
         state::{
             clock::Time,
             serving::{
@@ -47,6 +48,16 @@
 }
 
 impl Replica {
+    /// Returns the highest revision that a member can report without having changes of
+    /// a kind that this copy lacks.
+    pub(super) fn covered_revision(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Config | Kind::Endpoints => self.newest_revision(),
+            // Members report removals, too, which a listing does not show.
+            Kind::Evacuations => self.mirror.revision().unwrap_or(0),
+        }
+    }
+
     /// Returns the highest revision of the objects.
     pub(super) fn newest_revision(&self) -> u64 {
         let objects = self.mirror.objects();
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -8,7 +8,7 @@
             membership::Membership,
             serving::{
                 auxiliary, balancing,
-                control::{self, Call, Control, Event},
+                control::{self, Call, Control, Event, Options},
                 drain,
                 host::{self, Host},
                 ingress, pools, releases,
@@ -165,7 +165,11 @@
         membership,
         links,
         store,
-        settings.store.wait,
+        Options {
+            cold: settings.cold,
+            follow_evacuations: settings.follow_evacuations,
+            watch_wait: settings.store.wait,
+        },
         published,
         sender,
     )
@@ -196,6 +200,7 @@
         demand: BTreeMap::new(),
         domain: settings.domain.clone(),
         endpoints: 0,
+        evacuations: 0,
         host: settings.host.clone(),
         incarnation: id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
         outstanding: 0,
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -169,17 +169,20 @@
 pub enum Kind {
     Config,
     Endpoints,
+    /// Failure domains whose endpoints get no more work. Each is the name of an object.
+    Evacuations,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 2] = [Self::Config, Self::Endpoints];
+    pub const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Evacuations];
 
     /// Returns the name of the kind in logs and in messages between hosts.
     pub const fn name(self) -> &'static str {
         match self {
             Self::Config => "config",
             Self::Endpoints => "endpoints",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -238,6 +241,12 @@
     /// Returns the first fault.
     fn endpoint(&self, name: &str, value: &[u8]) -> Result<Entry, Fault>;
 
+    /// Returns the faults of those fields of an endpoint's object that are ignored if
+    /// they cannot be decoded.
+    fn ignored_faults(&self, _value: &[u8]) -> Vec<Fault> {
+        Vec::new()
+    }
+
     /// Registers this host, so that other hosts find it.
     ///
     /// # Errors
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         protocol::fields::Fields,
-        state::{fault::Fault, id, serving::budget::Bounds},
+        state::{fault::Fault, id, serving::{budget::Bounds, cold}},
     },
     log::LevelFilter,
     std::{fs, net::SocketAddr, path::Path, time::Duration},
@@ -11,6 +11,8 @@
 
 /// Known sections and keys, sorted.
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
+    ("cold", &["excess", "slack"]),
+    ("evacuations", &["follow"]),
     (
         "host",
         &[
@@ -68,9 +70,13 @@
     pub budget: Bounds,
     /// Capacity of the host relative to others.
     pub capacity: u32,
+    /// The bound on requests to cold endpoints, if they are limited.
+    pub cold: Option<cold::Bounds>,
     /// Maximum number of connections from callers.
     pub connections: usize,
     pub domain: id::Domain,
+    /// Whether the evacuations of failure domains are followed.
+    pub follow_evacuations: bool,
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
@@ -144,6 +150,8 @@
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
     let memory = memory_bytes(fields);
+    let cold = cold_bounds(fields);
+    let follow_evacuations = fields.optional("evacuations", "follow", "true or false");
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -161,8 +169,10 @@
             window: seconds(window?, MAX_SECONDS),
         },
         capacity: capacity(cores, link),
+        cold,
         connections: usize::try_from(connections?).ok()?,
         domain: domain?.into(),
+        follow_evacuations: follow_evacuations.unwrap_or(false),
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
         host: host?.into(),
@@ -191,6 +201,35 @@
     Some((megabytes * 1e6) as usize)
 }
 
+/// Returns the bound on requests to cold endpoints, or `None` without the section.
+fn cold_bounds(fields: &mut Fields) -> Option<cold::Bounds> {
+    let excess = cold_number(fields, "excess");
+    let slack = cold_number(fields, "slack");
+
+    match (excess, slack) {
+        (Some(_), None) => fields.add_fault("cold", "slack", "", COLD_NUMBER),
+        (None, Some(_)) => fields.add_fault("cold", "excess", "", COLD_NUMBER),
+        _ => {}
+    }
+
+    Some(cold::Bounds {
+        excess: excess?,
+        slack: slack?,
+    })
+}
+
+const COLD_NUMBER: &str = "a number from 0 to 1000";
+
+fn cold_number(fields: &mut Fields, key: &str) -> Option<f64> {
+    let number = fields.optional::<f64>("cold", key, COLD_NUMBER)?;
+
+    if !(0.0..=1000.0).contains(&number) {
+        fields.add_fault("cold", key, &number.to_string(), COLD_NUMBER);
+    }
+
+    Some(number)
+}
+
 /// Returns the capacity of a host: its processor time in percent of a core,
 /// bounded by the bandwidth of its link.
 fn capacity(cores: Option<f64>, link_mbps: Option<f64>) -> u32 {
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -37,6 +37,14 @@
                 "host addresses",
                 restore(&mut changed.addresses, &current.addresses),
             ),
+            ("cold", restore(&mut changed.cold, &current.cold)),
+            (
+                "evacuations.follow",
+                restore(
+                    &mut changed.follow_evacuations,
+                    &current.follow_evacuations,
+                ),
+            ),
             (
                 "host.cores and link_mbps",
                 restore(&mut changed.capacity, &current.capacity),
--- a/src/state/fleet/member.rs
+++ b/src/state/fleet/member.rs
@@ -47,6 +47,9 @@
     /// Revision of the newest entry in the member's list of endpoints.
     #[serde(default)]
     pub endpoints: u64,
+    /// Revision of the newest change of the evacuated failure domains.
+    #[serde(default)]
+    pub evacuations: u64,
     pub host: id::Host,
     pub incarnation: id::Incarnation,
     /// Requests in progress.
--- a/src/state/serving/config.rs
+++ b/src/state/serving/config.rs
@@ -3,7 +3,10 @@
 use {
     crate::state::{
         id,
-        serving::graph::{self, Graph},
+        serving::{
+            cold::Start,
+            graph::{self, Graph},
+        },
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -93,6 +96,8 @@
 /// A service and the capacity of its endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
+    /// How the endpoints start, if they are cold at first.
+    pub cold: Option<Start>,
     /// Capacity of the endpoints, if they are model engines.
     pub engine: Option<Engine>,
     /// Number of connections that an endpoint accepts from all hosts together.
--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -92,6 +92,8 @@
 /// A copy of the objects of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
+    /// Highest revision of a change of an object, including removals.
+    newest_change: u64,
     /// Revision of the last change of an object.
     last_change: u64,
     /// Revision after which `history` is complete.
@@ -113,6 +115,12 @@
         self.last_change
     }
 
+    /// Returns the highest revision of a change of an object that this copy has seen,
+    /// including removals.
+    pub fn newest_change(&self) -> u64 {
+        self.newest_change
+    }
+
     /// Returns the objects, sorted by name.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
         self.objects.values()
@@ -141,7 +149,10 @@
         }
 
         for object in &changes.objects {
-            changed |= self.put(object, changes.revision);
+            if self.put(object, changes.revision) {
+                changed = true;
+                self.newest_change = self.newest_change.max(object.revision);
+            }
         }
 
         if changed {
--- a/src/state/serving/roster.rs
+++ b/src/state/serving/roster.rs
@@ -1,7 +1,7 @@
 //! The endpoints of each service, as listed by the platform.
 
 use {
-    crate::state::id,
+    crate::state::{id, serving::cold::Cold},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -10,9 +10,11 @@
 };
 
 /// An endpoint listed by the platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub address: SocketAddr,
+    /// What is known of the endpoint's start.
+    pub cold: Cold,
     pub domain: id::Domain,
     pub endpoint: id::Endpoint,
     /// Start time of the incarnation that wrote the entry, on the endpoint's
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -4,9 +4,10 @@
     crate::state::{
         clock::Time,
         fleet::{member::Member, record::Record},
-        serving::{config::Config, quarantine::Quarantine, roster::Roster},
+        serving::{cold, config::Config, quarantine::Quarantine, roster::Roster},
+        id,
     },
-    std::sync::Arc,
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// An immutable snapshot of the control state.
@@ -15,6 +16,8 @@
     pub config: Option<Arc<Config>>,
     /// Time at which the configuration took effect on this host.
     pub config_since: Time,
+    /// The failure domains to whose endpoints nothing may be sent.
+    pub evacuated: Arc<BTreeSet<id::Domain>>,
     /// Whether this host accepts no new work.
     pub leaving: bool,
     /// The record of this host itself.
@@ -52,4 +55,15 @@
     pub fn hosts(&self) -> usize {
         (self.members.len() + 1).max(self.presumed().len())
     }
+
+    /// Returns the hosts that may send requests to a cold endpoint. A host that
+    /// others have lost contact with is still registered.
+    pub fn cold_fleet(&self) -> cold::Fleet {
+        let visible = self.members.len() + 1;
+        let registered = self.registered.as_ref().map_or(0, |records| records.len());
+        cold::Fleet {
+            possible: visible.max(registered),
+            visible,
+        }
+    }
 }
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -334,6 +334,7 @@
     builder.set_clock(member.clock.as_micros());
     builder.set_domain(member.domain.as_str());
     builder.set_endpoints(member.endpoints);
+    builder.set_evacuations(member.evacuations);
     builder.set_host(member.host.as_str());
     builder.set_incarnation(member.incarnation.0);
     builder.set_outstanding(member.outstanding);
@@ -363,6 +364,7 @@
         demand,
         domain: reader.get_domain()?.to_str()?.into(),
         endpoints: reader.get_endpoints(),
+        evacuations: reader.get_evacuations(),
         host: reader.get_host()?.to_str()?.into(),
         incarnation: id::Incarnation(reader.get_incarnation()),
         outstanding: reader.get_outstanding(),
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -9,6 +9,7 @@
             balance::{Balancer, Part, Prompt, Report},
             piece::JobId,
             quarantine::Quarantine,
+            cold::Cold,
             roster::Entry,
         },
     },
@@ -25,6 +26,7 @@
         .map(|number| {
             Arc::new(Entry {
                 address: ([127, 0, 0, 1], 1000 + number).into(),
+                cold: Cold::default(),
                 domain: if number % 2 == 0 { "a" } else { "b" }.into(),
                 endpoint: format!("e{number}").into(),
                 incarnation: 1,
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -9,6 +9,7 @@
             budget::Bounds,
             config::Pool,
             piece::{self, Failure, Input, Job, JobId, Outcome},
+            cold::Cold,
             roster::Entry,
         },
     },
@@ -36,6 +37,7 @@
 pub fn entry(number: u16) -> Arc<Entry> {
     Arc::new(Entry {
         address: ([127, 0, 0, 1], 1000 + number).into(),
+        cold: Cold::default(),
         domain: format!("d{number}").into(),
         endpoint: format!("e{number}").into(),
         incarnation: 1,
--- a/tests/serving/batch_fuzz.rs
+++ b/tests/serving/batch_fuzz.rs
@@ -15,6 +15,7 @@
             budget::Bounds,
             config::Pool,
             piece::{self, Input, Job, JobId},
+            cold::Cold,
             roster::Entry,
         },
     },
@@ -55,6 +56,7 @@
 fn entry(number: usize, incarnation: u64, leaving: bool) -> Entry {
     Entry {
         address: ([127, 0, 0, 1], 1000).into(),
+        cold: Cold::default(),
         domain: "d".into(),
         endpoint: number.to_string().into(),
         incarnation,
--- a/tests/serving/chain.rs
+++ b/tests/serving/chain.rs
@@ -15,6 +15,7 @@
 
 fn pool(batch: usize, item_micros: u64) -> Service {
     Service {
+        cold: None,
         engine: None,
         max_connections: 100,
         pool: Some(Pool {
--- a/tests/serving/departures.rs
+++ b/tests/serving/departures.rs
@@ -3,7 +3,7 @@
 use {
     persimmoncleat::state::{
         clock::Time,
-        serving::{departures::Departures, roster::Entry},
+        serving::{cold::Cold, departures::Departures, roster::Entry},
     },
     std::time::Duration,
 };
@@ -11,6 +11,7 @@
 fn entry(incarnation: u64, leaving: bool) -> Entry {
     Entry {
         address: "127.0.0.1:1".parse().unwrap(),
+        cold: Cold::default(),
         domain: "d".into(),
         endpoint: "e".into(),
         incarnation,
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -6,6 +6,7 @@
         clock::Time,
         serving::{
             placement::{Criteria, Placement},
+            cold::Cold,
             roster::Entry,
         },
     },
@@ -19,6 +20,7 @@
         .map(|number| {
             Arc::new(Entry {
                 address: ([127, 0, 0, 1], 1000 + number).into(),
+                cold: Cold::default(),
                 domain: if number % 2 == 0 { "a" } else { "b" }.into(),
                 endpoint: format!("e{number}").into(),
                 incarnation: 1,
