Limit the requests to cold endpoints

An endpoint that has just started crashes if it gets many requests in a second, and a domain that was taken back attracted all of them, since its engines have no other work. A pacer records the requests of one sender to each endpoint. The balancing host and the dispatchers pace the requests of all hosts, at a rate that leaves room for a second sender and, in a fleet that has lost contact, for one in each part.

A prompt that finds only cold engines without a slot waits for the first one, or is refused if that is too late for its deadline.

--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -6,13 +6,13 @@
         clock::Time,
         serving::{
             balance::{Balancer, Part, Prompt, Report},
+            cold::Cold,
             piece::JobId,
             quarantine::Quarantine,
-            cold::Cold,
             roster::Entry,
         },
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Tokens that fit into an engine's memory.
@@ -63,6 +63,7 @@
             part(10 + session, 3780),
             part(1_000_000 + number, 2890),
         ],
+        remaining: Duration::from_secs(5),
         service: "s".into(),
     }
 }
--- a/src/coordination/serving/answer.rs
+++ b/src/coordination/serving/answer.rs
@@ -25,11 +25,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
     Body,
+    /// Only cold endpoints are left, none of which has a free slot before the time has
+    /// passed.
+    Cold(Duration),
     Configuration,
     Deadline,
     /// No endpoint wants requests from this host before the time has passed.
     Deferred(Duration),
     EndpointFailed,
+    /// All endpoints are in evacuated domains.
+    Evacuated,
     Full,
     Header,
     Key,
@@ -49,10 +54,12 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Body => "body_unreadable",
+            Self::Cold(_) => "endpoints_cold",
             Self::Configuration => "no_configuration",
             Self::Deadline => "deadline",
             Self::Deferred(_) => "endpoints_deferred",
             Self::EndpointFailed => "endpoint_failed",
+            Self::Evacuated => "endpoints_evacuated",
             Self::Full => "endpoints_full",
             Self::Header => "header_unreadable",
             Self::Key => "unknown_key",
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -171,7 +171,9 @@
     let exchange = match result {
         Ok(exchange) => exchange,
         Err(Failure::Unreachable(message)) => {
-            record(&|health| health.record_unreachable(now));
+            host.placement
+                .borrow_mut()
+                .record_unreachable(now, &load_guard.entry);
             return AttemptOutcome::Unreachable(message);
         }
         Err(Failure::Broken(message)) => {
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -12,7 +12,7 @@
             clock::Time,
             id,
             serving::{
-                balance::{Balancer, Choice, Finding, Prompt, Report},
+                balance::{Balancer, Choice, Finding, Later, Prompt, Report},
                 piece::JobId,
                 placement::Criteria,
                 quarantine::{self, Status},
@@ -24,6 +24,7 @@
     std::{
         cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
     },
+    tokio::time::sleep,
 };
 
 /// Time limit of a question to the balancing host. A prompt that waits longer
@@ -132,6 +133,7 @@
             exclude: closed_engines(host, request, exclude),
             id: host.next_job(),
             parts,
+            remaining: request.remaining(),
             service: request.service.clone(),
         };
 
@@ -142,6 +144,7 @@
             Asked::Nothing if !on_probation => {}
             // Hosts that choose alone do not know of each other's requests.
             Asked::Nothing | Asked::Quarantined => return Err(Reason::Quarantined),
+            Asked::Refused(time) => return Err(Reason::Cold(time)),
         }
     }
 
@@ -178,6 +181,8 @@
     /// A part of the prompt is in quarantine, or on probation with a request
     /// under way.
     Quarantined,
+    /// No engine can take the prompt before its deadline. One may after this time.
+    Refused(Duration),
 }
 
 /// Chooses the engine of a prompt of any host.
@@ -203,10 +208,21 @@
     }
 
     let open = view.roster.open(&prompt.service);
-    let entry = balancer.place(now, open, prompt);
-    entry.map_or(Choice::NoEngine, |entry| {
-        Choice::Engine(entry.endpoint.clone())
-    })
+
+    if let Some(entry) = balancer.place(now, open, prompt) {
+        return Choice::Engine(entry.endpoint.clone());
+    }
+
+    let open = view.roster.open(&prompt.service);
+
+    match balancer.place_later(now, open, prompt) {
+        Later::Engine(entry, wait) => Choice::Later {
+            engine: entry.endpoint.clone(),
+            wait,
+        },
+        Later::NoEngine => Choice::NoEngine,
+        Later::Refused(retry_after) => Choice::Refused { retry_after },
+    }
 }
 
 /// Records how a prompt of any host fared.
@@ -234,6 +250,7 @@
     let engine = config.and_then(|config| config.services.get(service)?.engine.as_ref());
     let capacity = engine.map_or(0, |engine| engine.capacity);
     balancer.update(view.roster.service(service).iter(), capacity);
+    balancer.set_fleet(view.cold_fleet());
 }
 
 /// Asks the balancing host, or the next one in order while it is silent: hosts that
@@ -248,7 +265,7 @@
         };
 
         if let Some(choice) = choice {
-            return accept(host, prompt, *address, choice);
+            return accept(host, prompt, *address, choice).await;
         }
     }
 
@@ -285,17 +302,30 @@
 }
 
 /// Turns the answer of a balancing host into a choice of this host.
-fn accept(host: &Rc<Host>, prompt: Prompt, address: Option<SocketAddr>, choice: Choice) -> Asked {
-    let endpoint = match choice {
-        Choice::Engine(endpoint) => endpoint,
+async fn accept(
+    host: &Rc<Host>,
+    prompt: Prompt,
+    address: Option<SocketAddr>,
+    choice: Choice,
+) -> Asked {
+    let (endpoint, wait) = match choice {
+        Choice::Engine(endpoint) => (endpoint, Duration::ZERO),
+        Choice::Later { engine, wait } => (engine, wait),
         Choice::NoEngine => return Asked::Nothing,
         Choice::Quarantined => return Asked::Quarantined,
+        Choice::Refused { retry_after } => return Asked::Refused(retry_after),
     };
     let guard = PlacementGuard {
         address,
         host: Rc::clone(host),
         prompt: Some((prompt.service, prompt.id)),
     };
+
+    if !wait.is_zero() {
+        host.tally.time("cold_wait", wait, &[]);
+        sleep(wait).await;
+    }
+
     let view = host.view();
     let placement = host.placement.borrow();
     let now = boot_clock::now();
@@ -320,10 +350,12 @@
         session: request.session(),
     };
     let open = view.roster.open(&request.service);
-    let placement = host.placement.borrow();
-    let entry = placement.choose(boot_clock::now(), open, criteria)?;
-    Some(Chosen {
-        entry: Arc::clone(entry),
-        guard: None,
-    })
+    let now = boot_clock::now();
+    let entry = host
+        .placement
+        .borrow()
+        .choose(now, open, criteria)
+        .cloned()?;
+    host.placement.borrow_mut().record_choice(now, &entry);
+    Some(Chosen { entry, guard: None })
 }
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -113,6 +113,8 @@
             self.note_departure(entry);
         }
 
+        self.note_contact(entry);
+
         self.note_limit(entry, answer.limit, sent);
 
         if let Some(time) = answer.retry_after {
@@ -131,6 +133,23 @@
         }
     }
 
+    /// Takes note that an endpoint can be reached. One that could not be reached before
+    /// may have just started.
+    fn note_contact(&self, entry: &Entry) {
+        let now = boot_clock::now();
+        let turned_cold = self.placement.borrow_mut().record_answer(now, entry);
+
+        if let Some(limit) = entry.cold.limit.filter(|_| turned_cold) {
+            log::info!(
+                endpoint = entry.endpoint.as_str(),
+                service = entry.service.as_str(),
+                cause = "reached",
+                ms = limit.start.time.as_millis();
+                "endpoint cold"
+            );
+        }
+    }
+
     fn note_limit(&self, entry: &Entry, rate: Option<f64>, sent: Time) {
         let now = boot_clock::now();
         let hosts = self.view().hosts();
@@ -249,6 +268,8 @@
                 .sweep(|endpoint| view.roster.get(endpoint).is_some());
         }
 
+        host.placement.borrow_mut().set_fleet(view.cold_fleet());
+
         if let Some(config) = &view.config {
             host.caller_bounds.set(bounds(&config.limits));
         }
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -119,12 +119,21 @@
     }
 }
 
+/// Returns whether a request needs a service of which all domains are evacuated.
+fn is_evacuated(host: &Host, request: &Request) -> bool {
+    let stages = request.route.stages.iter().map(|stage| &stage.service);
+    let mut services = stages.chain([&request.service]);
+    services.any(|service| relay::is_evacuated(host, service))
+}
+
 /// Refuses a request that cannot be served, before any stage runs for it: its prompt
-/// has a part in quarantine, or no endpoint wants requests before its deadline.
+/// has a part in quarantine, one of its services is evacuated, or no endpoint wants
+/// requests before its deadline.
 fn reject_hopeless(host: &Host, request: &Request, quarantine: &Quarantine) -> Result<(), Refusal> {
     let quarantined = request.quarantined_part(quarantine);
     let reason = match quarantined {
         Some(_) => Reason::Quarantined,
+        None if is_evacuated(host, request) => Reason::Evacuated,
         None => match relay::why_none_is_left(host, request, &[]) {
             Reason::Deferred(time) if time >= request.remaining() => Reason::Deferred(time),
             _ => return Ok(()),
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -73,6 +73,7 @@
             if let Some(pool) = pool.and_then(|service| service.pool.as_ref()) {
                 let entries = view.roster.service(service).iter();
                 dispatcher.update(pool, entries, view.hosts());
+                dispatcher.set_fleet(view.cold_fleet());
                 dispatcher.set_budget_bounds(host.settings().budget);
             }
         }
@@ -175,6 +176,7 @@
         let mut dispatcher = Dispatcher::new(pool.clone(), host.settings().budget);
         let entries = view.roster.service(service).iter();
         dispatcher.update(pool, entries, view.hosts());
+        dispatcher.set_fleet(view.cold_fleet());
         dispatcher
     });
     run(dispatcher);
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -35,6 +35,10 @@
 /// duration of the first quarantine.
 const QUARANTINED_RETRY_AFTER: Duration = quarantine::FIRST_DURATION;
 
+/// Delay after which a caller may retry a request whose service is evacuated. An
+/// operator removes an evacuation minutes later, so that earlier retries are useless.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Share of the route's time goal after which a repeatable request without a
 /// response goes to another endpoint.
 const RESPONSE_TIME_SHARE: f64 = 0.7;
@@ -77,11 +81,11 @@
             session: request.session(),
         };
         let open = view.roster.open(&request.service);
-        let placement = host.placement.borrow();
-        placement
-            .choose(boot_clock::now(), open, criteria)
-            .map(Arc::clone)
-            .ok_or_else(|| why_none_is_left(host, request, &self.excluded))
+        let now = boot_clock::now();
+        let chosen = host.placement.borrow().choose(now, open, criteria).cloned();
+        let entry = chosen.ok_or_else(|| why_none_is_left(host, request, &self.excluded))?;
+        host.placement.borrow_mut().record_choice(now, &entry);
+        Ok(entry)
     }
 
     /// Returns the engine for the next attempt of a stream whose inputs are in
@@ -112,9 +116,14 @@
         let view = host.view();
         let entry = self.awaiting_inputs.as_ref()?;
         let listed = view.roster.get(&entry.endpoint)?;
-        let deferred = (host.placement.borrow()).is_deferred(boot_clock::now(), listed);
-        let open = listed.incarnation == entry.incarnation && !listed.leaving && !deferred;
-        open.then(|| Arc::clone(listed))
+        let now = boot_clock::now();
+        let mut placement = host.placement.borrow_mut();
+        let wanted = !placement.is_deferred(now, listed) && placement.has_slot(now, listed);
+        let open = listed.incarnation == entry.incarnation && !listed.leaving && wanted;
+        open.then(|| {
+            placement.record_choice(now, listed);
+            Arc::clone(listed)
+        })
     }
 
     /// Records an attempt without a usable response and decides what follows.
@@ -170,10 +179,32 @@
 /// Returns why no endpoint is left for a request, apart from those in `exclude`.
 pub fn why_none_is_left(host: &Host, request: &Request, exclude: &[id::Endpoint]) -> Reason {
     let view = host.view();
-    let open = view.roster.open(&request.service);
-    let open = open.filter(|entry| !exclude.contains(&entry.endpoint));
-    let deferral = host.placement.borrow().deferral(boot_clock::now(), open);
-    deferral.map_or(Reason::NoEndpoint, Reason::Deferred)
+    let open = || {
+        let open = view.roster.open(&request.service);
+        open.filter(|entry| !exclude.contains(&entry.endpoint))
+    };
+    let now = boot_clock::now();
+    let placement = host.placement.borrow();
+
+    if is_evacuated(host, &request.service) {
+        return Reason::Evacuated;
+    }
+
+    match placement.deferral(now, open()) {
+        Some(time) => Reason::Deferred(time),
+        None => match placement.slot_wait(now, open()) {
+            Some(time) => Reason::Cold(time),
+            None => Reason::NoEndpoint,
+        },
+    }
+}
+
+/// Returns whether a service has endpoints, but all of them are in evacuated domains.
+pub fn is_evacuated(host: &Host, service: &id::Pool) -> bool {
+    let view = host.view();
+    let entries = view.roster.service(service);
+    let mut domains = entries.iter().map(|entry| &entry.domain);
+    !entries.is_empty() && domains.all(|domain| view.evacuated.contains(domain))
 }
 
 /// Withdraws a retry from the budget if the request's attempts, its time and the
@@ -201,7 +232,8 @@
         Refusal::NotRun {
             reason,
             retry_after: match reason {
-                Reason::Deferred(time) => time.max(FULL_RETRY_AFTER),
+                Reason::Cold(time) | Reason::Deferred(time) => time.max(FULL_RETRY_AFTER),
+                Reason::Evacuated => EVACUATED_RETRY_AFTER,
                 Reason::Quarantined => QUARANTINED_RETRY_AFTER,
                 _ => FULL_RETRY_AFTER,
             },
--- a/src/coordination/serving/releases.rs
+++ b/src/coordination/serving/releases.rs
@@ -75,6 +75,23 @@
         // The outputs disappeared with their endpoint.
         return;
     };
+    let mut wait = Duration::ZERO;
+    pools::with_dispatcher(&host, &service, |dispatcher| {
+        wait = dispatcher.reserve(boot_clock::now(), &entry);
+    });
+
+    if !wait.is_zero() {
+        sleep(wait).await;
+    }
+
+    if host.view().evacuated.contains(&entry.domain) {
+        log::debug!(
+            endpoint = endpoint.as_str();
+            "outputs left to expire: the domain is evacuated"
+        );
+        return;
+    }
+
     let endpoint_call = host.codec.release_call(&handles);
     let headers = host
         .codec
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -3,7 +3,11 @@
 use {
     crate::{
         protocol::fields::Fields,
-        state::{fault::Fault, id, serving::{budget::Bounds, cold}},
+        state::{
+            fault::Fault,
+            id,
+            serving::{budget::Bounds, cold},
+        },
     },
     log::LevelFilter,
     std::{fs, net::SocketAddr, path::Path, time::Duration},
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -40,10 +40,7 @@
             ("cold", restore(&mut changed.cold, &current.cold)),
             (
                 "evacuations.follow",
-                restore(
-                    &mut changed.follow_evacuations,
-                    &current.follow_evacuations,
-                ),
+                restore(&mut changed.follow_evacuations, &current.follow_evacuations),
             ),
             (
                 "host.cores and link_mbps",
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -6,8 +6,10 @@
 //! each engine still has to read and remembers the prefixes that it has read
 //! before. A prompt goes to the engine that is expected to reach its end first.
 
+mod cold;
 mod report;
 
+pub use cold::Later;
 pub use report::{Finding, Report};
 
 use {
@@ -15,6 +17,7 @@
         clock::Time,
         id, rendezvous,
         serving::{
+            cold::Pacer,
             health::Health,
             piece::JobId,
             quarantine::{self, Evidence, Quarantine, Status},
@@ -82,6 +85,8 @@
     pub exclude: Vec<id::Endpoint>,
     pub id: JobId,
     pub parts: Vec<Part>,
+    /// Time until the caller's deadline; zero if the host that asks does not tell.
+    pub remaining: Duration,
     pub service: id::Pool,
 }
 
@@ -89,16 +94,26 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Choice {
     Engine(id::Endpoint),
+    /// The engine is cold: the request has to wait before it is sent there.
+    Later {
+        engine: id::Endpoint,
+        wait: Duration,
+    },
     /// All engines are leaving or excluded.
     NoEngine,
     /// A part of the prompt is in quarantine.
     Quarantined,
+    /// No engine can take the prompt before its deadline.
+    Refused {
+        retry_after: Duration,
+    },
 }
 
 /// A prompt that was placed and has no first event yet.
 #[derive(Clone, Debug)]
 struct Pending {
     endpoint: id::Endpoint,
+    entry: Arc<Entry>,
     incarnation: u64,
     /// The parts of the prompt that other requests may share.
     parts: Vec<u64>,
@@ -126,6 +141,8 @@
 pub struct Balancer {
     /// Tokens that fit into an engine's memory.
     capacity: u64,
+    /// The prompts at cold engines.
+    cold: Pacer,
     engines: BTreeMap<id::Endpoint, Engine>,
     evidence: Evidence,
     /// Mean time until a first event over all engines, in seconds, by the
@@ -157,8 +174,8 @@
         self.engines = engines;
     }
 
-    /// Chooses the engine of a prompt, or `None` if all engines are leaving or
-    /// excluded. Paused engines are used only when no other one is left.
+    /// Chooses the engine of a prompt, or `None` if all engines are leaving, excluded
+    /// or cold without a slot. Paused engines are used only when no other one is left.
     pub fn place<'a>(
         &mut self,
         now: Time,
@@ -169,11 +186,13 @@
         let open = entries
             .filter(|entry| !entry.leaving && !prompt.exclude.contains(&entry.endpoint))
             .collect::<Vec<&Arc<Entry>>>();
+        let open = self.with_slot(now, open);
         let presumed = self.presumed_engine(&open, prompt);
         let entry = open
             .into_iter()
             .min_by_key(|entry| self.rank(now, entry, prompt, presumed.as_ref()))?;
         self.record_placement(now, entry, prompt);
+        self.cold.record_request(now, entry);
         Some(entry)
     }
 
@@ -191,6 +210,7 @@
             return Finding::Nothing;
         };
         self.update_engine(now, &pending, report);
+        self.record_contact(now, &pending.entry, report);
 
         match report {
             Report::Lost => {
@@ -301,7 +321,7 @@
         (engine.health.is_paused(now), cost as u64)
     }
 
-    fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
+    fn record_placement(&mut self, now: Time, entry: &Arc<Entry>, prompt: &Prompt) {
         // An id that occurs twice must not leave the tokens of the first prompt pending.
         self.abandon(now, &prompt.id);
         let Some(engine) = self.engines.get_mut(&entry.endpoint) else {
@@ -317,6 +337,7 @@
             prompt.id.clone(),
             Pending {
                 endpoint: entry.endpoint.clone(),
+                entry: Arc::clone(entry),
                 incarnation: entry.incarnation,
                 parts: quarantine::shared(&prompt.parts)
                     .iter()
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -31,6 +31,7 @@
         id,
         serving::{
             budget::{Bounds, RetryBudget},
+            cold,
             config::Pool,
             health::Notice,
             piece::{self, Failure, Input, Job, JobId, Outcome, Output},
@@ -109,6 +110,8 @@
     bounds: Bounds,
     budget: RetryBudget,
     calls: HashMap<CallId, Call>,
+    /// The calls to cold endpoints.
+    cold: cold::Pacer,
     deferrals: Deferrals,
     /// Number of hosts that may dispatch to the endpoints.
     hosts: usize,
@@ -126,6 +129,7 @@
             bounds,
             budget: RetryBudget::default(),
             calls: HashMap::new(),
+            cold: cold::Pacer::default(),
             deferrals: Deferrals::default(),
             hosts: 1,
             next_admission: 0,
@@ -165,6 +169,19 @@
         self.endpoints = endpoints;
     }
 
+    /// Sets which hosts may send calls to cold endpoints.
+    pub fn set_fleet(&mut self, fleet: cold::Fleet) {
+        self.cold.set_fleet(fleet);
+    }
+
+    /// Reserves a request to an endpoint that is not a call with pieces, and returns the
+    /// time until it may be sent.
+    pub fn reserve(&mut self, now: Time, entry: &Entry) -> Duration {
+        let at = self.cold.next(now, entry);
+        self.cold.record_request(at, entry);
+        at.since(now)
+    }
+
     /// Sets the bounds of the fleet's retry budget.
     pub fn set_budget_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
--- a/src/state/serving/batch/fill.rs
+++ b/src/state/serving/batch/fill.rs
@@ -51,6 +51,7 @@
             !state.entry.leaving
                 && state.calls < slots
                 && !state.health.is_paused(now)
+                && self.cold.allows(now, &state.entry)
                 && !skipped.contains(&state.entry.endpoint)
         });
         let usable = usable.collect::<Vec<&EndpointState>>();
@@ -139,6 +140,7 @@
             state.reserved += bytes.iter().sum::<u64>();
         }
 
+        self.cold.record_request(now, &entry);
         actions.push(Action::Send {
             call,
             entry,
--- a/src/state/serving/batch/load.rs
+++ b/src/state/serving/batch/load.rs
@@ -100,7 +100,10 @@
     /// Returns the number of endpoints that accept another call.
     pub(super) fn idle(&self, now: Time) -> usize {
         let free = |state: &&EndpointState| {
-            !state.entry.leaving && state.calls < self.pool.slots && !state.health.is_paused(now)
+            !state.entry.leaving
+                && state.calls < self.pool.slots
+                && !state.health.is_paused(now)
+                && self.cold.allows(now, &state.entry)
         };
         self.endpoints.values().filter(free).count()
     }
@@ -111,8 +114,9 @@
         let call = self.call_time(self.pool.batch).as_secs_f64();
         let unlimited = self.pool.slots as f64 / call.max(0.001);
         let calls = self.endpoints.values().filter(usable).map(|state| {
-            let limited = state.health.max_rate();
-            limited.map_or(unlimited, |limited| limited.min(unlimited))
+            let limited = state.health.max_rate().unwrap_or(unlimited);
+            let cold = self.cold.max_rate(now, &state.entry).unwrap_or(unlimited);
+            limited.min(cold).min(unlimited)
         });
         calls.sum::<f64>() * self.pool.batch as f64
     }
--- a/src/state/serving/batch/watch.rs
+++ b/src/state/serving/batch/watch.rs
@@ -12,7 +12,7 @@
             piece,
         },
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Duration of a call, relative to the expected one, after which its pieces
@@ -92,6 +92,7 @@
         let Some(state) = self.state_of(call) else {
             return;
         };
+        let entry = Arc::clone(&state.entry);
         state.calls = state.calls.saturating_sub(1);
 
         match outcome {
@@ -109,5 +110,13 @@
                 state.health.record_unreachable(now)
             }
         }
+
+        match outcome {
+            CallOutcome::Answered(_) | CallOutcome::Full => {
+                self.cold.record_answer(now, &entry);
+            }
+            CallOutcome::Unreachable => self.cold.record_unreachable(now, &entry),
+            CallOutcome::Broken | CallOutcome::Replaced => {}
+        }
     }
 }
--- a/src/state/serving/cold/starts.rs
+++ b/src/state/serving/cold/starts.rs
@@ -98,7 +98,9 @@
         let Some(known) = self.known.get(&entry.endpoint) else {
             return (Time::ZERO, Cause::Entry);
         };
-        let started = known.started.map(|(at, cause)| (at + limit.start.time, cause));
+        let started = known
+            .started
+            .map(|(at, cause)| (at + limit.start.time, cause));
 
         match started {
             Some((until, cause)) if until >= known.by_entry => (until, cause),
--- a/src/state/serving/evacuation.rs
+++ b/src/state/serving/evacuation.rs
@@ -42,11 +42,7 @@
     }
 
     /// Replaces the evacuated domains, and returns what has changed.
-    pub fn update(
-        &mut self,
-        now: Time,
-        listed: impl Iterator<Item = id::Domain>,
-    ) -> Vec<Change> {
+    pub fn update(&mut self, now: Time, listed: impl Iterator<Item = id::Domain>) -> Vec<Change> {
         let known = self.domains.take().unwrap_or_default();
         let listed = listed.collect::<BTreeSet<id::Domain>>();
         let ended = known.iter().filter(|(domain, _)| !listed.contains(*domain));
--- a/src/state/serving/placement.rs
+++ b/src/state/serving/placement.rs
@@ -10,6 +10,7 @@
         clock::Time,
         id, rendezvous,
         serving::{
+            cold::{Fleet, Pacer, Role},
             health::{Health, Notice},
             roster::Entry,
         },
@@ -50,12 +51,68 @@
 }
 
 /// The observed state of the endpoints of all services, by name.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Placement {
+    /// This host's share of the requests to cold endpoints.
+    cold: Pacer,
     endpoints: HashMap<id::Endpoint, EndpointState>,
 }
 
+impl Default for Placement {
+    fn default() -> Self {
+        Self {
+            cold: Pacer::new(Role::Alone, rand::random()),
+            endpoints: HashMap::new(),
+        }
+    }
+}
+
 impl Placement {
+    /// Sets which hosts may send requests to cold endpoints.
+    pub fn set_fleet(&mut self, fleet: Fleet) {
+        self.cold.set_fleet(fleet);
+    }
+
+    /// Returns whether this host may send a request of its own choice to an endpoint
+    /// now. Only a cold endpoint is limited.
+    pub fn has_slot(&self, now: Time, entry: &Entry) -> bool {
+        self.cold.allows(now, entry)
+    }
+
+    /// Records that this host has chosen an endpoint for a request.
+    pub fn record_choice(&mut self, now: Time, entry: &Entry) {
+        self.cold.record_request(now, entry);
+    }
+
+    /// Records that an endpoint cannot be reached.
+    pub fn record_unreachable(&mut self, now: Time, entry: &Entry) {
+        self.health_mut(entry).record_unreachable(now);
+        self.cold.record_unreachable(now, entry);
+    }
+
+    /// Records an answer of an endpoint, and returns whether it turns out to be cold.
+    pub fn record_answer(&mut self, now: Time, entry: &Entry) -> bool {
+        self.cold.record_answer(now, entry)
+    }
+
+    /// Returns the number of endpoints that are cold.
+    pub fn cold<'a>(&self, now: Time, entries: impl Iterator<Item = &'a Arc<Entry>>) -> usize {
+        entries
+            .filter(|entry| self.cold.is_cold(now, entry))
+            .count()
+    }
+
+    /// Returns the time until the first of the open endpoints has a slot, if all are
+    /// cold.
+    pub fn slot_wait<'a>(
+        &self,
+        now: Time,
+        entries: impl Iterator<Item = &'a Arc<Entry>>,
+    ) -> Option<Duration> {
+        let next = entries.map(|entry| self.cold.next(now, entry)).min()?;
+        (next > now).then(|| next.since(now))
+    }
+
     /// Removes the endpoints that are no longer listed, have no request of this host
     /// and may be sent one if they are listed again, and resets the health of those with a new incarnation.
     pub fn retain<'a>(&mut self, now: Time, entries: impl Iterator<Item = &'a Arc<Entry>>) {
@@ -78,7 +135,7 @@
     }
 
     /// Returns the endpoint for a request, or `None` if all of them are leaving,
-    /// deferred or excluded. Paused endpoints are used only when no other is left.
+    /// deferred, excluded or cold without a slot. Paused endpoints are used only when no other is left.
     pub fn choose<'a>(
         &self,
         now: Time,
@@ -88,7 +145,10 @@
         let open = entries
             .filter(|entry| {
                 let excluded = criteria.exclude.contains(&entry.endpoint);
-                !entry.leaving && !excluded && !self.is_deferred(now, entry)
+                !entry.leaving
+                    && !excluded
+                    && !self.is_deferred(now, entry)
+                    && self.has_slot(now, entry)
             })
             .collect::<Vec<&Arc<Entry>>>();
         let healthy = (open.iter().copied())
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -4,8 +4,8 @@
     crate::state::{
         clock::Time,
         fleet::{member::Member, record::Record},
-        serving::{cold, config::Config, quarantine::Quarantine, roster::Roster},
         id,
+        serving::{cold, config::Config, quarantine::Quarantine, roster::Roster},
     },
     std::{collections::BTreeSet, sync::Arc},
 };
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -110,6 +110,15 @@
 
                 Ok(if results.get_quarantined() {
                     Choice::Quarantined
+                } else if results.get_refused() {
+                    Choice::Refused {
+                        retry_after: Duration::from_millis(results.get_retry_after_ms().into()),
+                    }
+                } else if results.get_wait_ms() > 0 && !endpoint.is_empty() {
+                    Choice::Later {
+                        engine: endpoint.into(),
+                        wait: Duration::from_millis(results.get_wait_ms().into()),
+                    }
                 } else if endpoint.is_empty() {
                     Choice::NoEngine
                 } else {
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -159,8 +159,16 @@
 
         match choice {
             Choice::Engine(endpoint) => results.set_endpoint(endpoint.as_str()),
+            Choice::Later { engine, wait } => {
+                results.set_endpoint(engine.as_str());
+                results.set_wait_ms(wire::millis(wait).max(1));
+            }
             Choice::NoEngine => {}
             Choice::Quarantined => results.set_quarantined(true),
+            Choice::Refused { retry_after } => {
+                results.set_refused(true);
+                results.set_retry_after_ms(wire::millis(retry_after));
+            }
         }
 
         Ok(())
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -192,6 +192,7 @@
     builder.set_domain(prompt.domain.as_ref().map_or("", id::Domain::as_str));
     builder.set_home(prompt.id.home.as_str());
     builder.set_id(prompt.id.number);
+    builder.set_remaining_ms(millis(prompt.remaining));
     builder.set_service(prompt.service.as_str());
     let mut exclude = builder
         .reborrow()
@@ -237,6 +238,7 @@
             number: reader.get_id(),
         },
         parts: parts.collect(),
+        remaining: Duration::from_millis(reader.get_remaining_ms().into()),
         service: reader.get_service()?.to_str()?.into(),
     })
 }
@@ -392,7 +394,8 @@
     }
 }
 
-fn millis(duration: Duration) -> u32 {
+/// Returns a time in whole milliseconds.
+pub fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -7,13 +7,13 @@
         id,
         serving::{
             balance::{Balancer, Part, Prompt, Report},
+            cold::Cold,
             piece::JobId,
             quarantine::Quarantine,
-            cold::Cold,
             roster::Entry,
         },
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// Tokens that fit into an engine's memory.
@@ -65,6 +65,7 @@
                 tokens: own,
             },
         ],
+        remaining: Duration::from_secs(5),
         service: "s".into(),
     }
 }
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -7,9 +7,9 @@
         serving::{
             batch::{Action, CallId, CallOutcome, Dispatcher, Item, Origin},
             budget::Bounds,
+            cold::Cold,
             config::Pool,
             piece::{self, Failure, Input, Job, JobId, Outcome},
-            cold::Cold,
             roster::Entry,
         },
     },
--- a/tests/serving/batch_fuzz.rs
+++ b/tests/serving/batch_fuzz.rs
@@ -13,9 +13,9 @@
         serving::{
             batch::{Action, CallId, CallOutcome, Dispatcher, Item},
             budget::Bounds,
+            cold::Cold,
             config::Pool,
             piece::{self, Input, Job, JobId},
-            cold::Cold,
             roster::Entry,
         },
     },
--- a/tests/serving/placement.rs
+++ b/tests/serving/placement.rs
@@ -5,8 +5,8 @@
     persimmoncleat::state::{
         clock::Time,
         serving::{
-            placement::{Criteria, Placement},
             cold::Cold,
+            placement::{Criteria, Placement},
             roster::Entry,
         },
     },
