Test evacuations with processes, and report them

The stand-in store counts its reads by kind, and can fail one kind.

Engines of an evacuated domain are stopped by the operator: a stream that ends there before its first event must not count as a crash that its prompt caused, or parts that all requests share would be quarantined. The metrics get gauges, for the evacuated domains and the cold endpoints.

--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -172,6 +172,7 @@
                     peer_address: Some(peer_link.address()),
                     peers: seeds.clone(),
                     store: store_link.address(),
+                    sections: String::new(),
                     store_wait: STORE_WAIT,
                 },
                 peer_link,
--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -5,10 +5,13 @@
     crate::{
         coordination::serving::host::Host,
         state::{id, serving::directory},
-        transport::http::{
-            body::Body,
-            server::{self, Connections, Limits, ListenerState},
-            timing::Bounds,
+        transport::{
+            boot_clock,
+            http::{
+                body::Body,
+                server::{self, Connections, Limits, ListenerState},
+                timing::Bounds,
+            },
         },
     },
     hyper::{
@@ -63,10 +66,23 @@
     listen(ready, answer_ready);
 
     if let Some(metrics) = metrics {
-        listen(metrics, |host, _| text(StatusCode::OK, host.tally.render()));
+        listen(metrics, |host, _| {
+            set_gauges(host);
+            text(StatusCode::OK, host.tally.render())
+        });
     }
 }
 
+/// Sets the metrics of what the host knows now.
+fn set_gauges(host: &Host) {
+    let view = host.view();
+    let now = boot_clock::now();
+    let cold = host.placement.borrow().cold(now, view.roster.entries());
+    host.tally
+        .set("evacuated_domains", view.evacuated.len(), &[]);
+    host.tally.set("cold_endpoints", cold, &[]);
+}
+
 fn answer_directory(host: &Host, request: &Request<Incoming>) -> Response<Body> {
     let uri = request.uri();
     let Some(address_query) = host
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -80,6 +80,11 @@
 }
 
 impl PlacementGuard {
+    /// Returns whether the failure domain of an engine is evacuated.
+    pub fn is_evacuated(&self, entry: &Entry) -> bool {
+        self.host.view().evacuated.contains(&entry.domain)
+    }
+
     /// Sends the report.
     pub fn report(mut self, report: Report) {
         self.send(report);
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -132,7 +132,10 @@
         return;
     };
 
-    if !matches!(outcome, AttemptOutcome::Disconnected(_)) {
+    // Engines of an evacuated domain are stopped: that shows nothing about the prompt.
+    let stopped = guard.is_evacuated(entry);
+
+    if stopped || !matches!(outcome, AttemptOutcome::Disconnected(_)) {
         return guard.report(outcome.report());
     }
 
--- a/src/transport/tally.rs
+++ b/src/transport/tally.rs
@@ -5,7 +5,7 @@
 //! aggregates them.
 
 use {
-    cadence::{Counted, MetricSink, StatsdClient, Timed},
+    cadence::{Counted, Gauged, MetricSink, StatsdClient, Timed},
     hdrhistogram::Histogram,
     std::{
         collections::BTreeMap,
@@ -34,6 +34,7 @@
 struct Aggregates {
     counters: BTreeMap<String, u64>,
     dropped: u64,
+    gauges: BTreeMap<String, u64>,
     histograms: BTreeMap<String, Histogram<u64>>,
 }
 
@@ -75,6 +76,18 @@
         builder.send();
     }
 
+    /// Sets the current value of a quantity.
+    pub fn set(&self, name: &str, value: usize, tags: &[(&str, &str)]) {
+        let value = u64::try_from(value).unwrap_or(u64::MAX);
+        let mut builder = self.client.gauge_with_tags(name, value);
+
+        for (key, value) in tags {
+            builder = builder.with_tag(key, value);
+        }
+
+        builder.send();
+    }
+
     /// Records a duration in a histogram, in milliseconds.
     pub fn time(&self, name: &str, elapsed: Duration, tags: &[(&str, &str)]) {
         let mut builder = self.client.time_with_tags(name, elapsed);
@@ -99,6 +112,10 @@
             let _ = writeln!(text, "{name} {value}");
         }
 
+        for (name, value) in &aggregates.gauges {
+            let _ = writeln!(text, "{name} {value}");
+        }
+
         for (name, histogram) in &aggregates.histograms {
             let _ = writeln!(text, "{name} count={}", histogram.len());
 
@@ -140,8 +157,9 @@
         };
         let value = value.parse::<u64>().ok()?;
 
-        if self.counters.len() + self.histograms.len() >= MAX_SERIES
+        if self.counters.len() + self.gauges.len() + self.histograms.len() >= MAX_SERIES
             && !self.counters.contains_key(&name)
+            && !self.gauges.contains_key(&name)
             && !self.histograms.contains_key(&name)
         {
             return None;
@@ -152,6 +170,11 @@
             return Some(());
         }
 
+        if kind == "g" {
+            self.gauges.insert(name, value);
+            return Some(());
+        }
+
         let histogram = match self.histograms.entry(name) {
             std::collections::btree_map::Entry::Occupied(entry) => entry.into_mut(),
             std::collections::btree_map::Entry::Vacant(entry) => {
--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -29,6 +29,8 @@
     /// Address advertised to peers, if it differs from the listening address.
     pub peer_address: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
+    /// Further sections, as text.
+    pub sections: String,
     pub store: SocketAddr,
     /// Time for which a watch of the store waits.
     pub store_wait: Duration,
@@ -248,7 +250,12 @@
         peers: listened,
         ready,
     } = addresses;
-    let Settings { name, store, .. } = settings;
+    let Settings {
+        name,
+        sections,
+        store,
+        ..
+    } = settings;
     let wait = settings.store_wait.as_millis();
     let advertised = settings.peer_address.unwrap_or(*listened);
     let peers = settings.peers.iter().map(SocketAddr::to_string);
@@ -261,6 +268,6 @@
         peers = {peers}\nfleet_key = a key of the test\n\
         [store]\naddress = {store}\nkind = entry-hosts\nwait_ms = {wait}\n\
         [limits]\nconnections = 100\ngrace_s = 8\nkeep_addresses_ms = 1000\nmemory_mb = 160\n\
-        [retries]\nratio = 0.2\nslack = 52\nwindow_s = 10\n"
+        [retries]\nratio = 0.2\nslack = 52\nwindow_s = 10\n{sections}"
     )
 }
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -22,6 +22,10 @@
     /// The history contains only changes after this revision.
     compacted_revision: u64,
     history: Vec<(String, bool, Value)>,
+    /// Number of listings and watches by kind.
+    reads: BTreeMap<String, usize>,
+    /// A kind whose calls get a 503 response.
+    down_kind: Option<String>,
     /// Contents of objects that are not JSON values, by the text that stands for them.
     raw: BTreeMap<String, Vec<u8>>,
     objects: BTreeMap<(String, String), Value>,
@@ -101,6 +105,20 @@
         self.objects.changed.notify_all();
     }
 
+    /// Sets a kind whose calls get a 503 response, if any.
+    pub fn set_down_kind(&self, kind: Option<&str>) {
+        lock(&self.objects.state).down_kind = kind.map(str::to_owned);
+    }
+
+    /// Returns how often a kind was listed or watched.
+    pub fn reads(&self, kind: &str) -> usize {
+        lock(&self.objects.state)
+            .reads
+            .get(kind)
+            .copied()
+            .unwrap_or(0)
+    }
+
     /// Discards the change history, so that watches from an earlier revision get
     /// a 410 response.
     pub fn compact(&self) {
@@ -235,6 +253,18 @@
 
         let mut segments = request.path.trim_start_matches("/objects/").splitn(2, '/');
         let kind = segments.next().unwrap_or_default();
+        {
+            let mut state = lock(&self.state);
+
+            if request.method == "GET" {
+                *state.reads.entry(kind.to_owned()).or_default() += 1;
+            }
+
+            if state.down_kind.as_deref() == Some(kind) {
+                return Reply::problem(503, "down");
+            }
+        }
+
         let number = |key: &str| request.text(key).parse::<u64>().ok();
 
         match request.method.as_str() {
