--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -132,7 +132,12 @@
 
 fn follow(kind: Kind, store: &dyn Store, mode: &Mode, events: &Sender<Event>) {
     let mut revision = None::<u64>;
-    let mut consistency = Consistency::MayLag;
+    let mut consistency = match kind {
+        Kind::Config | Kind::Endpoints => Consistency::MayLag,
+        // A host that starts would send work to a domain whose evacuation has long been
+        // in force on the others.
+        Kind::Evacuations => Consistency::Current,
+    };
     let mut failures = 0u32;
 
     loop {
