--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -92,7 +92,8 @@
 /// A copy of the objects of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
-    /// Highest revision of a change of an object, including removals.
+    /// Highest revision of a change of an object. For a removal, whose own revision may
+    /// be unknown, that of the copy.
     newest_change: u64,
     /// Revision of the last change of an object.
     last_change: u64,
@@ -151,7 +152,12 @@
         for object in &changes.objects {
             if self.put(object, changes.revision) {
                 changed = true;
-                self.newest_change = self.newest_change.max(object.revision);
+                let revision = if object.removed {
+                    changes.revision
+                } else {
+                    object.revision
+                };
+                self.newest_change = self.newest_change.max(revision);
             }
         }
 
@@ -219,6 +225,11 @@
         // history is cleared.
         self.history.clear();
         self.history_start = changes.revision;
+
+        if !missing.is_empty() {
+            self.newest_change = self.newest_change.max(changes.revision);
+        }
+
         !missing.is_empty()
     }
 
--- a/tests/serving/mirror.rs
+++ b/tests/serving/mirror.rs
@@ -193,3 +193,20 @@
         [object("a", 29, false), object("b", 30, false)]
     );
 }
+
+/// Guards against hosts that do not learn from others that an object was removed, since
+/// the newest object that is left is older.
+#[test]
+fn newest_change_includes_removals() {
+    let listed = [object("a", 3, false), object("b", 5, false)];
+    let mut mirror = Mirror::default();
+    mirror.apply(&changes(6, true, &listed));
+    assert_eq!(mirror.newest_change(), 5);
+    mirror.apply(&changes(9, false, &[]));
+    assert_eq!(mirror.newest_change(), 5);
+    // A removal may have the revision of the object's last change.
+    mirror.apply(&changes(10, false, &[object("b", 5, true)]));
+    assert_eq!(mirror.newest_change(), 10);
+    mirror.apply(&changes(12, true, &[]));
+    assert_eq!(mirror.newest_change(), 12);
+}
