--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -6,12 +6,13 @@
         clock::Time,
         serving::{
             balance::{Balancer, Part, Prompt, Report},
+            cold::Cold,
             piece::JobId,
             quarantine::Quarantine,
             roster::Entry,
         },
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Tokens that fit into an engine's memory.
@@ -29,6 +30,7 @@
 fn entry(number: usize) -> Arc<Entry> {
     Arc::new(Entry {
         address: ([127, 0, 0, 1], 1000).into(),
+        cold: Cold::default(),
         domain: format!("d{}", number % 6).into(),
         endpoint: format!("e{number}").into(),
         incarnation: 1,
@@ -61,6 +63,7 @@
             part(10 + session, 3780),
             part(1_000_000 + number, 2890),
         ],
+        remaining: Duration::from_secs(5),
         service: "s".into(),
     }
 }
--- a/benches/control/hosts.rs
+++ b/benches/control/hosts.rs
@@ -89,6 +89,7 @@
         domain: format!("region{}-{}", index % 5, index % 17).into(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: format!("host-{index:04}").into(),
         incarnation: id::Incarnation(1),
         outstanding: 200,
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -204,6 +204,7 @@
         domain: file.host.domain.clone(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: file.host.id.clone(),
         incarnation: incarnation(),
         outstanding: 0,
--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -102,11 +102,22 @@
 
     if let Some(metrics) = metrics {
         listen(metrics, |host, _, _| {
+            set_gauges(host);
             text(StatusCode::OK, host.tally.render())
         });
     }
 }
 
+/// Sets the metrics of what the host knows now.
+fn set_gauges(host: &Host) {
+    let view = host.view();
+    let now = boot_clock::now();
+    let cold = host.placement.borrow().cold(now, view.roster.entries());
+    host.tally
+        .set("evacuated_domains", view.evacuated.len(), &[]);
+    host.tally.set("cold_endpoints", cold, &[]);
+}
+
 fn answer_directory(host: &Host, request: &Request<Incoming>, caller: IpAddr) -> Response<Body> {
     let uri = request.uri();
     let Some(address_query) = host
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -2,9 +2,12 @@
 //! the fleet membership and publishes views of both.
 
 mod apply;
+mod options;
 mod peers;
 mod replica;
 
+pub use options::Options;
+
 use {
     self::replica::{Replica, Waiter},
     crate::{
@@ -19,9 +22,12 @@
             id,
             serving::{
                 catch_up::Purpose,
+                cold,
                 departures::Departures,
+                evacuation::Evacuations,
                 mirror::{Changes, RelayedChanges},
                 readers::Ranking,
+                roster::Roster,
                 view::View,
             },
             view,
@@ -118,6 +124,11 @@
 /// The state of the control thread.
 pub struct Control {
     departures: Departures,
+    evacuations: Evacuations,
+    /// The endpoints as listed, of which the published ones in evacuated domains are
+    /// closed. `None` before the first listing.
+    listed: Option<Roster>,
+    options: Options,
     replicas: BTreeMap<Kind, Replica>,
     links: Links,
     membership: Membership,
@@ -130,11 +141,10 @@
     member_view: view::View,
     sender: Sender<Event>,
     started: Time,
+    /// When the endpoints started.
+    starts: cold::Starts,
     store: Arc<dyn Store>,
     view: View,
-    /// Time for which a watch waits in a fleet in which every host reads the
-    /// store.
-    watch_wait: Duration,
 }
 
 impl Control {
@@ -144,7 +154,7 @@
         membership: Membership,
         links: Links,
         store: Arc<dyn Store>,
-        watch_wait: Duration,
+        options: Options,
         published: watch::Sender<Arc<View>>,
         sender: Sender<Event>,
     ) -> Self {
@@ -152,7 +162,17 @@
 
         Self {
             departures: Departures::default(),
-            replicas: Kind::ALL.map(|kind| (kind, Replica::default())).into(),
+            evacuations: if options.follow_evacuations {
+                Evacuations::default()
+            } else {
+                Evacuations::unfollowed()
+            },
+            listed: None,
+            options,
+            replicas: options
+                .kinds()
+                .map(|kind| (kind, Replica::default()))
+                .collect(),
             links,
             membership,
             published,
@@ -169,9 +189,9 @@
             },
             sender,
             started: boot_clock::now(),
+            starts: cold::Starts::default(),
             store,
             view,
-            watch_wait,
         }
     }
 
@@ -180,6 +200,7 @@
         View {
             config: None,
             config_since: Time::ZERO,
+            evacuated: Arc::default(),
             leaving: false,
             local,
             members: Arc::default(),
@@ -317,6 +338,9 @@
         let newest = |kind| self.replicas.get(&kind).map_or(0, Replica::newest_revision);
         self.member_view.local.settings = newest(Kind::Config);
         self.member_view.local.endpoints = newest(Kind::Endpoints);
+        let evacuations = self.replicas.get(&Kind::Evacuations);
+        self.member_view.local.evacuations =
+            evacuations.map_or(0, |replica| replica.mirror.newest_change());
         self.membership.tick(now, &mut self.member_view);
         self.ask_peers(now);
         let local = &self.member_view.local;
--- a/src/state/fleet/member.rs
+++ b/src/state/fleet/member.rs
@@ -51,6 +51,9 @@
     /// reports it.
     #[serde(default)]
     pub headroom: Option<u8>,
+    /// Revision of the newest change of the evacuated failure domains.
+    #[serde(default)]
+    pub evacuations: u64,
     pub host: id::Host,
     pub incarnation: id::Incarnation,
     /// Requests in progress.
--- a/src/state/replay/claims_host.rs
+++ b/src/state/replay/claims_host.rs
@@ -127,6 +127,7 @@
         domain: "".into(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: name(host),
         incarnation,
         outstanding: 0,
--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -92,6 +92,9 @@
 /// A copy of the objects of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
+    /// Highest revision of a change of an object. For a removal, whose own revision may
+    /// be unknown, that of the copy.
+    newest_change: u64,
     /// Revision of the last change of an object.
     last_change: u64,
     /// Revision after which `history` is complete.
@@ -113,6 +116,12 @@
         self.last_change
     }
 
+    /// Returns the highest revision of a change of an object that this copy has seen,
+    /// including removals.
+    pub fn newest_change(&self) -> u64 {
+        self.newest_change
+    }
+
     /// Returns the objects, sorted by name.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
         self.objects.values()
@@ -141,7 +150,15 @@
         }
 
         for object in &changes.objects {
-            changed |= self.put(object, changes.revision);
+            if self.put(object, changes.revision) {
+                changed = true;
+                let revision = if object.removed {
+                    changes.revision
+                } else {
+                    object.revision
+                };
+                self.newest_change = self.newest_change.max(revision);
+            }
         }
 
         if changed {
@@ -208,6 +225,11 @@
         // history is cleared.
         self.history.clear();
         self.history_start = changes.revision;
+
+        if !missing.is_empty() {
+            self.newest_change = self.newest_change.max(changes.revision);
+        }
+
         !missing.is_empty()
     }
 
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -192,6 +192,7 @@
     builder.set_domain(prompt.domain.as_ref().map_or("", id::Domain::as_str));
     builder.set_home(prompt.id.home.as_str());
     builder.set_id(prompt.id.number);
+    builder.set_remaining_ms(millis(prompt.remaining));
     builder.set_service(prompt.service.as_str());
     let mut exclude = builder
         .reborrow()
@@ -237,6 +238,7 @@
             number: reader.get_id(),
         },
         parts: parts.collect(),
+        remaining: Duration::from_millis(reader.get_remaining_ms().into()),
         service: reader.get_service()?.to_str()?.into(),
     })
 }
@@ -335,6 +337,7 @@
     builder.set_domain(member.domain.as_str());
     builder.set_endpoints(member.endpoints);
     builder.set_headroom(member.headroom.unwrap_or(0));
+    builder.set_evacuations(member.evacuations);
     builder.set_host(member.host.as_str());
     builder.set_incarnation(member.incarnation.0);
     builder.set_outstanding(member.outstanding);
@@ -365,6 +368,7 @@
         domain: reader.get_domain()?.to_str()?.into(),
         endpoints: reader.get_endpoints(),
         headroom: Some(reader.get_headroom()).filter(|percent| *percent > 0),
+        evacuations: reader.get_evacuations(),
         host: reader.get_host()?.to_str()?.into(),
         incarnation: id::Incarnation(reader.get_incarnation()),
         outstanding: reader.get_outstanding(),
@@ -392,7 +396,8 @@
     }
 }
 
-fn millis(duration: Duration) -> u32 {
+/// Returns a time in whole milliseconds.
+pub fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -65,6 +65,7 @@
         domain: "is-1".into(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: host.into(),
         incarnation: id::Incarnation(1),
         outstanding: 0,
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -321,6 +321,7 @@
             domain: "d1".into(),
             endpoints: 0,
             headroom: None,
+            evacuations: 0,
             host: "h1".into(),
             incarnation: id::Incarnation(1),
             outstanding: 0,
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -7,12 +7,13 @@
         id,
         serving::{
             balance::{Balancer, Part, Prompt, Report},
+            cold::Cold,
             piece::JobId,
             quarantine::Quarantine,
             roster::Entry,
         },
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// Tokens that fit into an engine's memory.
@@ -25,6 +26,7 @@
         .map(|number| {
             Arc::new(Entry {
                 address: ([127, 0, 0, 1], 1000 + number).into(),
+                cold: Cold::default(),
                 domain: if number % 2 == 0 { "a" } else { "b" }.into(),
                 endpoint: format!("e{number}").into(),
                 incarnation: 1,
@@ -63,6 +65,7 @@
                 tokens: own,
             },
         ],
+        remaining: Duration::from_secs(5),
         service: "s".into(),
     }
 }
--- a/tests/serving/directory.rs
+++ b/tests/serving/directory.rs
@@ -15,6 +15,7 @@
         domain: domain.into(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: format!("h{host}").into(),
         incarnation: Default::default(),
         outstanding: 0,
--- a/tests/serving/dispatchers.rs
+++ b/tests/serving/dispatchers.rs
@@ -26,6 +26,7 @@
         domain: "d".into(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: format!("h{number}").into(),
         incarnation: Default::default(),
         outstanding: 0,
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -27,6 +27,7 @@
             domain: DOMAINS[usize::from(host) % DOMAINS.len()].into(),
             endpoints: 0,
             headroom: None,
+            evacuations: 0,
             host: format!("h{host}").into(),
             incarnation: Default::default(),
             outstanding: 0,
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -21,6 +21,7 @@
         domain: domain.into(),
         endpoints: 0,
         headroom: None,
+        evacuations: 0,
         host: host.into(),
         incarnation: Incarnation(1),
         outstanding: 0,
