Plan which work is late when not all can be on time

Neither the dispatcher of a stage pool nor the balancing host chose which work became late under overload: everything became late together, and one team's burst delayed all teams.

Strict priority alone was ruled out, since it makes less urgent work late that would fit, and the earliest latest start alone, since it makes all work a little late.

Nothing uses it yet.

--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -15,6 +15,7 @@
 mod graph;
 mod limit;
 mod mirror;
+mod order;
 mod overload;
 mod packing;
 mod piece;
