Order jobs of stage pools by value and forecast over the whole chain

When not all jobs of a pool could be on time, all became late together, and a job's team did not count. Requests were admitted by the backlog of their first stage alone, so that work was done for requests that later stages could not finish.

With [overload] order = value, dispatchers plan their jobs at most every 20 ms and treat demoted ones as late. Jobs carry their team. With [overload] forecast = chain, homes keep the backlogs that outcomes report, by priority, and refuse a request whose later backlogs exceed its deadline.

batch.rs and batch_fuzz.rs only set the new field of Job to none.

Without the keys, the order and the forecast are as before.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -5,10 +5,13 @@
 pub mod answer;
 pub mod attempt;
 pub mod auxiliary;
+pub mod backlogs;
 pub mod balancing;
 pub mod control;
+pub mod demotions;
 pub mod dispatch;
 pub mod drain;
+pub mod expectation;
 pub mod follower;
 pub mod host;
 pub mod ingress;
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         coordination::serving::{
-            balancing::Balancing, control::Event, dispatch, pools::Pools, retries::Retries,
+            backlogs::Backlogs, balancing::Balancing, control::Event, dispatch, pools::Pools,
+            retries::Retries,
         },
         protocol::{
             adapter::{Answer, Codec},
@@ -47,6 +48,7 @@
 
 /// The shared state of the traffic thread.
 pub struct Host {
+    pub backlogs: Backlogs,
     pub balancing: Balancing,
     pub caller_bounds: Rc<Cell<Bounds>>,
     pub client: Client,
@@ -81,6 +83,7 @@
         log::info!(bytes = memory; "memory for bodies");
         let memory = Memory::new(memory);
         Rc::new(Self {
+            backlogs: Backlogs::default(),
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
             client: Client::new(memory.clone()),
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         coordination::serving::{
+            demotions::{self, Bound},
             host::Host,
             releases::{self, Releases},
         },
@@ -51,6 +52,7 @@
 #[derive(Default)]
 pub struct Pools {
     dispatchers: RefCell<HashMap<id::Pool, Dispatcher>>,
+    pub(super) demotion_lines: Bound,
     pub(super) releases: Releases,
     replies: RefCell<HashMap<JobId, Sender<Outcome>>>,
     /// When the state of the pools was last logged.
@@ -74,6 +76,7 @@
                 let entries = view.roster.service(service).iter();
                 dispatcher.update(pool, entries, view.hosts());
                 dispatcher.set_budget_bounds(host.settings().budget);
+                dispatcher.set_order(host.settings().order);
             }
         }
     }
@@ -175,9 +178,11 @@
         let mut dispatcher = Dispatcher::new(pool.clone(), host.settings().budget);
         let entries = view.roster.service(service).iter();
         dispatcher.update(pool, entries, view.hosts());
+        dispatcher.set_order(host.settings().order);
         dispatcher
     });
     run(dispatcher);
+    demotions::report(host, service, dispatcher.take_notes());
     true
 }
 
--- a/src/coordination/serving/stages.rs
+++ b/src/coordination/serving/stages.rs
@@ -5,6 +5,7 @@
         coordination::serving::{
             answer::{Reason, Refusal},
             dispatch,
+            expectation::Expectation,
             host::Host,
             relay::refusal_for,
             request::{Request, handles},
@@ -15,6 +16,7 @@
             serving::{
                 chain,
                 config::Config,
+                forecast::Scope,
                 graph::{Graph, Start},
                 piece::{Failure, Input, Job, Outcome, Output},
                 placement::Criteria,
@@ -85,6 +87,8 @@
     let stages = &request.route.stages;
     let graph = Graph::new(stages, &request.call.pieces)
         .map_err(|fault| refuse_unrunnable(request, &fault.to_string()))?;
+    let expectation = Expectation::new(host, config, request, &graph);
+    expectation.check(host, request)?;
     let mut guard = OutputGuard {
         graph,
         host: Rc::clone(host),
@@ -124,6 +128,7 @@
         guard.graph.restart();
     }
 
+    expectation.record(host);
     Ok(StageOutputs {
         handles: handles(&guard.graph.outputs()),
         guard,
@@ -234,6 +239,9 @@
             return Ok(());
         };
         record_step(host, request, step, &outcome);
+        let service = &request.route.stages[stage].service;
+        host.backlogs
+            .record_outcome(service, request.priority, &outcome);
         finish(host, request, guard, stage, outcome)?;
     }
 }
@@ -306,7 +314,27 @@
         request: request.id().to_owned(),
         service: start.service.clone(),
         stage: u16::try_from(start.stage).unwrap_or(u16::MAX),
-        urgency: chain::latest_start(config, &path, request.time_to_goal()),
+        team: request.team.clone(),
+        urgency: latest_start(host, config, request, &path),
+    }
+}
+
+/// Returns the time until the latest start of the first stage of a path at which the
+/// request can meet its goal.
+fn latest_start(
+    host: &Host,
+    config: &Config,
+    request: &Request,
+    path: &[(id::Pool, usize)],
+) -> Duration {
+    let time = request.time_to_goal();
+
+    match host.settings().forecast {
+        Scope::Stage => chain::latest_start(config, path, time),
+        Scope::Chain => chain::latest_start_with(config, path, time, |service| {
+            let backlog = host.backlogs.get(service, request.priority);
+            backlog.unwrap_or_default()
+        }),
     }
 }
 
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -3,7 +3,11 @@
 use {
     crate::{
         protocol::fields::Fields,
-        state::{fault::Fault, id, serving::budget::Bounds},
+        state::{
+            fault::Fault,
+            id,
+            serving::{batch::Order, budget::Bounds, forecast::Scope},
+        },
     },
     log::LevelFilter,
     std::{fs, net::SocketAddr, path::Path, time::Duration},
@@ -33,6 +37,7 @@
         &["connections", "grace_s", "keep_addresses_ms", "memory_mb"],
     ),
     ("log", &["level"]),
+    ("overload", &["forecast", "order"]),
     ("retries", &["ratio", "slack", "window_s"]),
     ("store", &["address", "kind", "wait_ms"]),
 ];
@@ -71,6 +76,8 @@
     /// Maximum number of connections from callers.
     pub connections: usize,
     pub domain: id::Domain,
+    /// What the forecast that refuses requests covers.
+    pub forecast: Scope,
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
@@ -80,6 +87,8 @@
     pub level: LevelFilter,
     /// Memory that the process may use, in bytes, if it differs from the machine's.
     pub memory: Option<usize>,
+    /// The order of jobs in the dispatchers of stage pools.
+    pub order: Order,
     pub peers: Vec<SocketAddr>,
     pub store: Store,
 }
@@ -144,6 +153,16 @@
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
     let memory = memory_bytes(fields);
+    let forecast = choice(
+        fields,
+        ("overload", "forecast"),
+        [("chain", Scope::Chain), ("stage", Scope::Stage)],
+    );
+    let order = choice(
+        fields,
+        ("overload", "order"),
+        [("value", Order::Value), ("urgency", Order::Urgency)],
+    );
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -163,12 +182,14 @@
         capacity: capacity(cores, link),
         connections: usize::try_from(connections?).ok()?,
         domain: domain?.into(),
+        forecast,
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
         host: host?.into(),
         keep_addresses: Duration::from_millis(keep?),
         level: level.unwrap_or(LevelFilter::Info),
         memory,
+        order,
         peers,
         store: Store {
             address: address?,
@@ -205,6 +226,25 @@
     core_percent.min(link_percent).clamp(1.0, 100_000.0) as u32
 }
 
+/// Returns the value of one of two names, or the default without the key.
+fn choice<T: Copy + Default>(
+    fields: &mut Fields,
+    (section, key): (&str, &str),
+    names: [(&str, T); 2],
+) -> T {
+    let Some(name) = fields.optional::<String>(section, key, "a text") else {
+        return T::default();
+    };
+
+    if let Some((_, value)) = names.iter().find(|(known, _)| *known == name) {
+        return *value;
+    }
+
+    let expected = format!("{} or {}", names[0].0, names[1].0);
+    fields.add_fault(section, key, &name, &expected);
+    T::default()
+}
+
 fn required_text(fields: &mut Fields, section: &str, key: &str) -> Option<String> {
     let value: String = fields.required(section, key, "a non-empty text")?;
 
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -30,6 +30,8 @@
             ),
             ("limits.memory_mb", changed.memory != current.memory),
             ("log.level", changed.level != current.level),
+            ("overload.forecast", changed.forecast != current.forecast),
+            ("overload.order", changed.order != current.order),
             ("host.peers", changed.peers != current.peers),
         ];
         let deferred = [
--- a/src/state/serving/batch.rs
+++ b/src/state/serving/batch.rs
@@ -5,7 +5,8 @@
 //! pieces, so pieces are queued while every endpoint is busy and sent in
 //! batches. Jobs that have begun go first, since their outputs occupy storage.
 //! Jobs that can still meet their goal come next, ordered by priority and by
-//! their latest start; jobs that are already late come last.
+//! their latest start; jobs that are already late come last. With the order by
+//! value, a plan decides which jobs become late when not all can be on time.
 
 mod active_job;
 mod call;
@@ -14,9 +15,15 @@
 mod fill;
 mod handles;
 mod load;
+mod served;
+mod value;
 mod watch;
 
-pub use {handles::Origin, load::Summary};
+pub use {
+    handles::Origin,
+    load::Summary,
+    value::{Demotion, Note, Order},
+};
 
 use {
     self::{
@@ -25,6 +32,7 @@
         deferrals::Deferrals,
         endpoint_state::EndpointState,
         load::Forecast,
+        value::Planning,
     },
     crate::state::{
         clock::Time,
@@ -115,6 +123,8 @@
     next_admission: u64,
     next_call: CallId,
     endpoints: BTreeMap<id::Endpoint, EndpointState>,
+    order: Order,
+    planning: Planning,
     pool: Pool,
     active_jobs: BTreeMap<JobId, ActiveJob>,
 }
@@ -131,6 +141,8 @@
             next_admission: 0,
             next_call: 0,
             endpoints: BTreeMap::new(),
+            order: Order::default(),
+            planning: Planning::default(),
             pool,
             active_jobs: BTreeMap::new(),
         }
@@ -192,12 +204,14 @@
             return;
         }
 
+        self.record_arrival(now, job.team.as_ref(), job.pieces.len());
         let Forecast {
             backlog,
             is_hopeless,
         } = self.forecast(now, &job);
 
         if job.first && is_hopeless {
+            self.record_end(now, job.priority, false);
             actions.push(Action::Finish {
                 job: job.id,
                 outcome: Outcome {
@@ -221,12 +235,15 @@
 
         let active = ActiveJob {
             admission: self.next_admission,
+            arrived: now,
             deadline: now + job.remaining,
+            is_demoted: false,
             output_bytes: (job.output_bytes as f64 * OUTPUT_MARGIN) as u64,
             pieces: pieces.collect(),
             starved_since: None,
             start_by: now + job.urgency,
             waiting: job.pieces.len(),
+            was_demoted: false,
             job,
         };
         self.next_admission += 1;
@@ -416,8 +433,9 @@
         };
 
         if active.pieces.iter().all(|piece| piece.output.is_some()) {
-            let backlog = self.backlog(now);
+            let backlog = self.backlog_for(now, active.job.priority);
             let active = self.active_jobs.remove(id).expect("the job was just found");
+            self.record_end(now, active.job.priority, true);
             let outputs = active.pieces.into_iter().filter_map(|piece| piece.output);
             actions.push(Action::Finish {
                 job: id.clone(),
@@ -441,6 +459,7 @@
             return;
         };
         let job_id = active.job.id.clone();
+        self.record_end(now, active.job.priority, false);
         self.cancel(now, id, actions);
         actions.push(Action::Finish {
             job: job_id,
--- a/src/state/serving/batch/active_job.rs
+++ b/src/state/serving/batch/active_job.rs
@@ -35,7 +35,10 @@
 pub(super) struct ActiveJob {
     /// Number of the job in the order in which the dispatcher accepted them.
     pub(super) admission: u64,
+    pub(super) arrived: Time,
     pub(super) deadline: Time,
+    /// Whether the job becomes late, so that others are on time.
+    pub(super) is_demoted: bool,
     pub(super) job: Job,
     /// Storage that one output takes.
     pub(super) output_bytes: u64,
@@ -47,6 +50,8 @@
     pub(super) starved_since: Option<Time>,
     /// Number of queued pieces.
     pub(super) waiting: usize,
+    /// Whether the job was ever demoted.
+    pub(super) was_demoted: bool,
 }
 
 impl ActiveJob {
@@ -83,9 +88,14 @@
         self.start_by >= now
     }
 
+    /// Returns whether the job is to meet its goal.
+    pub(super) fn is_planned(&self, now: Time) -> bool {
+        self.is_on_time(now) && !self.is_demoted
+    }
+
     /// Returns the urgency of the job.
-    fn urgency(&self, now: Time, call: Duration) -> Urgency {
-        if self.is_on_time(now) {
+    pub(super) fn urgency(&self, now: Time, call: Duration) -> Urgency {
+        if self.is_planned(now) {
             Urgency::OnTime
         } else if self.deadline.since(now) <= call.mul_f64(LAST_CHANCE_CALLS) {
             Urgency::LastChance
--- a/src/state/serving/batch/fill.rs
+++ b/src/state/serving/batch/fill.rs
@@ -11,6 +11,7 @@
                 active_job::{Rank, Urgency},
                 call::Member,
                 endpoint_state::EndpointState,
+                value::Order,
             },
             piece::JobId,
             roster::Entry,
@@ -30,6 +31,7 @@
 impl Dispatcher {
     /// Sends calls while an endpoint has a free slot and pieces are queued.
     pub(super) fn dispatch_queued(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.replan(now);
         let mut skipped = Vec::new();
 
         while let Some(endpoint) = self.next_endpoint(now, &skipped) {
@@ -162,8 +164,9 @@
                 (rank, active.job.id.clone())
             })
             .collect::<Vec<(Rank, JobId)>>();
-        self.limit_last_chances(&mut order);
+        self.limit_last_chances(now, &mut order);
         order.sort();
+        self.planning.add_credit(&self.pool);
         let mut chosen = Vec::new();
         let state = self.endpoints.get(&entry.endpoint);
         let mut free_storage = state.map_or(0, |state| state.free_storage(now, &self.pool));
@@ -171,7 +174,7 @@
         let domains = self.open_domains(now);
         let backlogged = self.is_backlogged();
 
-        for (_, id) in order {
+        for (rank, id) in order {
             let active = self
                 .active_jobs
                 .get_mut(&id)
@@ -208,6 +211,11 @@
                     active.starved_since = None;
                 }
 
+                if self.order == Order::Value && !active.has_begun() {
+                    self.planning.record_begin(now, active, rank.urgency);
+                }
+
+                let piece = &mut active.pieces[index];
                 piece.attempts += 1;
                 piece.running += 1;
                 active.queue(index, false);
@@ -225,18 +233,15 @@
 
     /// Moves last chances that exceed their share of a call behind the jobs that
     /// are on time. Without a limit, a long overload makes every job late.
-    fn limit_last_chances(&self, order: &mut [(Rank, JobId)]) {
+    fn limit_last_chances(&self, now: Time, order: &mut [(Rank, JobId)]) {
         order.sort();
-        let limit = (self.pool.batch as f64 * LAST_CHANCE_SHARE).ceil() as usize;
-        let mut pieces = 0;
+        let mut budget = self.last_chances(now);
 
         for (rank, id) in order {
-            if rank.urgency == Urgency::LastChance && !rank.has_begun() {
-                pieces += self.active_jobs[id].waiting;
+            let is_last_chance = rank.urgency == Urgency::LastChance && !rank.has_begun();
 
-                if pieces > limit {
-                    rank.urgency = Urgency::Late;
-                }
+            if is_last_chance && !budget.take(&self.active_jobs[id]) {
+                rank.urgency = Urgency::Late;
             }
         }
     }
--- a/src/state/serving/batch/load.rs
+++ b/src/state/serving/batch/load.rs
@@ -9,6 +9,7 @@
                 active_job::{ActiveJob, LAST_CHANCE_CALLS},
                 endpoint_state::EndpointState,
                 fill::LAST_CHANCE_SHARE,
+                value::Order,
             },
             piece::Job,
         },
@@ -91,6 +92,23 @@
         Duration::from_secs_f64(waiting as f64 / rate)
     }
 
+    /// Returns the expected time until a new piece of a priority would start, behind the
+    /// jobs that go before it.
+    pub(super) fn backlog_for(&self, now: Time, priority: u8) -> Duration {
+        let rate = self.rate(now);
+
+        if rate <= 0.0 {
+            return self.call_time(self.pool.batch);
+        }
+
+        let ahead = self.active_jobs.values().filter(|active| {
+            active.has_begun() || active.is_planned(now) && active.job.priority <= priority
+        });
+        let ahead = ahead.map(|active| active.waiting).sum::<usize>();
+        let waiting = ahead.saturating_sub(self.idle(now) * self.pool.batch);
+        Duration::from_secs_f64(waiting as f64 / rate)
+    }
+
     /// Returns the expected duration of a call with up to `pieces` pieces.
     pub(super) fn call_time(&self, pieces: usize) -> Duration {
         let pieces = u32::try_from(pieces.min(self.pool.batch)).unwrap_or(u32::MAX);
@@ -117,6 +135,16 @@
         calls.sum::<f64>() * self.pool.batch as f64
     }
 
+    /// Returns the pieces by which the forecast judges a new job. In the order by value
+    /// all jobs are judged alike: in a long overload, the queue is as long as the
+    /// forecast admits, and a longer call would keep out every large job.
+    fn admitted_pieces(&self, job: &Job) -> usize {
+        match self.order {
+            Order::Urgency => job.pieces.len(),
+            Order::Value => self.pool.batch,
+        }
+    }
+
     /// Forecasts how a new job would fare behind the queued pieces.
     ///
     /// A job that the pieces ahead of it make late may have to wait for its last
@@ -133,7 +161,7 @@
         let (on_time, late) = self
             .active_jobs
             .values()
-            .partition::<Vec<&ActiveJob>, _>(|active| active.is_on_time(now));
+            .partition::<Vec<&ActiveJob>, _>(|active| active.is_planned(now));
         let idle = self.idle(now) * self.pool.batch;
         let share = if pieces(&late) > idle {
             1.0 - LAST_CHANCE_SHARE
@@ -144,11 +172,12 @@
             .iter()
             .partition::<Vec<&ActiveJob>, _>(|active| active.job.priority <= job.priority);
         let wait = pieces(&ahead).saturating_sub(idle) as f64 / (rate * share);
+        let call = self.call_time(self.admitted_pieces(job));
         let urgency = job.urgency.as_secs_f64();
         let backlog = Duration::from_secs_f64(wait);
 
         if wait <= urgency {
-            let end = backlog + self.call_time(job.pieces.len());
+            let end = backlog + call;
             return Forecast {
                 backlog,
                 is_hopeless: end > job.remaining,
@@ -161,7 +190,7 @@
         let earlier = late.iter().filter(|active| active.deadline <= deadline);
         let earlier = earlier.map(|active| active.waiting).sum::<usize>();
         let last_chance = (earlier as f64 + excess) / (rate * LAST_CHANCE_SHARE);
-        let end = Duration::from_secs_f64(last_chance) + self.call_time(job.pieces.len());
+        let end = Duration::from_secs_f64(last_chance) + call;
         let window = self.call_time(self.pool.batch).mul_f64(LAST_CHANCE_CALLS);
         let is_near = |active: &&&ActiveJob| {
             active.deadline <= deadline && active.deadline + window > deadline
--- a/src/state/serving/chain.rs
+++ b/src/state/serving/chain.rs
@@ -29,9 +29,21 @@
     path: &[(id::Pool, usize)],
     time_to_goal: Duration,
 ) -> Duration {
-    let later_stages = u32::try_from(path.len().saturating_sub(1)).unwrap_or(u32::MAX);
-    let calls = calls_time(config, path);
-    time_to_goal.saturating_sub(calls + STAGE_QUEUE_TIME * later_stages + FIRST_EVENT_TIME)
+    latest_start_with(config, path, time_to_goal, |_| Duration::ZERO)
+}
+
+/// Returns the same as [`latest_start`] where later stages have a backlog, which is
+/// waited for if it is longer than the time reserved for it.
+pub fn latest_start_with(
+    config: &Config,
+    path: &[(id::Pool, usize)],
+    time_to_goal: Duration,
+    backlog: impl Fn(&id::Pool) -> Duration,
+) -> Duration {
+    let later = path.get(1..).unwrap_or_default().iter();
+    let waits = later.map(|(service, _)| backlog(service).max(STAGE_QUEUE_TIME));
+    let waits = waits.sum::<Duration>();
+    time_to_goal.saturating_sub(calls_time(config, path) + waits + FIRST_EVENT_TIME)
 }
 
 /// Returns the time until the end of the first stage of `path` at which the
@@ -47,7 +59,7 @@
 }
 
 /// Returns the time that the calls of stages take, one after the other.
-fn calls_time(config: &Config, path: &[(id::Pool, usize)]) -> Duration {
+pub fn calls_time(config: &Config, path: &[(id::Pool, usize)]) -> Duration {
     let times = path.iter().map(|(service, pieces)| {
         let pool = config.services.get(service);
         let pool = pool.and_then(|service| service.pool.as_ref());
--- a/src/state/serving/graph.rs
+++ b/src/state/serving/graph.rs
@@ -204,6 +204,13 @@
             .collect()
     }
 
+    /// Returns the longest path through the graph; see [`Self::longest_path`].
+    pub fn longest_whole_path(&self) -> Vec<(id::Pool, usize)> {
+        let longest = (0..self.0.len()).rev();
+        let longest = longest.max_by_key(|&stage| self.0[stage].path.len());
+        longest.map_or_else(Vec::new, |stage| self.longest_path(stage))
+    }
+
     fn can_start(&self, stage: usize) -> bool {
         let node = &self.0[stage];
         node.pieces > 0
--- a/src/state/serving/order.rs
+++ b/src/state/serving/order.rs
@@ -136,13 +136,10 @@
                 begun += work;
             }
 
-            if candidate.start_by < now {
-                continue;
-            }
-
+            // Late work counts, too: a team that has much of it takes last chances.
             let team = demand.add(candidate.team, work);
 
-            if !candidate.begun {
+            if !candidate.begun && candidate.start_by >= now {
                 steps.push(Step {
                     capacity: capacity.within(candidate.start_by.since(now)),
                     index,
@@ -225,9 +222,12 @@
     }
 }
 
-/// Positions of planned steps by priority and team, each with its work.
+/// Steps of one priority and team: the work and the position of each.
+type Steps = BinaryHeap<(u64, usize)>;
+
+/// Planned steps by priority and team.
 #[derive(Default)]
-struct Planned(BTreeMap<Reverse<u8>, BTreeMap<usize, BinaryHeap<(u64, usize)>>>);
+struct Planned(BTreeMap<Reverse<u8>, BTreeMap<usize, Steps>>);
 
 impl Planned {
     fn push(&mut self, position: usize, step: &Step) {
@@ -242,7 +242,7 @@
     fn pop(&mut self, demand: &Demand) -> Option<usize> {
         let mut priority = self.0.first_entry()?;
         let teams = priority.get_mut();
-        let cost = |(team, steps): (&usize, &BinaryHeap<(u64, usize)>)| {
+        let cost = |(team, steps): (&usize, &Steps)| {
             let largest = steps.peek().copied();
             (units(demand.excess(*team)), largest, *team)
         };
--- a/src/state/serving/order/shares.rs
+++ b/src/state/serving/order/shares.rs
@@ -25,10 +25,9 @@
 /// without a team.
 const MAX_TEAMS: usize = 1024;
 
-/// Multiple of its usual share, plus a part of all work, up to which a team is not
-/// above its share. The queue is a small sample of the work that arrives.
-const SHARE_FACTOR: f64 = 1.1;
-const SHARE_SLACK: f64 = 0.05;
+/// Part of all work by which a team may exceed its usual share without being above it.
+/// The queue is a small sample of the work that arrives.
+const SHARE_SLACK: f64 = 0.02;
 
 /// The usual share of each team.
 #[derive(Clone, Debug, Default)]
@@ -138,7 +137,7 @@
     /// it is not, or if its share is unknown.
     pub(super) fn excess(&self, team: usize) -> f64 {
         let (share, work) = self.work[team];
-        let usual = |share: f64| (share * SHARE_FACTOR + SHARE_SLACK) * self.total;
+        let usual = |share: f64| (share + SHARE_SLACK) * self.total;
         share.map_or(0.0, |share| (work - usual(share)).max(0.0))
     }
 }
--- a/src/state/serving/piece.rs
+++ b/src/state/serving/piece.rs
@@ -69,6 +69,8 @@
     pub request: String,
     pub service: id::Pool,
     pub stage: u16,
+    /// Team of the request, if it has one.
+    pub team: Option<id::Team>,
     /// Time until the latest start at which the request can meet its goal.
     pub urgency: Duration,
 }
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -134,6 +134,7 @@
     builder.set_request(&job.request);
     builder.set_service(job.service.as_str());
     builder.set_stage(job.stage);
+    builder.set_team(job.team.as_ref().map_or("", id::Team::as_str));
     builder.set_urgency_ms(millis(job.urgency));
     let mut pieces = builder.reborrow().init_pieces(length(job.pieces.len()));
 
@@ -160,6 +161,7 @@
 /// Returns an error for a malformed field.
 pub fn read_job(reader: job::Reader) -> capnp::Result<Job> {
     let domain = reader.get_domain()?.to_str()?;
+    let team = reader.get_team()?.to_str()?;
     let inputs = reader.get_inputs()?;
     let input = if inputs.is_empty() {
         Input::Key(reader.get_key()?.to_string()?)
@@ -183,6 +185,7 @@
         request: reader.get_request()?.to_string()?,
         service: reader.get_service()?.to_str()?.into(),
         stage: reader.get_stage(),
+        team: (!team.is_empty()).then(|| team.into()),
         urgency: Duration::from_millis(reader.get_urgency_ms().into()),
     })
 }
--- a/tests/serving/batch.rs
+++ b/tests/serving/batch.rs
@@ -68,6 +68,7 @@
         request: format!("r{number}"),
         service: "s".into(),
         stage: 0,
+        team: None,
         urgency: Duration::from_secs(1),
     }
 }
--- a/tests/serving/batch_fuzz.rs
+++ b/tests/serving/batch_fuzz.rs
@@ -201,6 +201,7 @@
             request: number.to_string(),
             service: "s".into(),
             stage: 3,
+            team: None,
             urgency: Duration::from_millis(urgency),
         };
         self.open.insert(job.id.clone(), job.clone());
--- a/tests/serving/chain.rs
+++ b/tests/serving/chain.rs
@@ -78,3 +78,21 @@
     let end = chain::latest_end(&config(), &path, Duration::from_secs(4));
     assert_eq!(end, Duration::from_micros(3_255_600));
 }
+
+/// Guards against first stages that start so late that the queues of later stages make
+/// the request miss its goal. A short backlog is within the time reserved for it.
+#[test]
+fn backlog_of_a_later_stage_counts_where_it_is_longer() {
+    let path = [("first", 1), ("second", 8), ("third", 16)];
+    let path = path.map(|(service, pieces)| (id::Pool::from(service), pieces));
+    let config = config();
+    let latest = |backlog: u64| {
+        chain::latest_start_with(&config, &path, GOAL * 2, |service| {
+            let applies = ["first", "second"].contains(&service.as_str());
+            Duration::from_millis(if applies { backlog } else { 0 })
+        })
+    };
+    let usual = chain::latest_start(&config, &path, GOAL * 2);
+    assert_eq!(latest(150), usual);
+    assert_eq!(latest(700), usual - Duration::from_millis(500));
+}
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -12,7 +12,9 @@
 mod dispatchers;
 mod event_stream;
 mod follower;
+mod forecast;
 mod graph;
+mod job_team;
 mod limit;
 mod mirror;
 mod order;
@@ -25,6 +27,7 @@
 mod rendezvous;
 mod stop;
 mod tally;
+mod value_order;
 
 #[path = "../support/fuzz.rs"]
 mod fuzz;
