--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -4,6 +4,7 @@
     crate::{
         coordination::serving::{
             auxiliary::DirectoryLog,
+            backlogs::Backlogs,
             balancing::Balancing,
             control::Event,
             dispatch,
@@ -53,6 +54,7 @@
 
 /// The shared state of the traffic thread.
 pub struct Host {
+    pub backlogs: Backlogs,
     pub balancing: Balancing,
     pub caller_bounds: Rc<Cell<Bounds>>,
     pub client: Client,
@@ -89,6 +91,7 @@
         log::info!(bytes = memory; "memory for bodies");
         let memory = Memory::new(memory);
         Rc::new(Self {
+            backlogs: Backlogs::default(),
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
             client: Client::new(memory.clone()),
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         coordination::serving::{
+            demotions::{self, Bound},
             host::Host,
             releases::{self, Releases},
         },
@@ -52,6 +53,7 @@
 #[derive(Default)]
 pub struct Pools {
     dispatchers: RefCell<HashMap<id::Pool, Dispatcher>>,
+    pub(super) demotion_lines: Bound,
     pub(super) releases: Releases,
     replies: RefCell<HashMap<JobId, Sender<Outcome>>>,
     /// When the state of the pools was last logged.
@@ -76,6 +78,7 @@
                 dispatcher.update(pool, entries, view.hosts());
                 dispatcher.set_fleet(view.cold_fleet());
                 dispatcher.set_budget_bounds(host.settings().budget);
+                dispatcher.set_order(host.settings().order);
             }
         }
     }
@@ -191,9 +194,11 @@
         let entries = view.roster.service(service).iter();
         dispatcher.update(pool, entries, view.hosts());
         dispatcher.set_fleet(view.cold_fleet());
+        dispatcher.set_order(host.settings().order);
         dispatcher
     });
     run(dispatcher);
+    demotions::report(host, service, dispatcher.take_notes());
     true
 }
 
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -6,7 +6,7 @@
         state::{
             fault::Fault,
             id,
-            serving::{budget::Bounds, cold},
+            serving::{batch::Order, budget::Bounds, cold, forecast::Scope},
         },
     },
     log::LevelFilter,
@@ -42,6 +42,7 @@
         &["connections", "grace_s", "keep_addresses_ms", "memory_mb"],
     ),
     ("log", &["level"]),
+    ("overload", &["forecast", "order"]),
     ("retries", &["ratio", "slack", "window_s"]),
     ("store", &["address", "kind", "wait_ms"]),
 ];
@@ -86,6 +87,8 @@
     pub domain: id::Domain,
     /// Whether the evacuations of failure domains are followed.
     pub follow_evacuations: bool,
+    /// What the forecast that refuses requests covers.
+    pub forecast: Scope,
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
@@ -99,6 +102,8 @@
     pub load_reports: bool,
     /// Memory that the process may use, in bytes, if it differs from the machine's.
     pub memory: Option<usize>,
+    /// The order of jobs in the dispatchers of stage pools.
+    pub order: Order,
     pub peers: Vec<SocketAddr>,
     pub store: Store,
     /// Whether the directory weights hosts by their capacity and the answers differ by
@@ -171,6 +176,16 @@
     let weighted_directory = switch(fields, "directory", "weighted");
     let cold = cold_bounds(fields);
     let follow_evacuations = fields.optional("evacuations", "follow", "true or false");
+    let forecast = choice(
+        fields,
+        ("overload", "forecast"),
+        [("chain", Scope::Chain), ("stage", Scope::Stage)],
+    );
+    let order = choice(
+        fields,
+        ("overload", "order"),
+        [("value", Order::Value), ("urgency", Order::Urgency)],
+    );
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -193,6 +208,7 @@
         cores,
         domain: domain?.into(),
         follow_evacuations: follow_evacuations.unwrap_or(false),
+        forecast,
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
         headroom,
@@ -201,6 +217,7 @@
         level: level.unwrap_or(LevelFilter::Info),
         load_reports,
         memory,
+        order,
         peers,
         store: Store {
             address: address?,
@@ -273,6 +290,25 @@
     core_percent.min(link_percent).clamp(1.0, 100_000.0) as u32
 }
 
+/// Returns the value of one of two names, or the default without the key.
+fn choice<T: Copy + Default>(
+    fields: &mut Fields,
+    (section, key): (&str, &str),
+    names: [(&str, T); 2],
+) -> T {
+    let Some(name) = fields.optional::<String>(section, key, "a text") else {
+        return T::default();
+    };
+
+    if let Some((_, value)) = names.iter().find(|(known, _)| *known == name) {
+        return *value;
+    }
+
+    let expected = format!("{} or {}", names[0].0, names[1].0);
+    fields.add_fault(section, key, &name, &expected);
+    T::default()
+}
+
 fn required_text(fields: &mut Fields, section: &str, key: &str) -> Option<String> {
     let value: String = fields.required(section, key, "a non-empty text")?;
 
--- a/tests/serving/cold.rs
+++ b/tests/serving/cold.rs
@@ -520,6 +520,7 @@
         service: "s".into(),
         stage: 0,
         urgency: Duration::from_secs(1),
+        team: None,
     }
 }
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -14,10 +14,13 @@
 mod evacuation;
 mod event_stream;
 mod follower;
+mod forecast;
 mod graph;
 mod headroom;
+mod job_team;
 mod limit;
 mod mirror;
+mod order;
 mod overload;
 mod pace;
 mod packing;
@@ -29,6 +32,7 @@
 mod stop;
 mod tally;
 mod uneven;
+mod value_order;
 mod weighted_directory;
 
 #[path = "../support/fuzz.rs"]
