Count the room at engines and estimate their speeds

The balancing host counted the tokens that engines still had to read, but neither their slots nor the memory of running requests. In a burst, engines queued requests in an order that nothing could change and preempted the newest one. It also took all engines for equally fast.

With [engines] room, the balancing host counts the slots and the memory that requests hold until their end is reported or their deadline passes. Prompts wait at the balancing host while no engine has room, ordered by order::plan, and are refused as not run when they cannot start before their deadline. The rate at which room becomes free is derived from the room held and the time for which it is held; the number of ends in the last seconds was ruled out, since at the start of a burst it shows the load and not the capacity.

With [engines] speeds, each engine has a lasting and a recent estimate of the time that it needs for a prompt. The time until the first event alone was ruled out as the measure: it depends on the prompts read before, and engines that are avoided get prompts only when they are idle, so that they looked slow for ever. A prompt's time therefore begins with the first event before.

--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -5,7 +5,7 @@
     persimmoncleat::state::{
         clock::Time,
         serving::{
-            balance::{Balancer, Part, Prompt, Report},
+            balance::{Balancer, Part, Prompt, Report, Terms},
             piece::JobId,
             quarantine::Quarantine,
             roster::Entry,
@@ -62,6 +62,7 @@
             part(1_000_000 + number, 2890),
         ],
         service: "s".into(),
+        terms: Terms::default(),
     }
 }
 
--- a/src/coordination/serving/answer.rs
+++ b/src/coordination/serving/answer.rs
@@ -36,6 +36,8 @@
     Leaving,
     Memory,
     NoEndpoint,
+    /// No engine has room before the deadline, but one does after the time.
+    NoRoom(Duration),
     Overload,
     Quarantined,
     Route,
@@ -59,6 +61,7 @@
             Self::Leaving => "host_leaving",
             Self::Memory => "no_memory",
             Self::NoEndpoint => "no_endpoint",
+            Self::NoRoom(_) => "engines_full",
             Self::Overload => "overload",
             Self::Quarantined => "prompt_part_quarantined",
             Self::Route => "no_route",
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -2,6 +2,8 @@
 //! engines for the whole fleet, and chooses one from this host's own
 //! observations if that host does not answer.
 
+mod room;
+
 use {
     crate::{
         coordination::serving::{
@@ -12,7 +14,7 @@
             clock::Time,
             id,
             serving::{
-                balance::{Balancer, Choice, Finding, Prompt, Report},
+                balance::{Answer, Balancer, Choice, Finding, Limits, Prompt, Report},
                 piece::JobId,
                 placement::Criteria,
                 quarantine::{self, Status},
@@ -24,6 +26,7 @@
     std::{
         cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
     },
+    tokio::time::sleep,
 };
 
 /// Time limit of a question to the balancing host. A prompt that waits longer
@@ -36,6 +39,14 @@
 /// Time for which a balancing host is not asked after it has not answered.
 const SILENCE_PAUSE: Duration = Duration::from_millis(600);
 
+/// Bounds of the time after which a waiting prompt is asked for again, whatever the
+/// balancing host answers.
+const MIN_WAIT: Duration = Duration::from_millis(5);
+const MAX_WAIT: Duration = Duration::from_millis(1000);
+
+/// Shortest delay after which the caller of a prompt that has waited in vain may retry.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+
 /// Timeout of a report, which needs no answer.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -43,6 +54,7 @@
 #[derive(Default)]
 pub struct Balancing {
     balancers: RefCell<HashMap<id::Pool, Balancer>>,
+    logged: room::Logged,
     /// Until when hosts that have not answered are not asked.
     silent_until: RefCell<HashMap<SocketAddr, Time>>,
 }
@@ -73,12 +85,30 @@
 pub struct PlacementGuard {
     /// Address of the balancing host; `None` stands for this host.
     address: Option<SocketAddr>,
+    /// Whether that host counts the room of the request until its end.
+    counted: bool,
     host: Rc<Host>,
     /// The service and the prompt; `None` once the report was sent.
     prompt: Option<(id::Pool, JobId)>,
+    /// Whether the engine has sent its first event.
+    started: bool,
 }
 
 impl PlacementGuard {
+    /// Reports the first event. Returns the guard if the end has to be reported, too.
+    pub fn start(mut self) -> Option<Self> {
+        if !self.counted {
+            self.send(Report::Started);
+            return None;
+        }
+
+        let prompt = self.prompt.clone();
+        self.send(Report::Started);
+        self.prompt = prompt;
+        self.started = true;
+        Some(self)
+    }
+
     /// Sends the report.
     pub fn report(mut self, report: Report) {
         self.send(report);
@@ -101,7 +131,11 @@
 
 impl Drop for PlacementGuard {
     fn drop(&mut self) {
-        self.send(Report::Abandoned);
+        self.send(if self.started {
+            Report::Ended
+        } else {
+            Report::Abandoned
+        });
     }
 }
 
@@ -133,6 +167,7 @@
             id: host.next_job(),
             parts,
             service: request.service.clone(),
+            terms: request.terms(),
         };
 
         let on_probation = is_on_probation(host, &prompt);
@@ -142,6 +177,7 @@
             Asked::Nothing if !on_probation => {}
             // Hosts that choose alone do not know of each other's requests.
             Asked::Nothing | Asked::Quarantined => return Err(Reason::Quarantined),
+            Asked::Refused(retry_after) => return Err(Reason::NoRoom(retry_after)),
         }
     }
 
@@ -178,10 +214,12 @@
     /// A part of the prompt is in quarantine, or on probation with a request
     /// under way.
     Quarantined,
+    /// No engine has room before the deadline, but one does after the time.
+    Refused(Duration),
 }
 
 /// Chooses the engine of a prompt of any host.
-pub fn place(host: &Host, prompt: &Prompt) -> Choice {
+pub fn place(host: &Host, prompt: &Prompt) -> Answer {
     let view = host.view();
     let now = boot_clock::now();
     let mut balancers = host.balancing.balancers.borrow_mut();
@@ -199,14 +237,13 @@
     });
 
     if barred {
-        return Choice::Quarantined;
+        return Choice::Quarantined.into();
     }
 
     let open = view.roster.open(&prompt.service);
-    let entry = balancer.place(now, open, prompt);
-    entry.map_or(Choice::NoEngine, |entry| {
-        Choice::Engine(entry.endpoint.clone())
-    })
+    let answer = balancer.answer(now, open, prompt);
+    room::observe(host, balancer, prompt, &answer);
+    answer
 }
 
 /// Records how a prompt of any host fared.
@@ -233,26 +270,60 @@
     let config = view.config.as_ref();
     let engine = config.and_then(|config| config.services.get(service)?.engine.as_ref());
     let capacity = engine.map_or(0, |engine| engine.capacity);
+    let settings = host.settings().engines;
+    let limits = engine.filter(|engine| settings.room && engine.slots > 0);
+    balancer.count_room(limits.map(|engine| Limits {
+        capacity: engine.capacity,
+        slots: engine.slots,
+    }));
+    balancer.estimate_speeds(settings.speeds);
     balancer.update(view.roster.service(service).iter(), capacity);
 }
 
 /// Asks the balancing host, or the next one in order while it is silent: hosts that
 /// choose alone know neither each other's prompts nor the engines that these crashed.
-async fn ask(host: &Rc<Host>, request: &Request, prompt: Prompt) -> Asked {
+/// A prompt that has to wait for room is asked for again with the same id.
+async fn ask(host: &Rc<Host>, request: &Request, mut prompt: Prompt) -> Asked {
+    loop {
+        let Some((address, answer)) = ask_once(host, request, &prompt).await else {
+            return Asked::Nothing;
+        };
+        let Choice::Wait(time) = answer.choice else {
+            return accept(host, prompt, address, answer);
+        };
+        let left = request.time_to_respond();
+
+        if left <= time {
+            return Asked::Refused(answer.backlog.max(MIN_RETRY_AFTER));
+        }
+
+        sleep(time.clamp(MIN_WAIT, MAX_WAIT)).await;
+        // The engines may have changed, and the caller's time has.
+        prompt.terms = request.terms();
+    }
+}
+
+/// Asks for the engine of a prompt once. Returns the balancing host and its answer, or
+/// `None` if all are silent.
+async fn ask_once(
+    host: &Rc<Host>,
+    request: &Request,
+    prompt: &Prompt,
+) -> Option<(Option<SocketAddr>, Answer)> {
     let dispatchers = dispatch::dispatchers(host, &prompt.service);
 
     for address in dispatchers.iter().take(MAX_BALANCERS) {
-        let choice = match address {
-            None => Some(place(host, &prompt)),
-            Some(address) => ask_peer(host, request, &prompt, *address).await,
+        let answer = match address {
+            None => Some(place(host, prompt)),
+            Some(address) => ask_peer(host, request, prompt, *address).await,
         };
 
-        if let Some(choice) = choice {
-            return accept(host, prompt, *address, choice);
+        if let Some(answer) = answer {
+            return Some((*address, answer));
         }
     }
 
-    Asked::Nothing
+    None
 }
 
 /// Asks another host for the engine of a prompt. Returns `None` if it is silent.
@@ -261,7 +332,7 @@
     request: &Request,
     prompt: &Prompt,
     address: SocketAddr,
-) -> Option<Choice> {
+) -> Option<Answer> {
     if host.balancing.is_silent(address) {
         return None;
     }
@@ -269,7 +340,7 @@
     let answer = host.links.place_prompt(address, prompt, PLACE_TIMEOUT);
 
     match answer.await {
-        Ok(choice) => Some(choice),
+        Ok(answer) => Some(answer),
         Err(error) => {
             host.balancing.mark_silent(address);
             host.tally.count("balancer_silent", &[]);
@@ -285,16 +356,19 @@
 }
 
 /// Turns the answer of a balancing host into a choice of this host.
-fn accept(host: &Rc<Host>, prompt: Prompt, address: Option<SocketAddr>, choice: Choice) -> Asked {
-    let endpoint = match choice {
+fn accept(host: &Rc<Host>, prompt: Prompt, address: Option<SocketAddr>, answer: Answer) -> Asked {
+    let endpoint = match answer.choice {
         Choice::Engine(endpoint) => endpoint,
-        Choice::NoEngine => return Asked::Nothing,
+        Choice::NoEngine | Choice::Wait(_) => return Asked::Nothing,
         Choice::Quarantined => return Asked::Quarantined,
+        Choice::Refused(time) => return Asked::Refused(time),
     };
     let guard = PlacementGuard {
         address,
+        counted: answer.counted,
         host: Rc::clone(host),
         prompt: Some((prompt.service, prompt.id)),
+        started: false,
     };
     let view = host.view();
     let placement = host.placement.borrow();
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -232,6 +232,7 @@
         host.memory.set_limit(body_memory(&newest));
         host.settings.replace(newest);
         host.pools.update(&host);
+        host.balancing.update(&host);
     }
 }
 
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -85,7 +85,7 @@
     }
 
     /// Returns the engine for the next attempt of a stream whose inputs are in
-    /// `domain`.
+    /// `domain`. One whose request was at an engine before does not wait for room.
     ///
     /// # Errors
     ///
@@ -202,6 +202,7 @@
             reason,
             retry_after: match reason {
                 Reason::Deferred(time) => time.max(FULL_RETRY_AFTER),
+                Reason::NoRoom(time) => time,
                 Reason::Quarantined => QUARANTINED_RETRY_AFTER,
                 _ => FULL_RETRY_AFTER,
             },
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -8,7 +8,8 @@
             clock::Time,
             id,
             serving::{
-                balance::{self, Part},
+                balance::{self, Part, Terms},
+                chain,
                 config::Route,
                 piece::Output,
                 quarantine::{self, Quarantine},
@@ -103,6 +104,24 @@
         balance::session(&self.prompt_parts())
     }
 
+    /// Returns how urgent the prompt is and what its answer needs. Only a request that
+    /// was at no engine before waits for room.
+    pub fn terms(&self) -> Terms {
+        let prompt = self.call.prompt.as_ref();
+        let output = prompt.map_or(0, |prompt| {
+            let hint = prompt.length_hint.unwrap_or(prompt.max_output_tokens);
+            hint.min(prompt.max_output_tokens)
+        });
+        Terms {
+            output_tokens: u32::try_from(output).unwrap_or(u32::MAX),
+            priority: self.priority,
+            remaining: self.remaining(),
+            team: self.team.clone(),
+            urgency: chain::latest_engine_start(self.time_to_goal()),
+            waits: !self.may_have_run.get(),
+        }
+    }
+
     /// Returns the ids of the first parts of the prompt that other requests may
     /// share, for logs.
     pub fn shared_parts(&self) -> Vec<&str> {
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -88,8 +88,8 @@
         };
         let outcome = match outcome {
             AttemptOutcome::Answered(open) => match start_response(host, &request, *open).await {
-                Ok(ResponseStart::Stream(stream)) => {
-                    report(guard, Report::Started);
+                Ok(ResponseStart::Stream(mut stream)) => {
+                    stream.guard = started(guard);
                     stage_outputs.release();
                     return Ok(forward(host, request, *stream, retry_state, stage_outputs));
                 }
@@ -125,6 +125,12 @@
     }
 }
 
+/// Reports the first event of a prompt, and returns the guard that reports its end if
+/// the balancing host counts it.
+fn started(guard: Option<PlacementGuard>) -> Option<PlacementGuard> {
+    guard.and_then(PlacementGuard::start)
+}
+
 /// Sends the report about a prompt without an answer. After a broken connection it
 /// says whether the engine has crashed, once that is known.
 fn report_failure(entry: &Entry, guard: Option<PlacementGuard>, outcome: &AttemptOutcome) {
--- a/src/coordination/serving/stream/resume.rs
+++ b/src/coordination/serving/stream/resume.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        report, report_failure,
+        report_failure,
         start::{Stream, continue_response},
+        started,
     },
     crate::{
         coordination::serving::{
@@ -16,7 +17,7 @@
             stages::StageOutputs,
         },
         protocol::event_stream::Splitter,
-        state::serving::{balance::Report, config::RetryMode},
+        state::serving::config::RetryMode,
     },
     std::rc::Rc,
 };
@@ -58,8 +59,8 @@
         let outcome = match attempt(host, request, &entry, options).await {
             AttemptOutcome::Answered(open) => {
                 match continue_response(host, request, *open, splitter.clone()).await {
-                    Ok(stream) => {
-                        report(guard, Report::Started);
+                    Ok(mut stream) => {
+                        stream.guard = started(guard);
                         return Some(stream);
                     }
                     Err(outcome) => {
--- a/src/coordination/serving/stream/start.rs
+++ b/src/coordination/serving/stream/start.rs
@@ -5,6 +5,7 @@
     crate::{
         coordination::serving::{
             attempt::{AttemptOutcome, OpenResponse},
+            balancing::PlacementGuard,
             host::Host,
             request::Request,
         },
@@ -28,6 +29,8 @@
 /// A stream whose first events have arrived.
 pub(super) struct Stream {
     pub(super) events: Vec<u8>,
+    /// Reports the end of the request when the stream is dropped.
+    pub(super) guard: Option<PlacementGuard>,
     pub(super) open: OpenResponse,
     pub(super) splitter: Splitter,
 }
@@ -137,6 +140,7 @@
             Ok(None) if open.exchange.announces_its_end() && !splitter.is_partial() => {
                 return Ok(Stream {
                     events: Vec::new(),
+                    guard: None,
                     open,
                     splitter,
                 });
@@ -158,6 +162,7 @@
             Some(events) => {
                 return Ok(Stream {
                     events,
+                    guard: None,
                     open,
                     splitter,
                 });
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -44,6 +44,8 @@
 /// Prompt and maximum output of a request to a model engine, in tokens.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Prompt {
+    /// The caller's estimate of the output tokens.
+    pub length_hint: Option<u64>,
     pub max_output_tokens: u64,
     pub parts: Vec<Part>,
     pub tokens: u64,
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -11,6 +11,7 @@
 
 /// Known sections and keys, sorted.
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
+    ("engines", &["room", "speeds"]),
     (
         "host",
         &[
@@ -60,6 +61,16 @@
     pub wait: Duration,
 }
 
+/// How the balancing host chooses engines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Engines {
+    /// Whether the slots and the memory of engines are counted, and prompts wait for
+    /// them.
+    pub room: bool,
+    /// Whether the speeds of engines are estimated.
+    pub speeds: bool,
+}
+
 /// The validated settings.
 #[derive(Clone, Debug)]
 pub struct File {
@@ -71,6 +82,7 @@
     /// Maximum number of connections from callers.
     pub connections: usize,
     pub domain: id::Domain,
+    pub engines: Engines,
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
@@ -144,6 +156,7 @@
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
     let memory = memory_bytes(fields);
+    let engines = engines(fields);
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -163,6 +176,7 @@
         capacity: capacity(cores, link),
         connections: usize::try_from(connections?).ok()?,
         domain: domain?.into(),
+        engines,
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
         host: host?.into(),
@@ -178,6 +192,13 @@
     })
 }
 
+fn engines(fields: &mut Fields) -> Engines {
+    let mut enabled = |key| fields.optional("engines", key, "true or false");
+    let room = enabled("room").unwrap_or(false);
+    let speeds = enabled("speeds").unwrap_or(false);
+    Engines { room, speeds }
+}
+
 /// Returns the memory that the process may use, in bytes.
 fn memory_bytes(fields: &mut Fields) -> Option<usize> {
     const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -22,6 +22,7 @@
     /// keep their values.
     pub fn new(current: &File, mut changed: File) -> Self {
         let applied = [
+            ("engines", changed.engines != current.engines),
             ("retries", changed.budget != current.budget),
             ("limits.grace_s", changed.grace != current.grace),
             (
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod limit;
 pub mod mirror;
+pub mod order;
 pub mod piece;
 pub mod placement;
 pub mod quarantine;
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -6,16 +6,28 @@
 //! each engine still has to read and remembers the prefixes that it has read
 //! before. A prompt goes to the engine that is expected to reach its end first.
 
+mod admission;
+mod engine;
+mod flow;
+mod prompt;
+mod queue;
 mod report;
-
-pub use report::{Finding, Report};
+mod room;
+mod speed;
+
+pub use {
+    admission::Occupancy,
+    prompt::{Answer, Choice, Part, Prompt, Terms, session},
+    report::{Finding, Report},
+    room::Limits,
+};
 
 use {
+    self::{admission::Admission, engine::Engine, speed::Reference},
     crate::state::{
         clock::Time,
         id, rendezvous,
         serving::{
-            health::Health,
             piece::JobId,
             quarantine::{self, Evidence, Quarantine, Status},
             roster::Entry,
@@ -55,46 +67,6 @@
 /// Bounds of an engine's time for a prompt, relative to that of the service.
 const RATIO_BOUNDS: (f64, f64) = (0.5, 10.0);
 
-/// A part of a prompt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Part {
-    /// Hash of this part alone.
-    pub id: u64,
-    /// Hash of this part and all parts before it. An engine reuses a part only
-    /// after the same parts.
-    pub prefix: u64,
-    pub tokens: u32,
-}
-
-/// Returns the hash of the prompt up to the end of the last part that requests
-/// of a session share, or `None` without a prompt.
-pub fn session(parts: &[Part]) -> Option<u64> {
-    let part = parts.get(parts.len().saturating_sub(2))?;
-    Some(part.prefix)
-}
-
-/// A prompt for which a host needs an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Prompt {
-    /// Failure domain that holds the inputs, if there are any.
-    pub domain: Option<id::Domain>,
-    /// Engines that must not be chosen.
-    pub exclude: Vec<id::Endpoint>,
-    pub id: JobId,
-    pub parts: Vec<Part>,
-    pub service: id::Pool,
-}
-
-/// The answer to a host that needs an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Choice {
-    Engine(id::Endpoint),
-    /// All engines are leaving or excluded.
-    NoEngine,
-    /// A part of the prompt is in quarantine.
-    Quarantined,
-}
-
 /// A prompt that was placed and has no first event yet.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -109,21 +81,11 @@
     work: u64,
 }
 
-/// The state of one engine.
-#[derive(Clone, Debug, Default)]
-struct Engine {
-    /// Tokens and last use of the prefixes that the engine has read.
-    cached: HashMap<u64, (u32, Time)>,
-    cached_tokens: u64,
-    health: Health,
-    incarnation: u64,
-    /// Tokens that the engine still has to read.
-    pending: u64,
-}
-
 /// Chooses the engines of one service.
 #[derive(Debug, Default)]
 pub struct Balancer {
+    /// The room at the engines and who waits for it; `None` unless room is counted.
+    admission: Option<Admission>,
     /// Tokens that fit into an engine's memory.
     capacity: u64,
     engines: BTreeMap<id::Endpoint, Engine>,
@@ -132,8 +94,19 @@
     /// binary logarithm of the tokens ahead of the event.
     typical: BTreeMap<u32, f64>,
     pending: HashMap<JobId, Pending>,
+    /// Time that the engines need; `None` unless their speeds are estimated.
+    reference: Option<Reference>,
     /// Prompts by the time at which they were placed.
     placed: VecDeque<(Time, JobId)>,
+    speed_changes: Vec<SpeedChange>,
+}
+
+/// An engine whose speed became significant or no longer is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SpeedChange {
+    pub endpoint: id::Endpoint,
+    /// Time that the engine takes relative to its service, if that is significant.
+    pub slowness: Option<f64>,
 }
 
 impl Balancer {
@@ -166,15 +139,29 @@
         prompt: &Prompt,
     ) -> Option<&'a Arc<Entry>> {
         self.expire(now);
+        let (entry, _) = self.choose(now, entries, prompt)?;
+        self.record_placement(now, entry, prompt);
+        Some(entry)
+    }
+
+    /// Returns the engine that is best for a prompt, and whether it has room. Engines
+    /// with room come before those without.
+    fn choose<'a>(
+        &self,
+        now: Time,
+        entries: impl Iterator<Item = &'a Arc<Entry>>,
+        prompt: &Prompt,
+    ) -> Option<(&'a Arc<Entry>, bool)> {
         let open = entries
             .filter(|entry| !entry.leaving && !prompt.exclude.contains(&entry.endpoint))
             .collect::<Vec<&Arc<Entry>>>();
         let presumed = self.presumed_engine(&open, prompt);
-        let entry = open
-            .into_iter()
-            .min_by_key(|entry| self.rank(now, entry, prompt, presumed.as_ref()))?;
-        self.record_placement(now, entry, prompt);
-        Some(entry)
+        let ranked = open.into_iter().map(|entry| {
+            let rank = self.rank(now, entry, prompt, presumed.as_ref());
+            (rank, entry)
+        });
+        let ((_, is_full, _), entry) = ranked.min_by_key(|(rank, _)| *rank)?;
+        Some((entry, !is_full))
     }
 
     /// Records how a prompt fared, and returns what that shows about its parts.
@@ -187,6 +174,10 @@
         report: Report,
         quarantine: &Quarantine,
     ) -> Finding {
+        if report != Report::Started {
+            self.release(now, id);
+        }
+
         let Some(pending) = self.pending.remove(id) else {
             return Finding::Nothing;
         };
@@ -211,9 +202,11 @@
                     parts.find(|part| quarantine.status(now, *part) == Status::Probation);
                 released.map_or(Finding::Nothing, Finding::Harmless)
             }
-            Report::Abandoned | Report::Failed | Report::Full | Report::Unreachable => {
-                Finding::Nothing
-            }
+            Report::Abandoned
+            | Report::Ended
+            | Report::Failed
+            | Report::Full
+            | Report::Unreachable => Finding::Nothing,
         }
     }
 
@@ -228,9 +221,10 @@
             return;
         };
         engine.pending = engine.pending.saturating_sub(pending.tokens);
+        engine.speed.forget(pending.placed);
 
         match report {
-            Report::Abandoned => {}
+            Report::Abandoned | Report::Ended => {}
             Report::Failed | Report::Lost => {
                 engine.health.record_failure(now);
             }
@@ -244,10 +238,42 @@
                 let (low, high) = RATIO_BOUNDS;
                 let ratio = (elapsed / typical.max(f64::MIN_POSITIVE)).clamp(low, high);
                 engine.health.record_success(ratio);
+                self.record_speed(now, pending);
             }
         }
     }
 
+    fn record_speed(&mut self, now: Time, pending: &Pending) {
+        let engine = self.engines.get_mut(&pending.endpoint);
+        let (Some(reference), Some(engine)) = (&mut self.reference, engine) else {
+            return;
+        };
+        let speed = &mut engine.speed;
+
+        if reference.record(now, speed, pending.tokens, pending.placed) {
+            self.speed_changes.push(SpeedChange {
+                endpoint: pending.endpoint.clone(),
+                slowness: engine.speed.significant(),
+            });
+        }
+
+        let speeds = self.engines.values_mut().map(|engine| &mut engine.speed);
+        reference.centre(speeds);
+    }
+
+    /// Sets whether the speeds of the engines are estimated.
+    pub fn estimate_speeds(&mut self, enabled: bool) {
+        if enabled != self.reference.is_some() {
+            self.reference = enabled.then(Reference::default);
+        }
+    }
+
+    /// Returns the engines whose speed became significant or no longer is, since the
+    /// last call.
+    pub fn take_speed_changes(&mut self) -> Vec<SpeedChange> {
+        std::mem::take(&mut self.speed_changes)
+    }
+
     /// Returns the number of prompts without a first event.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -279,9 +305,9 @@
         entry: &Entry,
         prompt: &Prompt,
         presumed: Option<&id::Endpoint>,
-    ) -> (bool, u64) {
+    ) -> (bool, bool, u64) {
         let Some(engine) = self.engines.get(&entry.endpoint) else {
-            return (true, u64::MAX);
+            return (true, true, u64::MAX);
         };
         let elsewhere = (prompt.domain.as_ref()).is_some_and(|domain| *domain != entry.domain);
         let distance = if elsewhere { OTHER_DOMAIN_TOKENS } else { 0 };
@@ -292,18 +318,26 @@
             engine.unread(prompt).saturating_sub(own) * UNREAD_WEIGHT
         };
         let work = engine.pending + own + shared + FIXED_TOKENS + distance;
-        let slowness = if engine.health.is_slow() {
+        let slowness = self.slowness(now, engine);
+        let cost = work as f64 * slowness;
+        let is_full = !self.has_room(entry, engine, prompt);
+        (engine.health.is_paused(now), is_full, cost as u64)
+    }
+
+    fn slowness(&self, now: Time, engine: &Engine) -> f64 {
+        if self.reference.is_some() {
+            engine.speed.slowness(now)
+        } else if engine.health.is_slow() {
             engine.health.latency_ratio()
         } else {
             1.0
-        };
-        let cost = work as f64 * slowness;
-        (engine.health.is_paused(now), cost as u64)
+        }
     }
 
     fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
         // An id that occurs twice must not leave the tokens of the first prompt pending.
         self.abandon(now, &prompt.id);
+        self.release(now, &prompt.id);
         let Some(engine) = self.engines.get_mut(&entry.endpoint) else {
             return;
         };
@@ -312,6 +346,15 @@
         engine.pending = work;
         let limit = (self.capacity as f64 * CACHE_SHARE) as u64;
         engine.remember(now, prompt, limit);
+
+        if let Some(reference) = &self.reference {
+            reference.expect(now, &mut engine.speed, tokens);
+        }
+
+        if let Some(admission) = &mut self.admission {
+            admission.hold(now, &mut engine.room, entry, prompt);
+        }
+
         self.placed.push_back((now, prompt.id.clone()));
         self.pending.insert(
             prompt.id.clone(),
@@ -354,43 +397,3 @@
         }
     }
 }
-
-impl Engine {
-    /// Returns the number of the prompt's tokens that the engine has to read.
-    fn unread(&self, prompt: &Prompt) -> u64 {
-        let parts = prompt.parts.iter();
-        let unread = parts.skip_while(|part| self.cached.contains_key(&part.prefix));
-        unread.map(|part| u64::from(part.tokens)).sum()
-    }
-
-    /// Adds the prompt's parts to the cached prefixes and drops the least
-    /// recently used ones above `limit` tokens.
-    fn remember(&mut self, now: Time, prompt: &Prompt, limit: u64) {
-        for part in &prompt.parts {
-            let known = self.cached.insert(part.prefix, (part.tokens, now));
-            let known = known.map_or(0, |(tokens, _)| u64::from(tokens));
-            self.cached_tokens += u64::from(part.tokens);
-            self.cached_tokens -= known;
-        }
-
-        if self.cached_tokens <= limit {
-            return;
-        }
-
-        let mut by_use = self
-            .cached
-            .iter()
-            .map(|(prefix, (tokens, used))| (*used, *prefix, *tokens))
-            .collect::<Vec<(Time, u64, u32)>>();
-        by_use.sort_unstable();
-
-        for (_, prefix, tokens) in by_use {
-            if self.cached_tokens <= limit {
-                return;
-            }
-
-            self.cached.remove(&prefix);
-            self.cached_tokens -= u64::from(tokens);
-        }
-    }
-}
--- a/src/state/serving/balance/report.rs
+++ b/src/state/serving/balance/report.rs
@@ -6,6 +6,8 @@
     /// The request ended before the engine answered, for a reason that says
     /// nothing about the engine.
     Abandoned,
+    /// The request ended after the engine's first event.
+    Ended,
     /// The engine broke off or its response was unusable.
     Failed,
     /// The engine refused because it is full or leaving.
@@ -20,8 +22,9 @@
 
 impl Report {
     /// All reports, for decoding.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Abandoned,
+        Self::Ended,
         Self::Failed,
         Self::Full,
         Self::Lost,
@@ -33,6 +36,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Abandoned => "abandoned",
+            Self::Ended => "ended",
             Self::Failed => "failed",
             Self::Full => "full",
             Self::Lost => "lost",
--- a/src/state/serving/chain.rs
+++ b/src/state/serving/chain.rs
@@ -21,6 +21,12 @@
 /// their goal.
 const STAGE_QUEUE_TIME: Duration = Duration::from_millis(200);
 
+/// Returns the time until a request without further stages has to be at an engine to
+/// meet its goal.
+pub fn latest_engine_start(time_to_goal: Duration) -> Duration {
+    time_to_goal.saturating_sub(FIRST_EVENT_TIME)
+}
+
 /// Returns the time until the latest start of the first stage of `path` at
 /// which the request can meet its goal. `path` holds the service and the number
 /// of pieces of each remaining stage.
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -5,7 +5,7 @@
         state::{
             id,
             serving::{
-                balance::{Choice, Prompt, Report},
+                balance::{Answer, Prompt, Report},
                 mirror::RelayedChanges,
                 piece::{Job, JobId, Outcome, Output},
             },
@@ -97,7 +97,7 @@
         address: SocketAddr,
         prompt: &Prompt,
         timeout: Duration,
-    ) -> Result<Choice, Error> {
+    ) -> Result<Answer, Error> {
         let prompt = prompt.clone();
 
         self.call(address, timeout, move |peer| {
@@ -105,16 +105,7 @@
                 let mut request = peer.place_prompt_request();
                 wire::write_prompt(request.get().init_placement(), &prompt);
                 let response = request.send().promise.await?;
-                let results = response.get()?;
-                let endpoint = results.get_endpoint()?.to_str()?;
-
-                Ok(if results.get_quarantined() {
-                    Choice::Quarantined
-                } else if endpoint.is_empty() {
-                    Choice::NoEngine
-                } else {
-                    Choice::Engine(endpoint.into())
-                })
+                wire::read_placement(response.get()?)
             })
         })
         .await
--- a/src/transport/peer_call.rs
+++ b/src/transport/peer_call.rs
@@ -6,7 +6,7 @@
         fleet::gossip::Message,
         id,
         serving::{
-            balance::{Choice, Prompt, Report},
+            balance::{Answer, Prompt, Report},
             mirror::RelayedChanges,
             piece::{Job, JobId, Outcome, Output},
         },
@@ -43,7 +43,7 @@
     /// Asks for the engine of a prompt.
     PlacePrompt {
         prompt: Prompt,
-        reply: oneshot::Sender<Choice>,
+        reply: oneshot::Sender<Answer>,
     },
     /// Exchanges membership records.
     Probe {
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        state::serving::{balance::Choice, piece::JobId},
+        state::serving::piece::JobId,
         transport::{
             link_server::{Activity, Deliver},
             peer_call::PeerCall,
@@ -152,17 +152,10 @@
         mut results: peer::PlacePromptResults,
     ) -> capnp::Result<()> {
         let prompt = wire::read_prompt(params.get()?.get_placement()?)?;
-        let choice = self
+        let answer = self
             .dispatch_and_wait(|reply| PeerCall::PlacePrompt { prompt, reply })
             .await?;
-        let mut results = results.get();
-
-        match choice {
-            Choice::Engine(endpoint) => results.set_endpoint(endpoint.as_str()),
-            Choice::NoEngine => {}
-            Choice::Quarantined => results.set_quarantined(true),
-        }
-
+        wire::write_placement(results.get(), &answer);
         Ok(())
     }
 
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -2,8 +2,12 @@
 //! modules.
 
 mod objects;
+mod prompts;
 
-pub use objects::{read_changes, write_changes};
+pub use {
+    objects::{read_changes, write_changes},
+    prompts::{read_placement, read_prompt, read_report, write_placement, write_prompt},
+};
 
 use {
     crate::{
@@ -14,13 +18,12 @@
             fleet::member::{Member, Phase},
             id,
             serving::{
-                balance::{Part, Prompt, Report},
                 piece::{Failure, Input, Job, JobId, Outcome, Output},
                 quarantine::Entry,
             },
         },
         transport::peer_capnp::{
-            self, job, member, message, outcome, output, placement, quarantined, subject,
+            self, job, member, message, outcome, output, quarantined, subject,
         },
     },
     capnp::struct_list,
@@ -187,72 +190,6 @@
     })
 }
 
-/// Writes a prompt that needs an engine.
-pub fn write_prompt(mut builder: placement::Builder, prompt: &Prompt) {
-    builder.set_domain(prompt.domain.as_ref().map_or("", id::Domain::as_str));
-    builder.set_home(prompt.id.home.as_str());
-    builder.set_id(prompt.id.number);
-    builder.set_service(prompt.service.as_str());
-    let mut exclude = builder
-        .reborrow()
-        .init_exclude(length(prompt.exclude.len()));
-
-    for (index, endpoint) in (0..).zip(&prompt.exclude) {
-        exclude.set(index, endpoint.as_str());
-    }
-
-    let mut parts = builder.init_parts(length(prompt.parts.len()));
-
-    for (index, part) in (0..).zip(&prompt.parts) {
-        let mut row = parts.reborrow().get(index);
-        row.set_id(part.id);
-        row.set_prefix(part.prefix);
-        row.set_tokens(part.tokens);
-    }
-}
-
-/// Reads a prompt that needs an engine.
-///
-/// # Errors
-///
-/// Returns an error for a malformed field.
-pub fn read_prompt(reader: placement::Reader) -> capnp::Result<Prompt> {
-    let domain = reader.get_domain()?.to_str()?;
-    let exclude = reader.get_exclude()?;
-    let exclude = exclude
-        .iter()
-        .map(|endpoint| Ok(endpoint?.to_str()?.into()));
-    let parts = reader.get_parts()?;
-    let parts = parts.iter().map(|part| Part {
-        id: part.get_id(),
-        prefix: part.get_prefix(),
-        tokens: part.get_tokens(),
-    });
-
-    Ok(Prompt {
-        domain: (!domain.is_empty()).then(|| domain.into()),
-        exclude: exclude.collect::<capnp::Result<Vec<id::Endpoint>>>()?,
-        id: JobId {
-            home: reader.get_home()?.to_str()?.into(),
-            number: reader.get_id(),
-        },
-        parts: parts.collect(),
-        service: reader.get_service()?.to_str()?.into(),
-    })
-}
-
-/// Reads how a prompt fared.
-///
-/// # Errors
-///
-/// Returns an error for an unknown name.
-pub fn read_report(name: &str) -> capnp::Result<Report> {
-    Report::ALL
-        .into_iter()
-        .find(|report| report.name() == name)
-        .ok_or_else(|| capnp::Error::failed(format!("{name:?} is not a report")))
-}
-
 /// Writes the outcome of a job.
 pub fn write_outcome(mut builder: outcome::Builder, outcome: &Outcome) {
     builder.set_backlog_ms(millis(outcome.backlog));
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -6,7 +6,7 @@
         clock::Time,
         id,
         serving::{
-            balance::{Balancer, Part, Prompt, Report},
+            balance::{Balancer, Part, Prompt, Report, Terms},
             piece::JobId,
             quarantine::Quarantine,
             roster::Entry,
@@ -64,6 +64,7 @@
             },
         ],
         service: "s".into(),
+        terms: Terms::default(),
     }
 }
 
