Report the room of engines and test it with processes

Operators lacked figures for prompts that wait. The balancing host samples the engines without a free slot and the prompts that wait, and logs both at most once a second. The stand-ins' hosts run with room and speeds, so that all tests with processes cover them. The guard that reports the end of a request moves to a file of its own.

--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -2,8 +2,11 @@
 //! engines for the whole fleet, and chooses one from this host's own
 //! observations if that host does not answer.
 
+mod guard;
 mod room;
 
+pub use guard::PlacementGuard;
+
 use {
     crate::{
         coordination::serving::{
@@ -47,9 +50,6 @@
 /// Shortest delay after which the caller of a prompt that has waited in vain may retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Timeout of a report, which needs no answer.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The balancers that run on this host.
 #[derive(Default)]
 pub struct Balancing {
@@ -81,64 +81,6 @@
     }
 }
 
-/// Reports to the balancing host how a prompt fared, at the latest on drop.
-pub struct PlacementGuard {
-    /// Address of the balancing host; `None` stands for this host.
-    address: Option<SocketAddr>,
-    /// Whether that host counts the room of the request until its end.
-    counted: bool,
-    host: Rc<Host>,
-    /// The service and the prompt; `None` once the report was sent.
-    prompt: Option<(id::Pool, JobId)>,
-    /// Whether the engine has sent its first event.
-    started: bool,
-}
-
-impl PlacementGuard {
-    /// Reports the first event. Returns the guard if the end has to be reported, too.
-    pub fn start(mut self) -> Option<Self> {
-        if !self.counted {
-            self.send(Report::Started);
-            return None;
-        }
-
-        let prompt = self.prompt.clone();
-        self.send(Report::Started);
-        self.prompt = prompt;
-        self.started = true;
-        Some(self)
-    }
-
-    /// Sends the report.
-    pub fn report(mut self, report: Report) {
-        self.send(report);
-    }
-
-    fn send(&mut self, report: Report) {
-        let Some((service, id)) = self.prompt.take() else {
-            return;
-        };
-
-        match self.address {
-            Some(address) => {
-                let links = &self.host.links;
-                links.report_prompt(address, &service, &id, report, REPORT_TIMEOUT);
-            }
-            None => record(&self.host, &service, &id, report),
-        }
-    }
-}
-
-impl Drop for PlacementGuard {
-    fn drop(&mut self) {
-        self.send(if self.started {
-            Report::Ended
-        } else {
-            Report::Abandoned
-        });
-    }
-}
-
 /// An engine for a prompt, and the guard that reports how it fared if the
 /// balancing host chose the engine.
 pub struct Chosen {
@@ -363,13 +305,7 @@
         Choice::Quarantined => return Asked::Quarantined,
         Choice::Refused(time) => return Asked::Refused(time),
     };
-    let guard = PlacementGuard {
-        address,
-        counted: answer.counted,
-        host: Rc::clone(host),
-        prompt: Some((prompt.service, prompt.id)),
-        started: false,
-    };
+    let guard = PlacementGuard::new(host, address, prompt, answer.counted);
     let view = host.view();
     let placement = host.placement.borrow();
     let now = boot_clock::now();
--- a/src/coordination/serving/balancing/room.rs
+++ b/src/coordination/serving/balancing/room.rs
@@ -67,6 +67,10 @@
     }
 
     if let Some(occupancy) = balancer.occupancy() {
+        host.tally
+            .sample("engines_full", occupancy.full as u64, &tags);
+        host.tally
+            .sample("prompts_waiting", occupancy.waiting as u64, &tags);
         log::info!(
             service = service,
             engines = occupancy.engines,
--- a/src/state/serving/balance/speed.rs
+++ b/src/state/serving/balance/speed.rs
@@ -99,7 +99,14 @@
     /// Returns the time that the engine takes relative to its service.
     pub fn slowness(&self, now: Time) -> f64 {
         let idle = now.since(self.last);
-        let recent = self.recent_at(idle).max(self.overdue(now));
+        // The decay is computed only where it matters, since every prompt asks for all
+        // engines.
+        let recent = if self.recent > SLOWED {
+            self.recent_at(idle)
+        } else {
+            0.0
+        };
+        let recent = recent.max(self.overdue(now));
         let slowed = if recent > SLOWED { recent } else { 0.0 };
         let lasting = if self.significant {
             self.mean * decay(idle.saturating_sub(KEEP), LASTING_HALF_LIFE)
--- a/src/transport/tally.rs
+++ b/src/transport/tally.rs
@@ -5,7 +5,7 @@
 //! aggregates them.
 
 use {
-    cadence::{Counted, MetricSink, StatsdClient, Timed},
+    cadence::{Counted, Histogrammed, MetricSink, StatsdClient, Timed},
     hdrhistogram::Histogram,
     std::{
         collections::BTreeMap,
@@ -86,6 +86,17 @@
         builder.send();
     }
 
+    /// Records a value in a histogram.
+    pub fn sample(&self, name: &str, value: u64, tags: &[(&str, &str)]) {
+        let mut builder = self.client.histogram_with_tags(name, value);
+
+        for (key, value) in tags {
+            builder = builder.with_tag(key, value);
+        }
+
+        builder.send();
+    }
+
     /// Renders all metrics as text, one value per line.
     pub fn render(&self) -> String {
         let aggregates = self
--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -261,6 +261,7 @@
         peers = {peers}\nfleet_key = a key of the test\n\
         [store]\naddress = {store}\nkind = entry-hosts\nwait_ms = {wait}\n\
         [limits]\nconnections = 100\ngrace_s = 8\nkeep_addresses_ms = 1000\nmemory_mb = 160\n\
+        [engines]\nroom = true\nspeeds = true\n\
         [retries]\nratio = 0.2\nslack = 52\nwindow_s = 10\n"
     )
 }
