Keep no room at engines that cannot be used

An engine that is leaving empties, so it would have been kept for a large prompt that cannot go there. A waiting prompt asks with the engines that are closed by then.

--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -114,7 +114,7 @@
 
         let on_probation = is_on_probation(host, &prompt);
 
-        match ask(host, request, prompt).await {
+        match ask(host, request, exclude, prompt).await {
             Asked::Chosen(chosen) => return Ok(chosen),
             Asked::Nothing if !on_probation => {}
             // Hosts that choose alone do not know of each other's requests.
@@ -225,7 +225,12 @@
 /// Asks the balancing host, or the next one in order while it is silent: hosts that
 /// choose alone know neither each other's prompts nor the engines that these crashed.
 /// A prompt that has to wait for room is asked for again with the same id.
-async fn ask(host: &Rc<Host>, request: &Request, mut prompt: Prompt) -> Asked {
+async fn ask(
+    host: &Rc<Host>,
+    request: &Request,
+    exclude: &[id::Endpoint],
+    mut prompt: Prompt,
+) -> Asked {
     loop {
         let Some((address, answer)) = ask_once(host, request, &prompt).await else {
             return Asked::Nothing;
@@ -240,7 +245,7 @@
         }
 
         sleep(time.clamp(MIN_WAIT, MAX_WAIT)).await;
-        // The engines may have changed, and the caller's time has.
+        prompt.exclude = closed_engines(host, request, exclude);
         prompt.terms = request.terms();
     }
 }
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -14,12 +14,14 @@
 mod report;
 mod room;
 mod speed;
+mod speeds;
 
 pub use {
     admission::Occupancy,
     prompt::{Answer, Choice, Part, Prompt, Terms, session},
     report::{Finding, Report},
     room::Limits,
+    speeds::SpeedChange,
 };
 
 use {
@@ -101,14 +103,6 @@
     speed_changes: Vec<SpeedChange>,
 }
 
-/// An engine whose speed became significant or no longer is.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SpeedChange {
-    pub endpoint: id::Endpoint,
-    /// Time that the engine takes relative to its service, if that is significant.
-    pub slowness: Option<f64>,
-}
-
 impl Balancer {
     /// Updates the listed engines and the number of tokens that fit into the
     /// memory of each. What is known about an engine is kept as long as its
@@ -120,10 +114,11 @@
         for entry in entries {
             let previous = self.engines.remove(&entry.endpoint);
             let unchanged = previous.filter(|engine| engine.incarnation == entry.incarnation);
-            let engine = unchanged.unwrap_or_else(|| Engine {
+            let mut engine = unchanged.unwrap_or_else(|| Engine {
                 incarnation: entry.incarnation,
                 ..Engine::default()
             });
+            engine.leaving = entry.leaving;
             engines.insert(entry.endpoint.clone(), engine);
         }
 
@@ -243,37 +238,6 @@
         }
     }
 
-    fn record_speed(&mut self, now: Time, pending: &Pending) {
-        let engine = self.engines.get_mut(&pending.endpoint);
-        let (Some(reference), Some(engine)) = (&mut self.reference, engine) else {
-            return;
-        };
-        let speed = &mut engine.speed;
-
-        if reference.record(now, speed, pending.tokens, pending.placed) {
-            self.speed_changes.push(SpeedChange {
-                endpoint: pending.endpoint.clone(),
-                slowness: engine.speed.significant(),
-            });
-        }
-
-        let speeds = self.engines.values_mut().map(|engine| &mut engine.speed);
-        reference.centre(speeds);
-    }
-
-    /// Sets whether the speeds of the engines are estimated.
-    pub fn estimate_speeds(&mut self, enabled: bool) {
-        if enabled != self.reference.is_some() {
-            self.reference = enabled.then(Reference::default);
-        }
-    }
-
-    /// Returns the engines whose speed became significant or no longer is, since the
-    /// last call.
-    pub fn take_speed_changes(&mut self) -> Vec<SpeedChange> {
-        std::mem::take(&mut self.speed_changes)
-    }
-
     /// Returns the number of prompts without a first event.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -324,16 +288,6 @@
         (engine.health.is_paused(now), is_full, cost as u64)
     }
 
-    fn slowness(&self, now: Time, engine: &Engine) -> f64 {
-        if self.reference.is_some() {
-            engine.speed.slowness(now)
-        } else if engine.health.is_slow() {
-            engine.health.latency_ratio()
-        } else {
-            1.0
-        }
-    }
-
     fn record_placement(&mut self, now: Time, entry: &Entry, prompt: &Prompt) {
         // An id that occurs twice must not leave the tokens of the first prompt pending.
         self.abandon(now, &prompt.id);
--- a/src/state/serving/balance/admission.rs
+++ b/src/state/serving/balance/admission.rs
@@ -222,14 +222,14 @@
         let position = admission.queue.position(&prompt.id);
 
         match position {
-            0 => has_room || self.reserve(prompt),
+            0 => has_room || self.reserve(now, prompt),
             position => has_room && self.copies(now, prompt) > position as u64,
         }
     }
 
     /// Keeps the engine with the most free memory for the first prompt in order, if only
     /// memory is missing. Returns `false`.
-    fn reserve(&mut self, prompt: &Prompt) -> bool {
+    fn reserve(&mut self, now: Time, prompt: &Prompt) -> bool {
         let Some(admission) = &mut self.admission else {
             return false;
         };
@@ -237,7 +237,11 @@
         if !admission.is_reserved_for(&prompt.id) {
             let limits = admission.limits;
             let engines = self.engines.iter();
-            let free = engines.filter(|(_, engine)| engine.room.has_slot(limits));
+            let free = engines.filter(|(endpoint, engine)| {
+                engine.is_usable(now)
+                    && engine.room.has_slot(limits)
+                    && !prompt.exclude.contains(endpoint)
+            });
             let emptiest = free.min_by_key(|(_, engine)| engine.room.used());
             let endpoint = emptiest.map(|(endpoint, _)| endpoint.clone());
             admission.reserved = endpoint.map(|endpoint| (prompt.id.clone(), endpoint));
@@ -252,7 +256,7 @@
             return u64::MAX;
         };
         let engines = self.engines.values();
-        let usable = engines.filter(|engine| !engine.health.is_paused(now));
+        let usable = engines.filter(|engine| engine.is_usable(now));
         usable
             .map(|engine| engine.room.copies(prompt, admission.limits))
             .sum()
--- a/src/state/serving/balance/engine.rs
+++ b/src/state/serving/balance/engine.rs
@@ -19,6 +19,7 @@
     pub cached_tokens: u64,
     pub health: Health,
     pub incarnation: u64,
+    pub leaving: bool,
     /// Tokens that the engine still has to read.
     pub pending: u64,
     pub room: Room,
@@ -26,6 +27,11 @@
 }
 
 impl Engine {
+    /// Returns whether prompts go to the engine as long as it has room.
+    pub fn is_usable(&self, now: Time) -> bool {
+        !self.leaving && !self.health.is_paused(now)
+    }
+
     /// Returns the number of the prompt's tokens that the engine has to read.
     pub fn unread(&self, prompt: &Prompt) -> u64 {
         let parts = prompt.parts.iter();
