Merge the room and speed of engines

Prompts for cold engines keep their reserved slots (an answer with an engine and a wait), prompts without room are asked for again (an answer with a wait alone). The time until the deadline is told once, in the terms of a prompt.

--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -5,7 +5,7 @@
     persimmoncleat::state::{
         clock::Time,
         serving::{
-            balance::{Balancer, Part, Prompt, Report},
+            balance::{Balancer, Part, Prompt, Report, Terms},
             cold::Cold,
             piece::JobId,
             quarantine::Quarantine,
@@ -63,8 +63,11 @@
             part(10 + session, 3780),
             part(1_000_000 + number, 2890),
         ],
-        remaining: Duration::from_secs(5),
         service: "s".into(),
+        terms: Terms {
+            remaining: Duration::from_secs(5),
+            ..Terms::default()
+        },
     }
 }
 
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -2,6 +2,11 @@
 //! engines for the whole fleet, and chooses one from this host's own
 //! observations if that host does not answer.
 
+mod guard;
+mod room;
+
+pub use guard::PlacementGuard;
+
 use {
     crate::{
         coordination::serving::{
@@ -12,7 +17,7 @@
             clock::Time,
             id,
             serving::{
-                balance::{Balancer, Choice, Finding, Later, Prompt, Report},
+                balance::{Answer, Balancer, Choice, Finding, Limits, Prompt, Report},
                 piece::JobId,
                 placement::Criteria,
                 quarantine::{self, Status},
@@ -37,13 +42,19 @@
 /// Time for which a balancing host is not asked after it has not answered.
 const SILENCE_PAUSE: Duration = Duration::from_millis(600);
 
-/// Timeout of a report, which needs no answer.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bounds of the time after which a waiting prompt is asked for again, whatever the
+/// balancing host answers.
+const MIN_WAIT: Duration = Duration::from_millis(5);
+const MAX_WAIT: Duration = Duration::from_millis(1000);
+
+/// Shortest delay after which the caller of a prompt that has waited in vain may retry.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// The balancers that run on this host.
 #[derive(Default)]
 pub struct Balancing {
     balancers: RefCell<HashMap<id::Pool, Balancer>>,
+    logged: room::Logged,
     /// Until when hosts that have not answered are not asked.
     silent_until: RefCell<HashMap<SocketAddr, Time>>,
 }
@@ -70,47 +81,6 @@
     }
 }
 
-/// Reports to the balancing host how a prompt fared, at the latest on drop.
-pub struct PlacementGuard {
-    /// Address of the balancing host; `None` stands for this host.
-    address: Option<SocketAddr>,
-    host: Rc<Host>,
-    /// The service and the prompt; `None` once the report was sent.
-    prompt: Option<(id::Pool, JobId)>,
-}
-
-impl PlacementGuard {
-    /// Returns whether the failure domain of an engine is evacuated.
-    pub fn is_evacuated(&self, entry: &Entry) -> bool {
-        self.host.view().evacuated.contains(&entry.domain)
-    }
-
-    /// Sends the report.
-    pub fn report(mut self, report: Report) {
-        self.send(report);
-    }
-
-    fn send(&mut self, report: Report) {
-        let Some((service, id)) = self.prompt.take() else {
-            return;
-        };
-
-        match self.address {
-            Some(address) => {
-                let links = &self.host.links;
-                links.report_prompt(address, &service, &id, report, REPORT_TIMEOUT);
-            }
-            None => record(&self.host, &service, &id, report),
-        }
-    }
-}
-
-impl Drop for PlacementGuard {
-    fn drop(&mut self) {
-        self.send(Report::Abandoned);
-    }
-}
-
 /// An engine for a prompt, and the guard that reports how it fared if the
 /// balancing host chose the engine.
 pub struct Chosen {
@@ -138,18 +108,18 @@
             exclude: closed_engines(host, request, exclude),
             id: host.next_job(),
             parts,
-            remaining: request.remaining(),
             service: request.service.clone(),
+            terms: request.terms(),
         };
 
         let on_probation = is_on_probation(host, &prompt);
 
-        match ask(host, request, prompt).await {
+        match ask(host, request, exclude, prompt).await {
             Asked::Chosen(chosen) => return Ok(chosen),
             Asked::Nothing if !on_probation => {}
             // Hosts that choose alone do not know of each other's requests.
             Asked::Nothing | Asked::Quarantined => return Err(Reason::Quarantined),
-            Asked::Refused(time) => return Err(Reason::Cold(time)),
+            Asked::Refused(time) => return Err(why_refused(host, request, time)),
         }
     }
 
@@ -186,12 +156,12 @@
     /// A part of the prompt is in quarantine, or on probation with a request
     /// under way.
     Quarantined,
-    /// No engine can take the prompt before its deadline. One may after this time.
+    /// No engine has room before the deadline, but one does after the time.
     Refused(Duration),
 }
 
 /// Chooses the engine of a prompt of any host.
-pub fn place(host: &Host, prompt: &Prompt) -> Choice {
+pub fn place(host: &Host, prompt: &Prompt) -> Answer {
     let view = host.view();
     let now = boot_clock::now();
     let mut balancers = host.balancing.balancers.borrow_mut();
@@ -209,25 +179,13 @@
     });
 
     if barred {
-        return Choice::Quarantined;
-    }
-
-    let open = view.roster.open(&prompt.service);
-
-    if let Some(entry) = balancer.place(now, open, prompt) {
-        return Choice::Engine(entry.endpoint.clone());
+        return Choice::Quarantined.into();
     }
 
     let open = view.roster.open(&prompt.service);
-
-    match balancer.place_later(now, open, prompt) {
-        Later::Engine(entry, wait) => Choice::Later {
-            engine: entry.endpoint.clone(),
-            wait,
-        },
-        Later::NoEngine => Choice::NoEngine,
-        Later::Refused(retry_after) => Choice::Refused { retry_after },
-    }
+    let answer = balancer.answer(now, open, prompt);
+    room::observe(host, balancer, prompt, &answer);
+    answer
 }
 
 /// Records how a prompt of any host fared.
@@ -254,27 +212,66 @@
     let config = view.config.as_ref();
     let engine = config.and_then(|config| config.services.get(service)?.engine.as_ref());
     let capacity = engine.map_or(0, |engine| engine.capacity);
+    let settings = host.settings().engines;
+    let limits = engine.filter(|engine| settings.room && engine.slots > 0);
+    balancer.count_room(limits.map(|engine| Limits {
+        capacity: engine.capacity,
+        slots: engine.slots,
+    }));
+    balancer.estimate_speeds(settings.speeds);
     balancer.update(view.roster.service(service).iter(), capacity);
     balancer.set_fleet(view.cold_fleet());
 }
 
 /// Asks the balancing host, or the next one in order while it is silent: hosts that
 /// choose alone know neither each other's prompts nor the engines that these crashed.
-async fn ask(host: &Rc<Host>, request: &Request, prompt: Prompt) -> Asked {
+/// A prompt that has to wait for room is asked for again with the same id.
+async fn ask(
+    host: &Rc<Host>,
+    request: &Request,
+    exclude: &[id::Endpoint],
+    mut prompt: Prompt,
+) -> Asked {
+    loop {
+        let Some((address, answer)) = ask_once(host, request, &prompt).await else {
+            return Asked::Nothing;
+        };
+        let Choice::Wait(time) = answer.choice else {
+            return accept(host, prompt, address, answer).await;
+        };
+        let left = request.time_to_respond();
+
+        if left <= time {
+            return Asked::Refused(answer.backlog.max(MIN_RETRY_AFTER));
+        }
+
+        sleep(time.clamp(MIN_WAIT, MAX_WAIT)).await;
+        prompt.exclude = closed_engines(host, request, exclude);
+        prompt.terms = request.terms();
+    }
+}
+
+/// Asks for the engine of a prompt once. Returns the balancing host and its answer, or
+/// `None` if all are silent.
+async fn ask_once(
+    host: &Rc<Host>,
+    request: &Request,
+    prompt: &Prompt,
+) -> Option<(Option<SocketAddr>, Answer)> {
     let dispatchers = dispatch::dispatchers(host, &prompt.service);
 
     for address in dispatchers.iter().take(MAX_BALANCERS) {
-        let choice = match address {
-            None => Some(place(host, &prompt)),
-            Some(address) => ask_peer(host, request, &prompt, *address).await,
+        let answer = match address {
+            None => Some(place(host, prompt)),
+            Some(address) => ask_peer(host, request, prompt, *address).await,
         };
 
-        if let Some(choice) = choice {
-            return accept(host, prompt, *address, choice).await;
+        if let Some(answer) = answer {
+            return Some((*address, answer));
         }
     }
 
-    Asked::Nothing
+    None
 }
 
 /// Asks another host for the engine of a prompt. Returns `None` if it is silent.
@@ -283,7 +280,7 @@
     request: &Request,
     prompt: &Prompt,
     address: SocketAddr,
-) -> Option<Choice> {
+) -> Option<Answer> {
     if host.balancing.is_silent(address) {
         return None;
     }
@@ -291,7 +288,7 @@
     let answer = host.links.place_prompt(address, prompt, PLACE_TIMEOUT);
 
     match answer.await {
-        Ok(choice) => Some(choice),
+        Ok(answer) => Some(answer),
         Err(error) => {
             host.balancing.mark_silent(address);
             host.tally.count("balancer_silent", &[]);
@@ -311,20 +308,16 @@
     host: &Rc<Host>,
     prompt: Prompt,
     address: Option<SocketAddr>,
-    choice: Choice,
+    answer: Answer,
 ) -> Asked {
-    let (endpoint, wait) = match choice {
+    let (endpoint, wait) = match answer.choice {
         Choice::Engine(endpoint) => (endpoint, Duration::ZERO),
         Choice::Later { engine, wait } => (engine, wait),
-        Choice::NoEngine => return Asked::Nothing,
+        Choice::NoEngine | Choice::Wait(_) => return Asked::Nothing,
         Choice::Quarantined => return Asked::Quarantined,
-        Choice::Refused { retry_after } => return Asked::Refused(retry_after),
-    };
-    let guard = PlacementGuard {
-        address,
-        host: Rc::clone(host),
-        prompt: Some((prompt.service, prompt.id)),
+        Choice::Refused(time) => return Asked::Refused(time),
     };
+    let guard = PlacementGuard::new(host, address, prompt, answer.counted);
 
     if !wait.is_zero() {
         host.tally.time("cold_wait", wait, &[]);
@@ -346,6 +339,20 @@
     }
 }
 
+/// Returns why the balancing host has refused a prompt that could be placed after
+/// `time`.
+fn why_refused(host: &Host, request: &Request, time: Duration) -> Reason {
+    let view = host.view();
+    let open = || view.roster.open(&request.service);
+    let cold = host.placement.borrow().cold(boot_clock::now(), open());
+
+    if cold == open().count() {
+        Reason::Cold(time)
+    } else {
+        Reason::NoRoom(time)
+    }
+}
+
 /// Chooses an engine from the observations of this host alone.
 fn choose_alone(host: &Host, request: &Request, exclude: &[id::Endpoint]) -> Option<Chosen> {
     let view = host.view();
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -266,6 +266,7 @@
         host.settings.replace(newest);
         loads::follow_settings(&host);
         host.pools.update(&host);
+        host.balancing.update(&host);
     }
 }
 
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -19,6 +19,7 @@
     ("endpoints", &["load_reports"]),
     ("cold", &["excess", "slack"]),
     ("evacuations", &["follow"]),
+    ("engines", &["room", "speeds"]),
     (
         "host",
         &[
@@ -70,6 +71,16 @@
     pub wait: Duration,
 }
 
+/// How the balancing host chooses engines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Engines {
+    /// Whether the slots and the memory of engines are counted, and prompts wait for
+    /// them.
+    pub room: bool,
+    /// Whether the speeds of engines are estimated.
+    pub speeds: bool,
+}
+
 /// The validated settings.
 #[derive(Clone, Debug)]
 pub struct File {
@@ -89,6 +100,7 @@
     pub follow_evacuations: bool,
     /// What the forecast that refuses requests covers.
     pub forecast: Scope,
+    pub engines: Engines,
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
@@ -186,6 +198,7 @@
         ("overload", "order"),
         [("value", Order::Value), ("urgency", Order::Urgency)],
     );
+    let engines = engines(fields);
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -209,6 +222,7 @@
         domain: domain?.into(),
         follow_evacuations: follow_evacuations.unwrap_or(false),
         forecast,
+        engines,
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
         headroom,
@@ -234,6 +248,13 @@
     value.unwrap_or(false)
 }
 
+fn engines(fields: &mut Fields) -> Engines {
+    Engines {
+        room: switch(fields, "engines", "room"),
+        speeds: switch(fields, "engines", "speeds"),
+    }
+}
+
 /// Returns the memory that the process may use, in bytes.
 fn memory_bytes(fields: &mut Fields) -> Option<usize> {
     const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
--- a/src/state/serving/balance/cold.rs
+++ b/src/state/serving/balance/cold.rs
@@ -50,12 +50,11 @@
         };
         let wait = at.since(now);
 
-        if wait + self.usual_first_event(prompt) >= prompt.remaining {
+        if wait + self.usual_first_event(prompt) >= prompt.terms.remaining {
             return Later::Refused(wait);
         }
 
         self.record_placement(at, entry, prompt);
-        self.cold.record_request(at, entry);
         Later::Engine(entry, wait)
     }
 
@@ -86,7 +85,7 @@
             Report::Full | Report::Started => {
                 self.cold.record_answer(now, entry);
             }
-            Report::Abandoned | Report::Failed => {}
+            Report::Abandoned | Report::Ended | Report::Failed => {}
         }
     }
 
--- a/src/state/serving/roster.rs
+++ b/src/state/serving/roster.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns the endpoints of a service that accept new work.
-    pub fn open(&self, service: &id::Pool) -> impl Iterator<Item = &Arc<Entry>> {
+    pub fn open(&self, service: &id::Pool) -> impl Iterator<Item = &Arc<Entry>> + Clone {
         self.service(service).iter().filter(|entry| !entry.leaving)
     }
 
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -5,7 +5,7 @@
         state::{
             id,
             serving::{
-                balance::{Choice, Prompt, Report},
+                balance::{Answer, Prompt, Report},
                 mirror::RelayedChanges,
                 piece::{Job, JobId, Outcome, Output},
             },
@@ -97,7 +97,7 @@
         address: SocketAddr,
         prompt: &Prompt,
         timeout: Duration,
-    ) -> Result<Choice, Error> {
+    ) -> Result<Answer, Error> {
         let prompt = prompt.clone();
 
         self.call(address, timeout, move |peer| {
@@ -105,25 +105,7 @@
                 let mut request = peer.place_prompt_request();
                 wire::write_prompt(request.get().init_placement(), &prompt);
                 let response = request.send().promise.await?;
-                let results = response.get()?;
-                let endpoint = results.get_endpoint()?.to_str()?;
-
-                Ok(if results.get_quarantined() {
-                    Choice::Quarantined
-                } else if results.get_refused() {
-                    Choice::Refused {
-                        retry_after: Duration::from_millis(results.get_retry_after_ms().into()),
-                    }
-                } else if results.get_wait_ms() > 0 && !endpoint.is_empty() {
-                    Choice::Later {
-                        engine: endpoint.into(),
-                        wait: Duration::from_millis(results.get_wait_ms().into()),
-                    }
-                } else if endpoint.is_empty() {
-                    Choice::NoEngine
-                } else {
-                    Choice::Engine(endpoint.into())
-                })
+                wire::read_placement(response.get()?)
             })
         })
         .await
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -6,7 +6,7 @@
         clock::Time,
         id,
         serving::{
-            balance::{Balancer, Part, Prompt, Report},
+            balance::{Balancer, Part, Prompt, Report, Terms},
             cold::Cold,
             piece::JobId,
             quarantine::Quarantine,
@@ -65,8 +65,11 @@
                 tokens: own,
             },
         ],
-        remaining: Duration::from_secs(5),
         service: "s".into(),
+        terms: Terms {
+            remaining: Duration::from_secs(5),
+            ..Terms::default()
+        },
     }
 }
 
--- a/tests/serving/cold.rs
+++ b/tests/serving/cold.rs
@@ -6,7 +6,7 @@
         clock::Time,
         id,
         serving::{
-            balance::{Balancer, Later, Part, Prompt, Report},
+            balance::{Balancer, Later, Part, Prompt, Report, Terms},
             batch::{Action, CallOutcome, Dispatcher},
             budget,
             cold::{Bounds, Cause, Cold, Fleet, Limit, Pacer, Role, Start, Starts},
@@ -121,7 +121,10 @@
             prefix: number,
             tokens: 300,
         }],
-        remaining: Duration::from_secs(5),
+        terms: Terms {
+            remaining: Duration::from_secs(5),
+            ..Terms::default()
+        },
         service: "s".into(),
     }
 }
@@ -298,7 +301,10 @@
     let answered = NOW + Duration::from_millis(900);
     balancer.report(answered, &id, Report::Started, &Quarantine::default());
     let short = Prompt {
-        remaining: Duration::from_millis(800),
+        terms: Terms {
+            remaining: Duration::from_millis(800),
+            ..Terms::default()
+        },
         ..prompt(1)
     };
     balancer
@@ -308,7 +314,10 @@
     assert!(matches!(later, Later::Refused(_)), "{later:?}");
     // A host of an earlier version cannot wait.
     let silent = Prompt {
-        remaining: Duration::ZERO,
+        terms: Terms {
+            remaining: Duration::ZERO,
+            ..Terms::default()
+        },
         ..prompt(3)
     };
     let later = balancer.place_later(answered, entries.iter(), &silent);
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -11,6 +11,8 @@
 mod departures;
 mod directory;
 mod dispatchers;
+mod engine_room;
+mod engine_speeds;
 mod evacuation;
 mod event_stream;
 mod follower;
