Disconnect callers that read nothing and bound the bytes of a stream

What a host kept for callers that read slowly was bounded by the number of chunks of a stream, not by bytes, and a caller that stopped reading kept its connection, its share of the memory and the connection to the endpoint until the idle timeout or the deadline.

Bytes of an answer now count as waiting from the queue until the socket has accepted them. A stream holds at most [callers] stream_kb; above that, reading from the endpoint pauses. A caller without progress for [callers] stall_ms while bytes wait is disconnected. When three quarters of the memory for bodies are taken, the callers without progress for longest are disconnected first.

The send buffer of callers' connections is bounded when stall_ms is set: the kernel reports progress only once a third of the buffer is free.

--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod auxiliary;
 pub mod balancing;
+pub mod callers;
 pub mod control;
 pub mod dispatch;
 pub mod drain;
--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -42,6 +42,7 @@
     let (_, open_state) = watch::channel(ListenerState::Open);
     let limits = Limits {
         bounds: Rc::new(Cell::new(AUXILIARY_BOUNDS)),
+        callers: None,
         connections: MAX_CONNECTIONS,
     };
     let listen = |listener, answer: fn(&Host, &Request<Incoming>) -> Response<Body>| {
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -23,7 +23,7 @@
         },
         transport::{
             boot_clock,
-            http::{client::Client, memory::Memory, timing::Bounds},
+            http::{callers::Callers, client::Client, memory::Memory, timing::Bounds},
             links::Links,
             machine,
             tally::Tally,
@@ -49,6 +49,7 @@
 pub struct Host {
     pub balancing: Balancing,
     pub caller_bounds: Rc<Cell<Bounds>>,
+    pub callers: Callers,
     pub client: Client,
     pub codec: Arc<dyn Codec>,
     /// Sends events to the control thread.
@@ -83,6 +84,7 @@
         Rc::new(Self {
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
+            callers: Callers::default(),
             client: Client::new(memory.clone()),
             codec,
             control,
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -29,26 +29,19 @@
             http::{
                 body::Body,
                 client::{self, Failure},
+                outbox::{self, Sender},
             },
         },
     },
-    hyper::{HeaderMap, Response, body::Bytes},
-    std::{io, rc::Rc, time::Duration},
-    tokio::{
-        sync::mpsc::{self, Sender},
-        task::spawn_local,
-        time::timeout,
-    },
+    hyper::{HeaderMap, Response},
+    std::{rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::timeout},
 };
 
 /// Time after which an engine has read the outputs of the stages: the latency
 /// to the engine and the transfer of a few outputs of some megabytes.
 const INPUT_READ_TIME: Duration = Duration::from_millis(60);
 
-/// Maximum number of chunks of events that are queued for a caller that reads
-/// slowly.
-const EVENT_QUEUE_LENGTH: usize = 64;
-
 /// Serves a request whose response is a stream. `stage_outputs` are released
 /// once an endpoint has read them: a stream lasts many times as long, and large
 /// outputs that are kept for its resumption would fill the storage of the
@@ -164,7 +157,8 @@
     retry_state: RetryState,
     mut stage_outputs: StageOutputs,
 ) -> Response<Body> {
-    let (sender, receiver) = mpsc::channel(EVENT_QUEUE_LENGTH);
+    let limit = host.settings().callers.stream_bytes;
+    let (sender, receiver) = outbox::channel(limit.map(|bytes| (bytes, host.memory.clone())));
     let status = stream.open.exchange.response.status();
     let headers: HeaderMap = host
         .codec
@@ -191,10 +185,15 @@
             attempts = request.attempts.get(),
             outcome = end.name(),
             longest_gap_ms = request.longest_gap.get().as_millis(),
+            paused_ms = sender.paused().as_millis(),
             ms = request.age().as_millis();
             "stream ended"
         );
         host.tally.count("streams", &[("outcome", end.name())]);
+
+        if !sender.paused().is_zero() {
+            host.tally.time("stream_paused_ms", sender.paused(), &[]);
+        }
     });
 
     response
@@ -226,7 +225,7 @@
     mut stream: Stream,
     mut retry_state: RetryState,
     stage_outputs: &mut StageOutputs,
-    sender: &Sender<io::Result<Bytes>>,
+    sender: &Sender,
 ) -> StreamEnd {
     loop {
         let end = tokio::select! {
@@ -251,7 +250,7 @@
                 return StreamEnd::Complete;
             }
             CopyEnd::TimedOut => {
-                abort(sender, "the deadline passed").await;
+                sender.abort("the deadline passed").await;
                 return StreamEnd::TimedOut;
             }
             CopyEnd::Broken(message) => {
@@ -287,7 +286,7 @@
         match resumed {
             Some(resumed) => stream = resumed,
             None => {
-                abort(sender, "the endpoint's stream ended early").await;
+                sender.abort("the endpoint's stream ended early").await;
                 return StreamEnd::Broken;
             }
         }
@@ -306,7 +305,7 @@
     host: &Host,
     request: &Request,
     stream: &mut Stream,
-    sender: &Sender<io::Result<Bytes>>,
+    sender: &Sender,
 ) -> CopyEnd {
     let event_timeout = event_timeout(request);
     let mut last_chunk = boot_clock::now();
@@ -317,7 +316,7 @@
         if !events.is_empty() {
             host.tally.count("events", &[]);
 
-            if sender.send(Ok(events.into())).await.is_err() {
+            if sender.send(events.into()).await.is_err() {
                 return CopyEnd::CallerLeft;
             }
         }
@@ -352,10 +351,3 @@
         }
     }
 }
-
-/// Aborts the caller's connection, so that the response does not look
-/// complete.
-async fn abort(sender: &Sender<io::Result<Bytes>>, message: &str) {
-    // Fails only if the caller has disconnected.
-    let _ = sender.send(Err(io::Error::other(message.to_owned()))).await;
-}
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -7,7 +7,7 @@
             error::{Error, ListenSnafu, SignalsSnafu, ThreadSnafu},
             membership::Membership,
             serving::{
-                auxiliary, balancing,
+                auxiliary, balancing, callers,
                 control::{self, Call, Control, Event},
                 drain,
                 host::{self, Host},
@@ -129,17 +129,23 @@
         let host = Host::new(settings, codec, sender, links, view, tally);
         spawn_local(host::follow_views(Rc::clone(&host), views));
         spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
+        spawn_local(callers::disconnect_idle(Rc::clone(&host)));
         spawn_local(serve_peer_calls(Rc::clone(&host), receiver));
-        let callers = Connections::default();
+        let connections = Connections::default();
         let (state_sender, listener_state) = watch::channel(ListenerState::Open);
-        serve_callers(&host, listeners.callers, listener_state, callers.clone());
+        serve_callers(
+            &host,
+            listeners.callers,
+            listener_state,
+            connections.clone(),
+        );
         auxiliary::serve(
             &host,
             listeners.directory,
             listeners.ready,
             listeners.metrics,
         );
-        drain::run(&host, leaving, &state_sender, &callers).await;
+        drain::run(&host, leaving, &state_sender, &connections).await;
         Ok(())
     })
 }
@@ -266,8 +272,10 @@
     listener_state: watch::Receiver<ListenerState>,
     connections: Connections,
 ) {
+    callers::bound_send_buffer(&host.settings(), &listener);
     let limits = Limits {
         bounds: Rc::clone(&host.caller_bounds),
+        callers: Some(host.callers.clone()),
         connections: host.settings().connections,
     };
     let host = Rc::clone(host);
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -11,6 +11,7 @@
 
 /// Known sections and keys, sorted.
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
+    ("callers", &["stall_ms", "stream_kb"]),
     (
         "host",
         &[
@@ -50,6 +51,17 @@
     pub ready: SocketAddr,
 }
 
+/// Bounds of what is kept for callers that read slowly. Without them nothing is
+/// bounded.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Callers {
+    /// Time without progress after which a caller for which bytes wait is
+    /// disconnected.
+    pub stall: Option<Duration>,
+    /// Maximum number of bytes of a stream that wait for its caller.
+    pub stream_bytes: Option<usize>,
+}
+
 /// Connection to the platform's store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Store {
@@ -66,6 +78,7 @@
     pub addresses: Addresses,
     /// The retry budget of the whole fleet.
     pub budget: Bounds,
+    pub callers: Callers,
     /// Capacity of the host relative to others.
     pub capacity: u32,
     /// Maximum number of connections from callers.
@@ -144,6 +157,7 @@
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
     let memory = memory_bytes(fields);
+    let bounds = read_callers(fields);
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -160,6 +174,7 @@
             slack: slack?,
             window: seconds(window?, MAX_SECONDS),
         },
+        callers: bounds,
         capacity: capacity(cores, link),
         connections: usize::try_from(connections?).ok()?,
         domain: domain?.into(),
@@ -178,6 +193,27 @@
     })
 }
 
+fn read_callers(fields: &mut Fields) -> Callers {
+    const EXPECTED_STALL: &str = "a number of milliseconds from 500 to 600000";
+    const EXPECTED_STREAM: &str = "a number of kilobytes from 4 to 100000";
+
+    let stall = fields.optional::<u64>("callers", "stall_ms", EXPECTED_STALL);
+    let stream = fields.optional::<usize>("callers", "stream_kb", EXPECTED_STREAM);
+
+    if let Some(stall) = stall.filter(|stall| !(500..=600_000).contains(stall)) {
+        fields.add_fault("callers", "stall_ms", &stall.to_string(), EXPECTED_STALL);
+    }
+
+    if let Some(stream) = stream.filter(|stream| !(4..=100_000).contains(stream)) {
+        fields.add_fault("callers", "stream_kb", &stream.to_string(), EXPECTED_STREAM);
+    }
+
+    Callers {
+        stall: stall.map(Duration::from_millis),
+        stream_bytes: stream.map(|stream| stream * 1000),
+    }
+}
+
 /// Returns the memory that the process may use, in bytes.
 fn memory_bytes(fields: &mut Fields) -> Option<usize> {
     const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -23,6 +23,7 @@
     pub fn new(current: &File, mut changed: File) -> Self {
         let applied = [
             ("retries", changed.budget != current.budget),
+            ("callers", changed.callers != current.callers),
             ("limits.grace_s", changed.grace != current.grace),
             (
                 "limits.keep_addresses_ms",
--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of responses to callers.
 
 use {
+    crate::transport::http::outbox::Receiver,
     hyper::body::{Body as HttpBody, Bytes, Frame, SizeHint},
     std::{
         collections::VecDeque,
@@ -8,14 +9,13 @@
         pin::Pin,
         task::{Context, Poll},
     },
-    tokio::sync::mpsc::Receiver,
 };
 
 /// A buffered body, or a stream that ends when its sender is dropped. An error
 /// aborts the connection, so that a truncated response does not look complete.
 #[derive(Debug)]
 pub enum Body {
-    Stream(Receiver<io::Result<Bytes>>),
+    Stream(Receiver),
     Buffered(VecDeque<Bytes>),
 }
 
@@ -80,7 +80,7 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match self.get_mut() {
             Self::Stream(receiver) => receiver
-                .poll_recv(context)
+                .poll(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
             Self::Buffered(blocks) => {
                 Poll::Ready(blocks.pop_front().map(|block| Ok(Frame::data(block))))
--- a/src/transport/http/memory.rs
+++ b/src/transport/http/memory.rs
@@ -11,7 +11,7 @@
         collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
-    tokio::sync::Notify,
+    tokio::sync::{Notify, futures::Notified},
 };
 
 /// Size of the blocks in which a body is held, in bytes. A body's last block has
@@ -22,6 +22,10 @@
 /// largest one fails; below it, complete ones will free memory.
 const INCOMPLETE_SHARE: usize = 2;
 
+/// Share of the limit, in percent, beyond which the callers that do not read are
+/// disconnected. The rest is for the others until memory is free again.
+const PRESSED_PERCENT: usize = 75;
+
 /// The memory is used up, and no incomplete body has taken more of it than this one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Exhausted;
@@ -34,6 +38,8 @@
 struct Shared {
     /// Wakes the bodies that wait for memory.
     freed: Notify,
+    /// Notified when more than [`PRESSED_PERCENT`] of the memory is taken.
+    pressed: Notify,
     state: Mutex<State>,
 }
 
@@ -89,11 +95,31 @@
     }
 }
 
+impl State {
+    const fn pressed_bytes(&self) -> usize {
+        self.limit / 100 * PRESSED_PERCENT
+    }
+
+    /// Returns the number of bytes by which the memory should shrink. What incomplete
+    /// bodies take beyond their share does not count: the largest of them fail.
+    fn excess(&self) -> usize {
+        let incomplete: usize = self.incomplete.values().map(|body| body.bytes).sum();
+        let beyond = incomplete.saturating_sub(self.limit / INCOMPLETE_SHARE);
+        self.held.saturating_sub(beyond + self.pressed_bytes())
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         // The counts are whole after each statement that changes them.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn report_pressure(&self, state: &State) {
+        if state.held > state.pressed_bytes() {
+            self.pressed.notify_one();
+        }
+    }
 }
 
 impl Memory {
@@ -101,6 +127,7 @@
     pub fn new(limit: usize) -> Self {
         Self(Arc::new(Shared {
             freed: Notify::new(),
+            pressed: Notify::new(),
             state: Mutex::new(State {
                 limit,
                 ..State::default()
@@ -119,6 +146,39 @@
         self.0.lock().held
     }
 
+    /// Takes memory for bytes that wait for a caller. Returns `None` if the memory is
+    /// used up, except for the `first` bytes of an answer that wait.
+    pub fn share(&self, size: usize, first: bool) -> Option<Share> {
+        let mut state = self.0.lock();
+
+        if !first && state.held + size > state.limit {
+            return None;
+        }
+
+        state.held += size;
+        self.0.report_pressure(&state);
+        Some(Share {
+            memory: Arc::clone(&self.0),
+            size,
+        })
+    }
+
+    /// Returns a future that completes when memory is given back.
+    pub fn freed(&self) -> Notified<'_> {
+        self.0.freed.notified()
+    }
+
+    /// Waits until the memory is nearly used up.
+    pub async fn pressed(&self) {
+        self.0.pressed.notified().await;
+    }
+
+    /// Returns the number of bytes by which the memory for complete bodies and streams
+    /// should shrink, because the memory is nearly used up.
+    pub fn excess(&self) -> usize {
+        self.0.lock().excess()
+    }
+
     /// Begins a body.
     pub fn begin(&self) -> Collector {
         let mut state = self.0.lock();
@@ -144,6 +204,20 @@
     }
 }
 
+/// A part of the memory, given back when it is dropped.
+#[derive(Debug)]
+pub struct Share {
+    memory: Arc<Shared>,
+    size: usize,
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.memory.lock().held -= self.size;
+        self.memory.freed.notify_waiters();
+    }
+}
+
 /// A block of a body and its share of the memory.
 #[derive(Debug)]
 struct Block {
@@ -280,6 +354,7 @@
 
         if matches!(next, Next::Take) {
             state.held += size;
+            self.memory.report_pressure(&state);
 
             if let Some(body) = state.incomplete.get_mut(&self.number) {
                 body.bytes += size;
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -8,6 +8,7 @@
         error::{Error, ListenSnafu},
         http::{
             body::{Body, GuardedBody},
+            callers::{Callers, Watch},
             observed_stream::ObservedStream,
             timing::{Bounds, CloseReason, Timer, Work},
         },
@@ -55,6 +56,8 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     pub bounds: Rc<Cell<Bounds>>,
+    /// Where the bytes that wait for callers are counted.
+    pub callers: Option<Callers>,
     pub connections: usize,
 }
 
@@ -172,13 +175,25 @@
         log::debug!("cannot set TCP_NODELAY on a connection: {error}");
     }
 
+    let caller = limits.callers.as_ref();
+    let watch = Watch {
+        connection: caller.map(|callers| Rc::new(callers.connect(peer))),
+        timer: timer.clone(),
+    };
     let current = state.clone();
     let service = service_fn(|request| {
         let serving = timer.start_request();
         let response = handler(request, peer);
         let state = current.clone();
+        let connection = watch.connection.clone();
         async move {
-            let mut response = response.await.map(|body| GuardedBody::new(body, serving));
+            let mut response = response.await.map(|body| {
+                let body = match connection {
+                    Some(connection) => connection.begin_answer(body),
+                    None => body,
+                };
+                GuardedBody::new(body, serving)
+            });
 
             if *state.borrow() != ListenerState::Open {
                 let close = HeaderValue::from_static("close");
@@ -192,7 +207,7 @@
     builder.header_read_timeout(None).max_buf_size(
         (limits.bounds.get().header_bytes + REQUEST_LINE_BYTES).max(MIN_BUFFER_BYTES),
     );
-    let stream = TokioIo::new(ObservedStream::new(stream, timer.clone()));
+    let stream = TokioIo::new(ObservedStream::new(stream, watch.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
 
     let result = tokio::select! {
@@ -220,6 +235,8 @@
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
+        // Whoever ends a connection also logs it.
+        () = wait_for_end(&watch) => return,
     };
 
     if let Err(error) = result {
@@ -227,6 +244,13 @@
     }
 }
 
+async fn wait_for_end(watch: &Watch) {
+    match &watch.connection {
+        Some(connection) => connection.ended().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard(Connections);
 
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -19,6 +19,7 @@
 mod packing;
 mod piece;
 mod placement;
+mod pressure;
 mod quarantine;
 mod readers;
 mod rendezvous;
