Test slow callers with real sockets, and wake waiting bodies less often

200 callers that read a byte a second beside 200 normal ones on a host with 120 MB; callers that stop reading in the head and in the middle; an endpoint that is faster than its caller; a host with nearly no memory for bodies.

Each part of the memory that was given back woke every body that waited for memory, and every paused stream. Bodies wait only while there is no memory for a block, so they are now woken when there is again; a stream that has reached its own limit waits for its caller only.

--- a/src/transport/http/memory.rs
+++ b/src/transport/http/memory.rs
@@ -96,6 +96,11 @@
 }
 
 impl State {
+    /// Returns whether there is no memory for a block.
+    const fn is_full(&self) -> bool {
+        self.held.saturating_add(BLOCK_BYTES) > self.limit
+    }
+
     const fn pressed_bytes(&self) -> usize {
         self.limit / 100 * PRESSED_PERCENT
     }
@@ -115,6 +120,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Gives memory back. Bodies wait only while there is no memory for a block, so
+    /// that they are woken when there is again, and not for each of many small parts.
+    fn give_back(&self, size: usize) {
+        let mut state = self.lock();
+        let was_full = state.is_full();
+        state.held -= size;
+        let wakes = was_full && !state.is_full();
+        drop(state);
+
+        if wakes {
+            self.freed.notify_waiters();
+        }
+    }
+
     fn report_pressure(&self, state: &State) {
         if state.held > state.pressed_bytes() {
             self.pressed.notify_one();
@@ -213,8 +232,7 @@
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.memory.lock().held -= self.size;
-        self.memory.freed.notify_waiters();
+        self.memory.give_back(self.size);
     }
 }
 
@@ -234,8 +252,7 @@
 
 impl Drop for Block {
     fn drop(&mut self) {
-        self.memory.lock().held -= self.size;
-        self.memory.freed.notify_waiters();
+        self.memory.give_back(self.size);
     }
 }
 
--- a/src/transport/http/outbox.rs
+++ b/src/transport/http/outbox.rs
@@ -90,6 +90,28 @@
     }
 }
 
+/// What a stream that has events to queue does next.
+enum Next {
+    /// Waits until there is memory or the caller has read.
+    Memory,
+    /// Waits until the caller has read.
+    Read,
+    /// Queues a chunk of this length.
+    Take(usize, Share),
+}
+
+/// Adds the time of a pause, also if the stream ends within it.
+struct Pause<'a> {
+    paused: &'a Cell<Duration>,
+    since: Instant,
+}
+
+impl Drop for Pause<'_> {
+    fn drop(&mut self) {
+        self.paused.set(self.paused.get() + self.since.elapsed());
+    }
+}
+
 /// Queues the events of a stream for a caller.
 #[derive(Debug)]
 pub struct Sender {
@@ -146,8 +168,8 @@
 
         while !events.is_empty() {
             let (length, share) = match self.take(events.len(), *limit, memory) {
-                Some(taken) => taken,
-                None => self.wait(events.len(), *limit, memory).await,
+                Next::Take(length, share) => (length, share),
+                Next::Read | Next::Memory => self.wait(events.len(), *limit, memory).await,
             };
             let bytes = events.split_to(length);
             let chunk = self.backlog.hold(bytes, length + CHUNK_BYTES, Some(share));
@@ -176,9 +198,8 @@
         self.paused.get()
     }
 
-    /// Takes memory for the next chunk of `length` bytes or fewer. Returns the length
-    /// of the chunk.
-    fn take(&self, length: usize, limit: usize, memory: &Memory) -> Option<(usize, Share)> {
+    /// Takes memory for the next chunk of `length` bytes or fewer.
+    fn take(&self, length: usize, limit: usize, memory: &Memory) -> Next {
         /// Share of the limit that has to be free for a chunk that is shorter than the
         /// events, so that events are not cut into tiny chunks.
         const MIN_CHUNK_SHARE: usize = 4;
@@ -187,30 +208,32 @@
         let room = limit.saturating_sub(waiting + CHUNK_BYTES);
 
         if room < length.min(limit / MIN_CHUNK_SHARE) || room == 0 {
-            return None;
+            return Next::Read;
         }
 
         let length = length.min(room);
-        let share = memory.share(length + CHUNK_BYTES, waiting == 0)?;
-        Some((length, share))
+        let share = memory.share(length + CHUNK_BYTES, waiting == 0);
+        share.map_or(Next::Memory, |share| Next::Take(length, share))
     }
 
     /// Waits until the next chunk can be taken.
     async fn wait(&self, length: usize, limit: usize, memory: &Memory) -> (usize, Share) {
-        let since = Instant::now();
+        let _pause = Pause {
+            paused: &self.paused,
+            since: Instant::now(),
+        };
 
         loop {
             let read = self.backlog.0.freed.notified();
             let freed = memory.freed();
 
-            if let Some(taken) = self.take(length, limit, memory) {
-                self.paused.set(self.paused.get() + since.elapsed());
-                return taken;
-            }
-
-            tokio::select! {
-                () = read => {}
-                () = freed => {}
+            match self.take(length, limit, memory) {
+                Next::Take(length, share) => return (length, share),
+                Next::Read => read.await,
+                Next::Memory => tokio::select! {
+                    () = read => {}
+                    () = freed => {}
+                },
             }
         }
     }
--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -90,8 +90,24 @@
     ///
     /// Panics when the process cannot be started.
     pub fn start(binary: &Path, folder: &Path, settings: &Settings, addresses: Addresses) -> Self {
+        Self::start_with(binary, folder, settings, addresses, |text| text)
+    }
+
+    /// Starts a host as [`Host::start`] does, with a settings file that `edit` has
+    /// changed.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be started.
+    pub fn start_with(
+        binary: &Path,
+        folder: &Path,
+        settings: &Settings,
+        addresses: Addresses,
+        edit: impl FnOnce(String) -> String,
+    ) -> Self {
         let path = folder.join(format!("{}.ini", settings.name));
-        fs::write(&path, render_settings(settings, &addresses))
+        fs::write(&path, edit(render_settings(settings, &addresses)))
             .expect("the settings can be written");
         let log = path.with_extension("log");
         let output = open_log(&log);
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -108,6 +108,8 @@
     runs: Vec<Run>,
     /// Added to the execution time of every request.
     delay: Duration,
+    /// Bytes added to each event of a stream.
+    event_padding: usize,
     /// Whether all answers say that the worker is leaving.
     leaving: bool,
     /// The requests a second that all answers say the worker takes.
@@ -180,6 +182,11 @@
         lock(&self.service.state).delay = delay;
     }
 
+    /// Sets the number of bytes added to each event of a stream.
+    pub fn pad_events(&self, bytes: usize) {
+        lock(&self.service.state).event_padding = bytes;
+    }
+
     /// Names a number of requests a second in all answers from now on, or none.
     pub fn limit(&self, per_second: Option<&'static str>) {
         lock(&self.service.state).limit = per_second;
@@ -391,6 +398,7 @@
 
         let head = format!("{head}X-Server-Stamp: proof\r\nTransfer-Encoding: chunked\r\n\r\n");
         let pause = self.pause;
+        let padding = "x".repeat(lock(&self.state).event_padding);
         let attempt = attempt.to_owned();
         let server = Arc::clone(&self.server);
 
@@ -404,7 +412,7 @@
             }
 
             for event in first..last {
-                let text = format!("id: {event}\ndata: {attempt} {event}\n\n");
+                let text = format!("id: {event}\ndata: {attempt} {event}{padding}\n\n");
                 write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
                 writer.flush()?;
                 thread::sleep(pause);
