Explain where a request would go at a host that serves routes

Operators could see from the log why a request had failed, but not where one would go now or what would refuse it.

The decision is a module without a network that uses the same choice as requests do. Nothing is sent, and no key is part of the answer. The figures of the balancing host are not shown: asking it would place a prompt.

The test of the command builds it first, since it belongs to another package.

--- a/src/bin/persimmoncleatctl/help.rs
+++ b/src/bin/persimmoncleatctl/help.rs
@@ -77,7 +77,13 @@
 the id starts with.
 
 Example: persimmoncleatctl --host 127.0.0.1:7001 --key-file operator.key \
-explain h1.1786000000000000.5f0c";
+explain h1.1786000000000000.5f0c
+
+With --metrics, shows where a request would go now at a host that serves routes, \
+and what would refuse it, without sending it. Needs no key.
+
+Example: persimmoncleatctl explain --metrics 10.1.0.3:9464 --name api.example \
+--path /chat/ --team almanac --parts system:900,session:50";
 
 pub const DRAIN: &str = "\
 The host takes no new work, finishes what is in progress and exits with 0.
--- a/src/bin/persimmoncleatctl/main.rs
+++ b/src/bin/persimmoncleatctl/main.rs
@@ -3,6 +3,7 @@
 mod change;
 mod config;
 mod diff;
+mod explain;
 mod failure;
 mod fleet;
 mod help;
--- a/src/bin/persimmoncleatctl/options.rs
+++ b/src/bin/persimmoncleatctl/options.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        change::Author, config, failure::Failure, fleet, help, operator::Operator, replay, timeline,
+        change::Author, config, explain, failure::Failure, fleet, help, operator::Operator, replay,
+        timeline,
     },
     bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional},
     persimmoncleat::state::key::{self, KEYS},
@@ -44,6 +45,10 @@
         json: bool,
         request: String,
     },
+    ExplainPath {
+        json: bool,
+        question: explain::Question,
+    },
     Export,
     Get {
         json: bool,
@@ -105,6 +110,7 @@
             Command::Drain { json } => fleet::drain(&operator()?, json),
             Command::Endpoints { json } => fleet::endpoints(&operator()?, json),
             Command::Explain { json, request } => fleet::explain(&operator()?, &request, json),
+            Command::ExplainPath { json, question } => explain::explain(&question, json),
             Command::Export => config::export(&operator()?),
             Command::Get {
                 json,
@@ -209,10 +215,14 @@
     );
     let json = self::json();
     let request = positional::<String>("REQUEST").help("Id of the request");
+    let by_request = construct!(Command::Explain { json, request });
+    let json = self::json();
+    let question = question();
+    let by_path = construct!(Command::ExplainPath { json, question });
     let explain = command(
-        construct!(Command::Explain { json, request }),
+        construct!([by_path, by_request]),
         "explain",
-        "Show the events of a request",
+        "Show the events of a request, or where one would go",
         help::EXPLAIN,
     );
     let json = self::json();
@@ -249,6 +259,31 @@
     construct!([backlog, drain, endpoints, explain, replay, status, timeline])
 }
 
+fn question() -> impl Parser<explain::Question> {
+    let metrics = long("metrics")
+        .help("Metrics address of a host that serves routes")
+        .argument::<SocketAddr>("ADDRESS");
+    let name = long("name")
+        .help("Value of the request's Host header")
+        .argument::<String>("NAME");
+    let path = long("path").help("Path").argument::<String>("PATH");
+    let team = long("team")
+        .help("Team of the caller")
+        .argument::<String>("TEAM")
+        .optional();
+    let parts = long("parts")
+        .help("Parts of the prompt with their tokens, for example a:50,b:30")
+        .argument::<String>("PARTS")
+        .optional();
+    construct!(explain::Question {
+        metrics,
+        name,
+        parts,
+        path,
+        team
+    })
+}
+
 fn apply() -> impl Parser<Command> {
     let json = json();
     let dry_run = long("dry-run")
--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod dispatch;
 pub mod drain;
+pub mod explain;
 pub mod follower;
 pub mod host;
 pub mod ingress;
--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        coordination::serving::host::Host,
+        coordination::serving::{explain, host::Host},
         state::{id, serving::directory},
         transport::http::{
             body::Body,
@@ -64,7 +64,7 @@
     listen(ready, answer_ready);
 
     if let Some(metrics) = metrics {
-        listen(metrics, |host, _| text(StatusCode::OK, host.tally.render()));
+        listen(metrics, answer_metrics);
     }
 }
 
@@ -95,6 +95,20 @@
     response
 }
 
+fn answer_metrics(host: &Host, request: &Request<Incoming>) -> Response<Body> {
+    let uri = request.uri();
+
+    if uri.path() != explain::PATH {
+        return text(StatusCode::OK, host.tally.render());
+    }
+
+    let answer = explain::answer(host, uri.query().unwrap_or(""));
+    match serde_json::to_string(&answer) {
+        Ok(body) => text(StatusCode::OK, body),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
 fn answer_ready(host: &Host, request: &Request<Incoming>) -> Response<Body> {
     let path_matches = request.uri().path() == host.codec.ready_path();
     let ready = host.view().is_ready() && host.stop().is_none();
--- a/src/coordination/serving/pools.rs
+++ b/src/coordination/serving/pools.rs
@@ -98,6 +98,14 @@
         self.replies.borrow().len()
     }
 
+    /// Returns the backlog of a pool that this host dispatches.
+    pub fn backlog(&self, now: Time, service: &id::Pool) -> Option<Duration> {
+        let dispatchers = self.dispatchers.borrow();
+        dispatchers
+            .get(service)
+            .map(|dispatcher| dispatcher.backlog(now))
+    }
+
     /// Returns the number of queued pieces by service.
     pub fn queued(&self) -> Vec<(id::Pool, usize)> {
         let dispatchers = self.dispatchers.borrow();
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -131,21 +131,26 @@
     /// Returns the parts of the prompt, each with its hash and that of the prompt
     /// up to its end.
     pub fn prompt_parts(&self) -> Vec<Part> {
-        let mut hasher = SipHasher13::new();
         let parts = self.call.prompt.iter().flat_map(|prompt| &prompt.parts);
-        parts
-            .map(|part| {
-                part.id.hash(&mut hasher);
-                Part {
-                    id: part_hash(&part.id),
-                    prefix: hasher.finish(),
-                    tokens: u32::try_from(part.tokens).unwrap_or(u32::MAX),
-                }
-            })
-            .collect()
+        hash_parts(parts.map(|part| (part.id.as_str(), part.tokens)))
     }
 }
 
+/// Returns the parts of a prompt, given by their ids and tokens, with their hashes.
+pub fn hash_parts<'a>(parts: impl Iterator<Item = (&'a str, u64)>) -> Vec<Part> {
+    let mut hasher = SipHasher13::new();
+    parts
+        .map(|(id, tokens)| {
+            id.hash(&mut hasher);
+            Part {
+                id: part_hash(id),
+                prefix: hasher.finish(),
+                tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            }
+        })
+        .collect()
+}
+
 /// Returns the hash of a part of a prompt, the same on every host.
 fn part_hash(id: &str) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -13,6 +13,7 @@
 pub mod object;
 pub mod object_api;
 pub mod order;
+pub mod query;
 pub mod secret;
 pub mod serving_file;
 pub mod serving_reload;
--- a/src/protocol/object_api.rs
+++ b/src/protocol/object_api.rs
@@ -167,7 +167,8 @@
     }
 }
 
-fn percent_encode(text: &str) -> String {
+/// Encodes a text for a path or the value of a query field.
+pub fn percent_encode(text: &str) -> String {
     text.bytes().fold(String::new(), |mut encoded, byte| {
         if byte.is_ascii_alphanumeric() || b"-_./~".contains(&byte) {
             encoded.push(byte.into());
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -11,6 +11,7 @@
 pub mod departures;
 pub mod directory;
 pub mod dispatchers;
+pub mod explain;
 pub mod graph;
 pub mod health;
 pub mod limit;
--- a/src/state/serving/placement.rs
+++ b/src/state/serving/placement.rs
@@ -36,6 +36,8 @@
     incarnation: u64,
     /// Number of this host's requests in progress.
     running: u32,
+    /// When this host last sent it a request.
+    sent: Option<Time>,
 }
 
 /// The criteria by which a request's endpoint is chosen.
@@ -150,6 +152,7 @@
     pub fn begin(&mut self, now: Time, entry: &Entry) {
         let state = self.state_mut(entry);
         state.running += 1;
+        state.sent = Some(now);
         state.health.record_request(now);
     }
 
@@ -178,6 +181,11 @@
             .map_or(0, |state| state.running)
     }
 
+    /// Returns when this host last sent a request to an endpoint, if it is known.
+    pub fn last_sent(&self, entry: &Entry) -> Option<Time> {
+        self.endpoints.get(&entry.endpoint)?.sent
+    }
+
     /// Returns the first endpoint in the session's rendezvous order whose load is
     /// below the bound, or the one with the least load if there is none.
     fn by_session<'a>(
@@ -222,7 +230,7 @@
 
     /// Returns the health of an endpoint, unless it was observed on another
     /// incarnation.
-    fn health(&self, entry: &Entry) -> Option<&Health> {
+    pub fn health(&self, entry: &Entry) -> Option<&Health> {
         let state = self.endpoints.get(&entry.endpoint)?;
         (state.incarnation == entry.incarnation).then_some(&state.health)
     }
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod dispatchers;
 mod event_stream;
+mod explain;
 mod follower;
 mod graph;
 mod limit;
