--- a/src/transport/http/memory.rs
+++ b/src/transport/http/memory.rs
@@ -93,9 +93,7 @@
             _ => Next::Fail,
         }
     }
-}
 
-impl State {
     /// Returns whether there is no memory for a block.
     const fn is_full(&self) -> bool {
         self.held.saturating_add(BLOCK_BYTES) > self.limit
@@ -187,9 +185,9 @@
         self.0.freed.notified()
     }
 
-    /// Waits until the memory is nearly used up.
-    pub async fn pressed(&self) {
-        self.0.pressed.notified().await;
+    /// Returns a future that completes when the memory is nearly used up.
+    pub fn pressed(&self) -> Notified<'_> {
+        self.0.pressed.notified()
     }
 
     /// Returns the number of bytes by which the memory for complete bodies and streams
