--- a/src/coordination/serving/auxiliary.rs
+++ b/src/coordination/serving/auxiliary.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        coordination::serving::host::Host,
+        coordination::serving::{explain, host::Host},
         state::{clock::Time, id, serving::directory},
         transport::{
             boot_clock,
@@ -80,6 +80,7 @@
     let (_, open_state) = watch::channel(ListenerState::Open);
     let limits = Limits {
         bounds: Rc::new(Cell::new(AUXILIARY_BOUNDS)),
+        callers: None,
         connections: MAX_CONNECTIONS,
     };
     let listen = |listener, answer: Answer| {
@@ -101,10 +102,7 @@
     listen(ready, answer_ready);
 
     if let Some(metrics) = metrics {
-        listen(metrics, |host, _, _| {
-            set_gauges(host);
-            text(StatusCode::OK, host.tally.render())
-        });
+        listen(metrics, answer_metrics);
     }
 }
 
@@ -153,6 +151,21 @@
     response
 }
 
+fn answer_metrics(host: &Host, request: &Request<Incoming>, _: IpAddr) -> Response<Body> {
+    let uri = request.uri();
+
+    if uri.path() != explain::PATH {
+        set_gauges(host);
+        return text(StatusCode::OK, host.tally.render());
+    }
+
+    let answer = explain::answer(host, uri.query().unwrap_or(""));
+    match serde_json::to_string(&answer) {
+        Ok(body) => text(StatusCode::OK, body),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
 fn answer_ready(host: &Host, request: &Request<Incoming>, _: IpAddr) -> Response<Body> {
     let path_matches = request.uri().path() == host.codec.ready_path();
     let ready = host.view().is_ready() && host.stop().is_none();
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -30,7 +30,7 @@
         },
         transport::{
             boot_clock,
-            http::{client::Client, memory::Memory, timing::Bounds},
+            http::{callers::Callers, client::Client, memory::Memory, timing::Bounds},
             links::Links,
             machine,
             tally::Tally,
@@ -57,6 +57,7 @@
     pub backlogs: Backlogs,
     pub balancing: Balancing,
     pub caller_bounds: Rc<Cell<Bounds>>,
+    pub callers: Callers,
     pub client: Client,
     pub codec: Arc<dyn Codec>,
     /// Sends events to the control thread.
@@ -94,6 +95,7 @@
             backlogs: Backlogs::default(),
             balancing: Balancing::default(),
             caller_bounds: Rc::new(Cell::new(INITIAL_BOUNDS)),
+            callers: Callers::default(),
             client: Client::new(memory.clone()),
             codec,
             control,
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -15,11 +15,12 @@
 
 /// Known sections and keys, sorted.
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
+    ("callers", &["stall_ms", "stream_kb"]),
+    ("cold", &["excess", "slack"]),
     ("directory", &["weighted"]),
     ("endpoints", &["load_reports"]),
-    ("cold", &["excess", "slack"]),
-    ("evacuations", &["follow"]),
     ("engines", &["room", "speeds"]),
+    ("evacuations", &["follow"]),
     (
         "host",
         &[
@@ -61,6 +62,17 @@
     pub ready: SocketAddr,
 }
 
+/// Bounds of what is kept for callers that read slowly. Without them nothing is
+/// bounded.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Callers {
+    /// Time without progress after which a caller for which bytes wait is
+    /// disconnected.
+    pub stall: Option<Duration>,
+    /// Maximum number of bytes of a stream that wait for its caller.
+    pub stream_bytes: Option<usize>,
+}
+
 /// Connection to the platform's store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Store {
@@ -87,6 +99,7 @@
     pub addresses: Addresses,
     /// The retry budget of the whole fleet.
     pub budget: Bounds,
+    pub callers: Callers,
     /// Capacity of the host relative to others.
     pub capacity: u32,
     /// The bound on requests to cold endpoints, if they are limited.
@@ -199,6 +212,7 @@
         [("value", Order::Value), ("urgency", Order::Urgency)],
     );
     let engines = engines(fields);
+    let bounds = read_callers(fields);
     let level = fields.optional("log", "level", "off, error, warn, info, debug or trace");
 
     Some(File {
@@ -215,6 +229,7 @@
             slack: slack?,
             window: seconds(window?, MAX_SECONDS),
         },
+        callers: bounds,
         capacity: capacity(cores, link),
         cold,
         connections: usize::try_from(connections?).ok()?,
@@ -255,6 +270,27 @@
     }
 }
 
+fn read_callers(fields: &mut Fields) -> Callers {
+    const EXPECTED_STALL: &str = "a number of milliseconds from 500 to 600000";
+    const EXPECTED_STREAM: &str = "a number of kilobytes from 4 to 100000";
+
+    let stall = fields.optional::<u64>("callers", "stall_ms", EXPECTED_STALL);
+    let stream = fields.optional::<usize>("callers", "stream_kb", EXPECTED_STREAM);
+
+    if let Some(stall) = stall.filter(|stall| !(500..=600_000).contains(stall)) {
+        fields.add_fault("callers", "stall_ms", &stall.to_string(), EXPECTED_STALL);
+    }
+
+    if let Some(stream) = stream.filter(|stream| !(4..=100_000).contains(stream)) {
+        fields.add_fault("callers", "stream_kb", &stream.to_string(), EXPECTED_STREAM);
+    }
+
+    Callers {
+        stall: stall.map(Duration::from_millis),
+        stream_bytes: stream.map(|stream| stream * 1000),
+    }
+}
+
 /// Returns the memory that the process may use, in bytes.
 fn memory_bytes(fields: &mut Fields) -> Option<usize> {
     const EXPECTED: &str = "a number of megabytes from 16 to 1000000";
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -24,6 +24,7 @@
         let applied = [
             ("engines", changed.engines != current.engines),
             ("retries", changed.budget != current.budget),
+            ("callers", changed.callers != current.callers),
             ("limits.grace_s", changed.grace != current.grace),
             (
                 "limits.keep_addresses_ms",
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 pub mod dispatchers;
 pub mod evacuation;
+pub mod explain;
 pub mod forecast;
 pub mod graph;
 pub mod health;
