Take out the headroom of hosts

Read and not traced: changed reports make hosts disagree on the dispatcher, so two of them fill the same endpoints.

Change: the measurement, the member field, the weights and their settings are removed; dispatchers are ranked by capacity as before. The tests of the part go with it.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -47,8 +47,6 @@
   # Revision of the newest entry in the member's list of endpoints.
   evacuations @12 :UInt64;
   # Revision of the newest change of the evacuated failure domains.
-  headroom @13 :UInt8;
-  # Unused processor time of the member, in percent; 0 if it does not tell.
 }
 
 struct Quarantined {
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -203,7 +203,6 @@
         demand: BTreeMap::new(),
         domain: file.host.domain.clone(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: file.host.id.clone(),
         incarnation: incarnation(),
--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -15,7 +15,6 @@
 pub mod expectation;
 pub mod explain;
 pub mod follower;
-pub mod headroom;
 pub mod host;
 pub mod ingress;
 pub mod loads;
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -87,8 +87,6 @@
         endpoint: id::Endpoint,
         incarnation: u64,
     },
-    /// The unused part of this host's capacity changed, or is no longer measured.
-    Headroom(Option<u8>),
     /// This host stops accepting new work.
     Leave,
     Membership(membership::Event),
@@ -263,7 +261,6 @@
                 endpoint,
                 incarnation,
             } => self.apply_departure(now, &endpoint, incarnation),
-            Event::Headroom(percent) => self.member_view.local.headroom = percent,
             Event::Leave => {
                 self.membership
                     .handle(now, membership::Event::Leave, &mut self.member_view);
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -9,7 +9,7 @@
             serving::{
                 auxiliary, balancing, callers,
                 control::{self, Call, Control, Event, Options},
-                drain, headroom,
+                drain,
                 host::{self, Host},
                 ingress, pools, releases,
                 reload::{self, Follower, Source},
@@ -141,7 +141,6 @@
         let host = Host::new(settings, codec, sender, links, view, tally);
         spawn_local(host::follow_views(Rc::clone(&host), views));
         spawn_local(host::follow_settings(Rc::clone(&host), followed_settings));
-        spawn_local(headroom::run(Rc::clone(&host)));
         spawn_local(callers::disconnect_idle(Rc::clone(&host)));
         spawn_local(serve_peer_calls(Rc::clone(&host), receiver));
         let connections = Connections::default();
@@ -219,7 +218,6 @@
         demand: BTreeMap::new(),
         domain: settings.domain.clone(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: settings.host.clone(),
         incarnation: id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
--- a/src/protocol/serving_file.rs
+++ b/src/protocol/serving_file.rs
@@ -38,7 +38,6 @@
             "ready_address",
         ],
     ),
-    ("hosts", &["headroom"]),
     (
         "limits",
         &["connections", "grace_s", "keep_addresses_ms", "memory_mb"],
@@ -117,8 +116,6 @@
     pub fleet_key: Vec<u8>,
     /// Time from the stop signal until the process is forced to exit.
     pub grace: Duration,
-    /// Whether this host measures and reports its headroom.
-    pub headroom: bool,
     pub host: id::Host,
     /// Time for which callers may cache the addresses.
     pub keep_addresses: Duration,
@@ -196,7 +193,6 @@
     let grace = fields.required::<f64>("limits", "grace_s", "a number of seconds");
     let keep = fields.number("limits", "keep_addresses_ms", 1, MAX_MILLIS);
     let memory = memory_bytes(fields);
-    let headroom = switch(fields, "hosts", "headroom");
     let load_reports = switch(fields, "endpoints", "load_reports");
     let weighted_directory = switch(fields, "directory", "weighted");
     let cold = cold_bounds(fields);
@@ -240,7 +236,6 @@
         engines,
         fleet_key: fleet_key?.into_bytes(),
         grace: seconds(grace?, MAX_SECONDS),
-        headroom,
         host: host?.into(),
         keep_addresses: Duration::from_millis(keep?),
         level: level.unwrap_or(LevelFilter::Info),
--- a/src/protocol/serving_reload.rs
+++ b/src/protocol/serving_reload.rs
@@ -43,7 +43,6 @@
                 "endpoints.load_reports",
                 changed.load_reports != current.load_reports,
             ),
-            ("hosts.headroom", changed.headroom != current.headroom),
         ];
         let deferred = [
             (
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -1,7 +1,6 @@
 //! Membership: which hosts are alive, and the records that they exchange.
 
 pub mod gossip;
-pub mod headroom;
 pub mod hints;
 pub mod member;
 pub mod membership;
--- a/src/state/fleet/member.rs
+++ b/src/state/fleet/member.rs
@@ -47,10 +47,6 @@
     /// Revision of the newest entry in the member's list of endpoints.
     #[serde(default)]
     pub endpoints: u64,
-    /// Unused part of the member's capacity in percent, at least 1, if the member
-    /// reports it.
-    #[serde(default)]
-    pub headroom: Option<u8>,
     /// Revision of the newest change of the evacuated failure domains.
     #[serde(default)]
     pub evacuations: u64,
@@ -65,15 +61,6 @@
     pub settings: u64,
 }
 
-impl Member {
-    /// Returns the unused part of the capacity, from 0 to 1. A member that does not
-    /// report it counts as unused.
-    pub fn unused(&self) -> f64 {
-        self.headroom
-            .map_or(1.0, |percent| f64::from(percent.clamp(1, 100)) / 100.0)
-    }
-}
-
 const fn one() -> u32 {
     1
 }
--- a/src/state/fleet/peer.rs
+++ b/src/state/fleet/peer.rs
@@ -66,27 +66,22 @@
     /// Replaces the record if the given one is newer. Returns whether the change
     /// should be disseminated.
     ///
-    /// A record relayed by another host carries no demand, and none of an earlier
-    /// version relays the headroom, so the current ones are kept.
+    /// A record relayed by another host carries no demand, so the current demand
+    /// is kept.
     pub fn merge(&mut self, now: Time, mut record: Member, direct: bool) -> bool {
         if rank(&record) <= rank(&self.member) {
             return false;
         }
 
         let new_incarnation = record.incarnation != self.member.incarnation;
+        let changed = new_incarnation || record.phase != self.member.phase;
 
         if direct {
             self.last_received = Some(now);
         } else {
             record.demand = std::mem::take(&mut self.member.demand);
-            let known = self.member.headroom.filter(|_| !new_incarnation);
-            record.headroom = record.headroom.or(known);
         }
 
-        let changed = new_incarnation
-            || record.phase != self.member.phase
-            || record.headroom != self.member.headroom;
-
         self.suspected_since = match record.phase {
             Phase::Suspect => self
                 .suspected_since
--- a/src/state/rendezvous.rs
+++ b/src/state/rendezvous.rs
@@ -23,13 +23,7 @@
 /// score wins. The fraction of keys that a candidate wins equals its fraction of
 /// the total capacity.
 pub fn score(key: &impl Hash, candidate: &impl Hash, capacity: u32) -> f64 {
-    share_score(key, candidate, f64::from(capacity.max(1)))
-}
-
-/// Returns the score of a candidate with a fractional capacity, which must be
-/// positive.
-pub fn share_score(key: &impl Hash, candidate: &impl Hash, capacity: f64) -> f64 {
     let weight = weight(key, candidate);
     let uniform = (weight >> 11) as f64 / (1u64 << 53) as f64;
-    -capacity / uniform.max(f64::MIN_POSITIVE).ln()
+    -f64::from(capacity.max(1)) / uniform.max(f64::MIN_POSITIVE).ln()
 }
--- a/src/state/replay/claims_host.rs
+++ b/src/state/replay/claims_host.rs
@@ -126,7 +126,6 @@
         demand: BTreeMap::new(),
         domain: "".into(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: name(host),
         incarnation,
--- a/src/state/serving/directory.rs
+++ b/src/state/serving/directory.rs
@@ -40,7 +40,7 @@
 /// Returns the caller addresses of the hosts that one caller should use, without
 /// duplicates, best first.
 ///
-/// The larger the unused capacity of a host, the more callers get its address. Each
+/// The larger the capacity of a host, the more callers get its address. Each
 /// failure domain with hosts that are alive has at least one address, so that the
 /// loss of another domain does not cut the caller off. A host that comes or goes
 /// changes few of the addresses.
@@ -73,9 +73,8 @@
     let mut order = members
         .filter(|member| member.phase == Phase::Alive)
         .map(|member| {
-            let capacity = f64::from(member.capacity.max(1)) * member.unused();
             let host = member.host.as_str();
-            let score = rendezvous::share_score(&caller.as_str(), &host, capacity);
+            let score = rendezvous::score(&caller.as_str(), &host, member.capacity);
             (score, member)
         })
         .collect::<Vec<(f64, &Member)>>();
--- a/src/state/serving/dispatchers.rs
+++ b/src/state/serving/dispatchers.rs
@@ -23,10 +23,6 @@
 /// Number of dispatchers that are tried for one job.
 pub const MAX_DISPATCHERS: usize = 3;
 
-/// Unused part of a host's capacity from which on it is as good a dispatcher as an
-/// idle one.
-const AMPLE_HEADROOM: f64 = 0.5;
-
 /// What a host knows of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Fleet<'a> {
@@ -50,7 +46,7 @@
             let alive = member.phase == Phase::Alive;
             (
                 &member.host,
-                alive.then_some((Some(member.peer_address), dispatch_weight(member))),
+                alive.then_some((Some(member.peer_address), member.capacity)),
             )
         })
         .collect::<HashMap<_, _>>();
@@ -59,19 +55,20 @@
         if !fleet.unreachable.contains(&record.peer_address) {
             known
                 .entry(&record.host)
-                .or_insert(Some((Some(record.peer_address), cube(record.capacity))));
+                .or_insert(Some((Some(record.peer_address), record.capacity)));
         }
     }
 
     if let Some(local) = fleet.local {
-        known.insert(&local.host, Some((None, dispatch_weight(local))));
+        known.insert(&local.host, Some((None, local.capacity)));
     }
 
     let mut order = known
         .into_iter()
         .filter_map(|(host, candidate)| {
-            let (address, weight) = candidate?;
-            let score = rendezvous::share_score(&service.as_str(), &host.as_str(), weight);
+            let (address, capacity) = candidate?;
+            let weight = dispatch_weight(capacity);
+            let score = rendezvous::score(&service.as_str(), &host.as_str(), weight);
             Some((score, host, address))
         })
         .collect::<Vec<_>>();
@@ -80,18 +77,9 @@
     addresses.take(MAX_DISPATCHERS).collect()
 }
 
-/// Returns the weight of a host in the choice of a dispatcher, which is the cube of
-/// its capacity times its headroom.
-///
-/// Headroom counts only as far as it is below `AMPLE_HEADROOM`: the work of a
-/// dispatcher lowers its own headroom, and a role that moved with each step would
-/// return as soon as the host is idle again.
-fn dispatch_weight(member: &Member) -> f64 {
-    cube(member.capacity) * (member.unused() / AMPLE_HEADROOM).min(1.0).powi(3)
-}
-
-/// Dispatching one pool takes most of a small host's capacity, so large hosts are
-/// preferred by more than the ratio of their capacities.
-fn cube(capacity: u32) -> f64 {
-    f64::from(capacity.saturating_pow(3).max(1))
+/// Returns the weight of a host in the choice of a dispatcher. Dispatching one
+/// pool takes most of a small host's capacity, so large hosts are preferred by
+/// more than the ratio of their capacities.
+fn dispatch_weight(capacity: u32) -> u32 {
+    capacity.saturating_pow(3)
 }
--- a/src/transport/machine.rs
+++ b/src/transport/machine.rs
@@ -1,6 +1,6 @@
 //! What the operating system says of the machine.
 
-use std::{fs, time::Duration};
+use std::fs;
 
 /// Memory that is assumed if the operating system does not report any, in bytes.
 const DEFAULT_MEMORY: usize = 256_000_000;
@@ -19,14 +19,6 @@
     })
 }
 
-/// Returns the processor time that this process has used.
-pub fn processor_time() -> Duration {
-    let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
-    Duration::new(seconds, nanoseconds)
-}
-
 fn total(text: &str) -> Option<usize> {
     let line = text
         .lines()
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -64,7 +64,6 @@
         demand: Default::default(),
         domain: "is-1".into(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: host.into(),
         incarnation: id::Incarnation(1),
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -320,7 +320,6 @@
             demand: BTreeMap::new(),
             domain: "d1".into(),
             endpoints: 0,
-            headroom: None,
             evacuations: 0,
             host: "h1".into(),
             incarnation: id::Incarnation(1),
--- a/tests/serving/directory.rs
+++ b/tests/serving/directory.rs
@@ -14,7 +14,6 @@
         demand: Default::default(),
         domain: domain.into(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: format!("h{host}").into(),
         incarnation: Default::default(),
--- a/tests/serving/dispatchers.rs
+++ b/tests/serving/dispatchers.rs
@@ -25,7 +25,6 @@
         demand: Default::default(),
         domain: "d".into(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: format!("h{number}").into(),
         incarnation: Default::default(),
@@ -114,62 +113,3 @@
 fn host_that_knows_nobody_dispatches_itself() {
     assert_eq!(first(7, &[], &[]), address(7));
 }
-
-/// Returns the fleet of one large deployment, in which the hosts of `changed` have
-/// another headroom.
-fn busy(changed: &[(u16, u8)]) -> Vec<Member> {
-    let members = (1..HOSTS).map(|number| Member {
-        headroom: Some(100),
-        ..member(number)
-    });
-    let mut members = members.collect::<Vec<Member>>();
-
-    for (number, headroom) in changed {
-        let changed = members
-            .iter_mut()
-            .find(|member| member.peer_address == address(*number));
-        changed.unwrap().headroom = Some(*headroom);
-    }
-
-    members
-}
-
-/// Returns the number of the host that dispatches, according to a small one.
-fn dispatcher(members: &[Member]) -> u16 {
-    let chosen = first(7, members, &[]);
-    (0..HOSTS)
-        .find(|number| address(*number) == chosen)
-        .unwrap()
-}
-
-/// Guards against a role that moves with each step of the headroom: the work of a
-/// dispatcher lowers its own.
-#[test]
-fn small_changes_of_headroom_keep_the_dispatcher() {
-    let chosen = dispatcher(&busy(&[]));
-
-    for headroom in [75, 50] {
-        assert_eq!(dispatcher(&busy(&[(chosen, headroom)])), chosen);
-    }
-
-    let others = (1..HOSTS).filter(|number| *number != chosen);
-    let others = others.map(|number| (number, 75)).collect::<Vec<_>>();
-    assert_eq!(dispatcher(&busy(&others)), chosen);
-}
-
-#[test]
-fn host_slowed_five_times_loses_its_role_and_gets_it_back() {
-    let chosen = dispatcher(&busy(&[]));
-    let next = dispatcher(&busy(&[(chosen, 1)]));
-    assert_ne!(next, chosen);
-    // A large host with half of its capacity takes the role, no small one.
-    assert!(next.is_multiple_of(16));
-    assert_eq!(dispatcher(&busy(&[(chosen, 100)])), chosen);
-}
-
-/// Guards against hosts that disagree because some of them report no headroom.
-#[test]
-fn hosts_without_a_report_count_as_before() {
-    let members = (1..HOSTS).map(member).collect::<Vec<Member>>();
-    assert_eq!(first(7, &members, &[]), first(7, &busy(&[]), &[]));
-}
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -19,7 +19,6 @@
 mod follower;
 mod forecast;
 mod graph;
-mod headroom;
 mod job_team;
 mod limit;
 mod mirror;
@@ -41,6 +40,3 @@
 
 #[path = "../support/fuzz.rs"]
 mod fuzz;
-
-#[path = "../support/fleet.rs"]
-mod fleet;
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -26,7 +26,6 @@
             demand: Default::default(),
             domain: DOMAINS[usize::from(host) % DOMAINS.len()].into(),
             endpoints: 0,
-            headroom: None,
             evacuations: 0,
             host: format!("h{host}").into(),
             incarnation: Default::default(),
--- a/tests/serving/weighted_directory.rs
+++ b/tests/serving/weighted_directory.rs
@@ -34,7 +34,6 @@
         domain: DOMAINS[usize::from(host) % DOMAINS.len()].into(),
         endpoints: 0,
         evacuations: 0,
-        headroom: None,
         host: format!("h{host}").into(),
         incarnation: Default::default(),
         outstanding: 0,
@@ -247,27 +246,3 @@
     members[1].caller_address = address(0);
     assert_eq!(answer(&members, 1).len(), 2);
 }
-
-#[test]
-fn busy_host_gets_fewer_callers() {
-    let idle = fleet(DEPLOYMENT_R);
-    let mut members = idle.clone();
-    members[0].headroom = Some(25);
-    members[1].headroom = Some(1);
-    let (before, after) = (connections(&idle, 0..2000), connections(&members, 0..2000));
-    assert!(after[0] < before[0] / 2, "{} of {}", after[0], before[0]);
-    assert!(after[1] < before[1] / 10, "{} of {}", after[1], before[1]);
-}
-
-/// Guards against callers that change hosts for nothing: if all hosts are equally
-/// busy, the answers are those of an idle fleet.
-#[test]
-fn equally_busy_hosts_get_the_same_callers() {
-    let idle = fleet(DEPLOYMENT_B);
-    let busy = idle.iter().map(|member| Member {
-        headroom: Some(25),
-        ..member.clone()
-    });
-    let busy = busy.collect::<Vec<Member>>();
-    assert!((0..200).all(|number| answer(&idle, number) == answer(&busy, number)));
-}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -20,7 +20,6 @@
         demand: BTreeMap::new(),
         domain: domain.into(),
         endpoints: 0,
-        headroom: None,
         evacuations: 0,
         host: host.into(),
         incarnation: Incarnation(1),
