--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -285,6 +285,13 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns the `spec` of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<String> {
+        let state = lock(&self.shared.0);
+        let (_, text) = state.objects.get(&(kind.into(), name.into()))?;
+        json_field(text, "spec").map(str::to_owned)
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = lock(&self.shared.0);
         if state.objects.remove(&(kind.into(), name.into())).is_some() {
