--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -63,6 +63,12 @@
     std::process::exit(0);
 }
 
+/// Ends the process of an engine that crashes.
+fn end_process() -> ! {
+    note("crash");
+    std::process::exit(70);
+}
+
 fn serve(id: &str, crash: Crash, stream: TcpStream) {
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -86,6 +92,9 @@
     let deadly = prompt.split(',').any(|part| part.split(':').next() == Some(DEADLY));
     note(&format!("run {attempt} {}", if deadly { "deadly" } else { "sound" }));
     sleep_ms(FIRST_EVENT_MS);
+    if request.path().starts_with("/brief/") {
+        return answer_whole(id, crash, deadly, &attempt, writer);
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: stamp-of-{id}\r\n\
          X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
@@ -93,19 +102,41 @@
     );
     writer.write_all(head.as_bytes())?;
     if deadly && crash == Crash::Head {
-        std::process::exit(70);
+        end_process();
     }
     for number in 1..=EVENTS {
         let event = format!("id: {number}\ndata: {attempt} {number}\n\n");
         writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         if deadly && crash == Crash::Event {
-            std::process::exit(70);
+            end_process();
         }
         sleep_ms(EVENT_MS);
     }
     writer.write_all(b"0\r\n\r\n")
 }
 
+/// Answers a request of a route that has no streams, with a length.
+fn answer_whole(
+    id: &str,
+    crash: Crash,
+    deadly: bool,
+    attempt: &str,
+    writer: &mut TcpStream,
+) -> std::io::Result<()> {
+    let body = format!("{{\"text\":\"brief of {attempt}\"}}");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: stamp-of-{id}\r\n\
+         X-Weight-Versions: 1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    writer.write_all(head.as_bytes())?;
+    if deadly && crash != Crash::Never {
+        end_process();
+    }
+    sleep_ms(EVENT_MS * EVENTS);
+    writer.write_all(body.as_bytes())
+}
+
 /// What happened at the engines, as their processes reported it.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -119,16 +150,17 @@
     pub crashes: Mutex<Vec<u64>>,
 }
 
+fn free_address() -> SocketAddr {
+    let listener = bind(Ipv4Addr::LOCALHOST, 0);
+    listener.local_addr().expect("a bound listener has an address")
+}
+
 /// Keeps one engine running: after a crash it is back, under a new id, once `back_ms`
 /// have passed.
 pub fn supervise(number: usize, crash: Crash, back_ms: u64, store: Store, seen: Arc<Seen>) {
     let zone = format!("z{}", number % 3 + 1);
-    let port = {
-        let listener = bind(Ipv4Addr::LOCALHOST, 0);
-        listener.local_addr().expect("a bound listener has an address").port()
-    };
-    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
     thread::spawn(move || {
+        let mut address = free_address();
         for start in 1.. {
             let id = format!("i-e{number}x{start}");
             let program = std::env::current_exe().expect("the program has a path");
@@ -140,12 +172,14 @@
                 .unwrap_or_else(|error| cannot_run(&format!("an engine does not start: {error}")));
             let output = child.stdout.take().expect("standard output is piped");
             adopt(child);
+            let mut crashed = false;
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 if line == "listening" {
                     store.put("servers", &id, &entry("pool", address, &zone, 64, unix_ms()));
                     note(&format!("engine {id} listed at {address}"));
                     continue;
                 }
+                crashed |= line == "crash";
                 let words = line.split(' ').collect::<Vec<&str>>();
                 if let ["run", attempt, kind] = words[..] {
                     note(&format!("engine {id} runs {attempt} ({kind})"));
@@ -158,6 +192,13 @@
             if stopped() {
                 return;
             }
+            if !crashed {
+                // Another process has taken the port meanwhile.
+                note(&format!("engine {id} could not start at {address}"));
+                store.remove("servers", &id);
+                address = free_address();
+                continue;
+            }
             lock(&seen.crashes).push(now());
             note(&format!("engine {id} crashed"));
             // Its entry goes after three check-in intervals of silence, or when it is back.
