--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -53,6 +53,11 @@
 pub fn run_engine(arguments: &[String]) -> ! {
     let [id, address, crash] = arguments else { std::process::exit(CANNOT_RUN) };
     let crash = Crash::from_name(crash);
+    // Standard input ends with the process of the case.
+    thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
     let Ok(listener) = TcpListener::bind(address) else { std::process::exit(CANNOT_RUN) };
     note("listening");
     for stream in listener.incoming().flatten() {
@@ -162,11 +167,14 @@
     thread::spawn(move || {
         let mut address = free_address();
         for start in 1.. {
+            if stopped() {
+                return;
+            }
             let id = format!("i-e{number}x{start}");
             let program = std::env::current_exe().expect("the program has a path");
             let mut child = Command::new(program)
                 .args(["engine", &id, &address.to_string(), crash.name()])
-                .stdin(Stdio::null())
+                .stdin(Stdio::piped())
                 .stdout(Stdio::piped())
                 .spawn()
                 .unwrap_or_else(|error| cannot_run(&format!("an engine does not start: {error}")));
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -53,7 +53,9 @@
 /// Ends the case because it could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case cannot run: {why}");
+    STOP.store(true, Ordering::Relaxed);
     stop_children();
+    let _ = fs::remove_dir_all(folder_path());
     std::process::exit(CANNOT_RUN);
 }
 
@@ -462,11 +464,15 @@
     text
 }
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
+}
+
 /// Folder for settings and logs, removed at the end of the case.
 pub fn work_folder() -> &'static PathBuf {
     static FOLDER: OnceLock<PathBuf> = OnceLock::new();
     FOLDER.get_or_init(|| {
-        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let folder = folder_path();
         fs::create_dir_all(&folder)
             .unwrap_or_else(|error| cannot_run(&format!("temporary folder: {error}")));
         folder
