--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::serving::control::Control,
+        coordination::serving::control::{Control, replica::Replica},
         protocol::adapter::{Fault, Kind},
         state::{
             clock::Time,
@@ -22,6 +22,7 @@
     pub(super) fn apply(&mut self, now: Time, kind: Kind, changes: &Changes, source: &'static str) {
         let replica = self.replicas.entry(kind).or_default();
 
+        log_restore(kind, replica, changes);
         let changed = replica.mirror.apply(changes);
         replica.answer_waiters(now);
 
@@ -254,6 +255,35 @@
     }
 }
 
+/// Logs an answer of a store that was restored, and one that is older than the copy.
+fn log_restore(kind: Kind, replica: &mut Replica, changes: &Changes) {
+    let known = replica.mirror.revision();
+
+    if changes.era > replica.era && known.is_some() {
+        log::warn!(
+            kind = kind.name(),
+            era = changes.era,
+            known_era = replica.era,
+            revision = changes.revision,
+            known = known,
+            whole = changes.whole.to_string().as_str();
+            "the store was restored from an earlier copy"
+        );
+    }
+
+    replica.era = replica.era.max(changes.era);
+
+    if known > Some(changes.revision) && changes.whole {
+        log::warn!(
+            kind = kind.name(),
+            era = changes.era,
+            revision = changes.revision,
+            known = known;
+            "listing ignored: it is older than what is known"
+        );
+    }
+}
+
 /// Logs the fields of an entry that are ignored.
 fn log_ignored(endpoint: &str, faults: &[Fault]) {
     for fault in faults {
--- a/src/coordination/serving/control/replica.rs
+++ b/src/coordination/serving/control/replica.rs
@@ -27,6 +27,8 @@
 pub(super) struct Replica {
     /// The requests to peers.
     pub(super) catch_up: CatchUp,
+    /// Highest era of the store that an answer has named.
+    pub(super) era: u32,
     /// Whether this host reads the store.
     pub(super) mode: follower::Mode,
     /// Whether the last call to the store failed.
--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -67,6 +67,8 @@
 /// The objects that changed, as of `revision`.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
+    /// Number of times that the store has been restored from an earlier copy of itself.
+    pub era: u32,
     pub objects: Vec<Object>,
     pub revision: u64,
     /// Whether `objects` lists every object of the kind.
@@ -181,6 +183,7 @@
                 .map(|change| (change.name.as_str(), change))
                 .collect::<BTreeMap<&str, &Change>>();
             return Changes {
+                era: 0,
                 objects: newest.values().map(|change| self.current(change)).collect(),
                 revision: current,
                 whole: false,
@@ -188,6 +191,7 @@
         }
 
         Changes {
+            era: 0,
             objects: self.objects.values().cloned().collect(),
             revision: current,
             whole: self.revision.is_some(),
--- a/src/transport/wire/objects.rs
+++ b/src/transport/wire/objects.rs
@@ -51,6 +51,7 @@
     Ok(RelayedChanges {
         age: Duration::from_millis(reader.get_age_ms().into()),
         changes: Changes {
+            era: 0,
             objects: objects.collect::<capnp::Result<Vec<Object>>>()?,
             revision: reader.get_revision(),
             whole: reader.get_whole(),
--- a/tests/serving/mirror.rs
+++ b/tests/serving/mirror.rs
@@ -45,6 +45,7 @@
 /// Returns the store's response to a listing at a revision.
 fn listing(history: &[Object], revision: u64) -> Changes {
     Changes {
+        era: 0,
         objects: objects(history, revision).into_values().collect(),
         revision,
         whole: true,
@@ -55,6 +56,7 @@
 fn watched(history: &[Object], from: u64, to: u64) -> Changes {
     let objects = history.iter();
     Changes {
+        era: 0,
         objects: objects
             .filter(|object| object.revision > from && object.revision <= to)
             .cloned()
@@ -143,6 +145,7 @@
 
 fn changes(revision: u64, whole: bool, objects: &[Object]) -> Changes {
     Changes {
+        era: 0,
         objects: objects.to_vec(),
         revision,
         whole,
--- a/tests/serving/packing.rs
+++ b/tests/serving/packing.rs
@@ -46,6 +46,7 @@
     RelayedChanges {
         age: Duration::from_millis(20),
         changes: Changes {
+            era: 0,
             objects: vec![
                 object("main", false, configuration()),
                 object("small", false, b"{}".to_vec()),
