--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -17,8 +17,10 @@
     },
 };
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// Number of times that the store was restored from a copy.
+    era: u32,
     /// The history contains only changes after this revision.
     compacted_revision: u64,
     history: Vec<(String, bool, Value)>,
@@ -36,6 +38,9 @@
     revision: u64,
 }
 
+/// The content of a store at one moment.
+pub struct Copy(State);
+
 /// The store's state, shared with its server.
 #[derive(Default)]
 pub struct Objects {
@@ -128,6 +133,25 @@
         self.objects.changed.notify_all();
     }
 
+    /// Copies the content of the store.
+    pub fn copy(&self) -> Copy {
+        Copy(lock(&self.objects.state).clone())
+    }
+
+    /// Replaces the content by an earlier copy. Revisions after the copy are given out
+    /// again, and answers name the next era.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = lock(&self.objects.state);
+        let era = state.era + 1;
+        *state = State { era, ..copy.0 };
+        self.objects.changed.notify_all();
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        lock(&self.objects.state).revision
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = lock(&self.objects.state);
@@ -178,11 +202,11 @@
                 return Reply::problem(503, "down");
             }
 
-            if after < state.compacted_revision {
-                return Reply::problem(
+            if after < state.compacted_revision || after > state.revision {
+                return state.mark(Reply::problem(
                     410,
                     "the changes after this revision are no longer available",
-                );
+                ));
             }
 
             let events = state.history.iter().filter(|(object_kind, _, object)| {
@@ -214,7 +238,7 @@
         let raw = self.raw.iter().filter(is_used).collect::<Vec<_>>();
 
         if raw.is_empty() {
-            return Reply::ok(value);
+            return self.mark(Reply::ok(value));
         }
 
         let mut body = text.into_bytes();
@@ -225,12 +249,20 @@
             }
         }
 
-        Reply::Written(Box::new(move |writer: &mut dyn Write| {
+        self.mark(Reply::Written(Box::new(move |writer: &mut dyn Write| {
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             writer.write_all(head.as_bytes())?;
             writer.write_all(&body)?;
             Ok(Flow::Keep)
-        }))
+        })))
+    }
+
+    /// Adds the header that names the store's era.
+    fn mark(&self, reply: Reply) -> Reply {
+        Reply::Marked {
+            header: format!("Store-Era: {}", self.era),
+            reply: Box::new(reply),
+        }
     }
 }
 
