--- a/benches/control/hosts.rs
+++ b/benches/control/hosts.rs
@@ -88,6 +88,7 @@
         demand,
         domain: format!("region{}-{}", index % 5, index % 17).into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: format!("host-{index:04}").into(),
         incarnation: id::Incarnation(1),
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -47,6 +47,9 @@
   # Revision of the newest entry in the member's list of endpoints.
   evacuations @12 :UInt64;
   # Revision of the newest change of the evacuated failure domains.
+  era @13 :UInt32;
+  # Era of the store to which the revisions belong; a revision of 0 is of an
+  # earlier one.
 }
 
 struct Quarantined {
@@ -167,6 +170,8 @@
   objects @2 :List(Object);
   ageMs @3 :UInt32;
   # Time since the store confirmed the revision.
+  era @4 :UInt32;
+  # Number of times that the store was restored from a copy.
 }
 
 interface Gate {
@@ -188,7 +193,7 @@
   cancelJob @6 (home :Text, id :UInt64);
   releaseOutputs @7 (service :Text, outputs :List(Output));
   ping @8 ();
-  objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32, unpacks :Bool) -> (changes :Changes);
+  objectChanges @9 (kind :Text, revision :UInt64, waitMs :UInt32, unpacks :Bool, era :UInt32) -> (changes :Changes);
   # Waits for a change after the revision, at most `waitMs`. Values are packed only
   # for a caller that unpacks them.
   placePrompt @10 (placement :Placement) -> (endpoint :Text, quarantined :Bool, waitMs :UInt32, refused :Bool, retryAfterMs :UInt32, backlogMs :UInt32, counted :Bool);
--- a/src/coordination/daemon.rs
+++ b/src/coordination/daemon.rs
@@ -203,6 +203,7 @@
         demand: BTreeMap::new(),
         domain: file.host.domain.clone(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: file.host.id.clone(),
         incarnation: incarnation(),
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -27,6 +27,8 @@
                 evacuation::Evacuations,
                 mirror::{Changes, RelayedChanges},
                 readers::Ranking,
+                restoration::Restoration,
+                revision::Revision,
                 roster::Roster,
                 view::View,
             },
@@ -79,7 +81,7 @@
     ChangesRequested {
         kind: String,
         reply: oneshot::Sender<RelayedChanges>,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     },
     /// An endpoint's incarnation said in an answer that it is leaving.
@@ -135,6 +137,8 @@
     ranking: Ranking,
     /// The members of which `ranking` consists.
     ranked_members: Option<Arc<Vec<Member>>>,
+    /// The endpoints known from the time before the store was restored.
+    restoration: Restoration,
     /// The view that the membership updates. Its members are copied to `view`.
     member_view: view::View,
     sender: Sender<Event>,
@@ -176,6 +180,7 @@
             published,
             ranking: Ranking::default(),
             ranked_members: None,
+            restoration: Restoration::default(),
             member_view: view::View {
                 endpoints: Arc::default(),
                 had_peers: false,
@@ -316,7 +321,8 @@
                     log::warn!(
                         kind = kind.name(),
                         age_ms = age,
-                        revision = replica.mirror.revision();
+                        era = replica.mirror.era(),
+                        revision = replica.mirror.revision().map(|revision| revision.number);
                         "store lost: {message}"
                     );
                 }
@@ -332,12 +338,8 @@
     }
 
     fn tick(&mut self, now: Time) {
-        let newest = |kind| self.replicas.get(&kind).map_or(0, Replica::newest_revision);
-        self.member_view.local.settings = newest(Kind::Config);
-        self.member_view.local.endpoints = newest(Kind::Endpoints);
-        let evacuations = self.replicas.get(&Kind::Evacuations);
-        self.member_view.local.evacuations =
-            evacuations.map_or(0, |replica| replica.mirror.newest_change());
+        self.expire_kept(now);
+        self.report_revisions();
         self.membership.tick(now, &mut self.member_view);
         self.ask_peers(now);
         let local = &self.member_view.local;
@@ -353,6 +355,27 @@
         }
     }
 
+    /// Updates the revisions that other hosts are told. Those of copies that are still of
+    /// an earlier era than another copy cannot be compared with it.
+    fn report_revisions(&mut self) {
+        let eras = self.replicas.values().map(|replica| replica.mirror.era());
+        let era = eras.max().unwrap_or(0);
+        let newest = |kind, newest: fn(&Replica) -> u64| {
+            let replica = self.replicas.get(&kind);
+            replica
+                .filter(|replica| replica.mirror.era() == era)
+                .map_or(0, newest)
+        };
+        let settings = newest(Kind::Config, Replica::newest_revision);
+        let endpoints = newest(Kind::Endpoints, Replica::newest_revision);
+        let evacuations = newest(Kind::Evacuations, |replica| replica.mirror.newest_change());
+        let local = &mut self.member_view.local;
+        local.era = era;
+        local.settings = settings;
+        local.endpoints = endpoints;
+        local.evacuations = evacuations;
+    }
+
     fn publish(&mut self) {
         self.view.members = Arc::clone(&self.member_view.members);
         self.view.local = self.member_view.local.clone();
--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::serving::control::{Control, replica::Replica},
+        coordination::serving::control::Control,
         protocol::adapter::{Fault, Kind},
         state::{
             clock::Time,
@@ -10,7 +10,8 @@
             serving::{
                 cold,
                 evacuation::Change,
-                mirror::Changes,
+                mirror::{Changes, Mirror, Outcome},
+                revision::Revision,
                 roster::{Entry, Roster},
             },
         },
@@ -22,23 +23,63 @@
     pub(super) fn apply(&mut self, now: Time, kind: Kind, changes: &Changes, source: &'static str) {
         let replica = self.replicas.entry(kind).or_default();
 
-        log_restore(kind, replica, changes);
-        let changed = replica.mirror.apply(changes);
+        let outcome = replica.mirror.apply(changes);
+        log_outcome(kind, &replica.mirror, &outcome, changes);
         replica.answer_waiters(now);
 
-        if !changed {
+        if !outcome.is_change() {
             return;
         }
 
         replica.catch_up.record_change();
+        let known = match outcome {
+            Outcome::Restored { known } => Some(known),
+            Outcome::Changed | Outcome::Ignored | Outcome::Unchanged => None,
+        };
+
+        if known.is_some() {
+            self.keep_known(now, kind);
+        }
 
         match kind {
             Kind::Config => self.apply_config(now, source),
-            Kind::Endpoints => self.apply_endpoints(now, source, changes),
+            Kind::Endpoints => self.apply_endpoints(now, source, changes, known.as_deref()),
             Kind::Evacuations => self.apply_evacuations(now, source),
         }
     }
 
+    /// Keeps what is in force and may only be missing from the copy from which the store
+    /// was restored. The configuration in force needs nothing, since its version rises
+    /// through all eras.
+    fn keep_known(&mut self, now: Time, kind: Kind) {
+        match kind {
+            Kind::Config => {}
+            Kind::Endpoints => {
+                let listed = self.listed.take().unwrap_or_default();
+
+                for entry in listed.entries().filter(|entry| entry.leaving) {
+                    self.departures
+                        .record(now, &entry.endpoint, entry.incarnation);
+                }
+
+                self.restoration.begin(now, &listed);
+                self.listed = Some(listed);
+            }
+            Kind::Evacuations => self.evacuations.keep(now),
+        }
+    }
+
+    /// Gives up what was kept after a restore and has not been written again.
+    pub(super) fn expire_kept(&mut self, now: Time) {
+        if self.restoration.is_due(now) {
+            self.relist(now, "restore");
+        }
+
+        if self.evacuations.is_due(now) {
+            self.apply_evacuations(now, "restore");
+        }
+    }
+
     fn apply_config(&mut self, now: Time, source: &'static str) {
         let replica = &self.replicas[&Kind::Config];
         let Some(object) = replica
@@ -70,6 +111,7 @@
 
                 log::info!(
                     version = version,
+                    era = replica.mirror.era(),
                     revision = revision,
                     routes = config.route_count(),
                     source = source;
@@ -95,26 +137,45 @@
 
     /// Closes an endpoint that said in an answer that it is leaving.
     pub(super) fn apply_departure(&mut self, now: Time, endpoint: &id::Endpoint, incarnation: u64) {
-        if !self.departures.record(now, endpoint, incarnation) {
-            return;
+        if self.departures.record(now, endpoint, incarnation) {
+            self.relist(now, "answer");
         }
+    }
 
-        let Some(listed) = &self.listed else {
+    /// Makes the list of endpoints again from the entries that are known.
+    fn relist(&mut self, now: Time, source: &'static str) {
+        if self.listed.is_none() {
             return;
-        };
-        let entries = listed.entries().map(|entry| Entry::clone(entry));
+        }
+
+        let mirror = &self.replicas[&Kind::Endpoints].mirror;
+        let entries = mirror.objects().filter_map(|object| {
+            let value = object.value.as_bytes();
+            // Already logged when the object arrived.
+            self.store.endpoint(&object.name, value).ok()
+        });
         let entries = entries.collect();
-        let revision = self.replicas[&Kind::Endpoints].mirror.revision();
-        self.apply_entries(now, entries, "answer", revision.unwrap_or(0), &[]);
+        let revision = mirror.revision().unwrap_or_default();
+        self.apply_entries(now, entries, source, revision, &[]);
     }
 
-    fn apply_endpoints(&mut self, now: Time, source: &'static str, changes: &Changes) {
+    /// Applies changed entries. `known` is the copy of the entries before the store was
+    /// restored, if that is the change.
+    fn apply_endpoints(
+        &mut self,
+        now: Time,
+        source: &'static str,
+        changes: &Changes,
+        known: Option<&Mirror>,
+    ) {
         let replica = &self.replicas[&Kind::Endpoints];
         let mut entries = Vec::new();
         let mut arrived = Vec::new();
 
         for object in replica.mirror.objects() {
-            let is_new = changes.objects.contains(object);
+            // An entry that a restore has only given another revision was not written.
+            let is_known = known.is_some_and(|known| known.has_value_of(object));
+            let is_new = !is_known && changes.objects.contains(object);
             let value = object.value.as_bytes();
 
             match self.store.endpoint(&object.name, value) {
@@ -134,6 +195,12 @@
             }
         }
 
+        if known.is_none() {
+            for endpoint in &arrived {
+                self.restoration.record_written(endpoint);
+            }
+        }
+
         self.apply_entries(now, entries, source, changes.revision, &arrived);
     }
 
@@ -144,9 +211,10 @@
         now: Time,
         entries: Vec<Entry>,
         source: &'static str,
-        revision: u64,
+        revision: Revision,
         arrived: &[id::Endpoint],
     ) {
+        let entries = self.restoration.complete(now, entries);
         let entries = entries.into_iter().map(|entry| Entry {
             leaving: self.departures.includes(&entry),
             ..entry
@@ -154,6 +222,7 @@
         let listed = Roster::new(entries);
         let previous = self.listed.take().unwrap_or_default();
         log_changes(&previous, &listed, source, revision);
+        self.restoration.record_removals(now, &previous, &listed);
         let arrived = arrived.iter().collect::<HashSet<&id::Endpoint>>();
         self.starts
             .update(now, &listed, |endpoint| arrived.contains(endpoint));
@@ -255,33 +324,25 @@
     }
 }
 
-/// Logs an answer of a store that was restored, and one that is older than the copy.
-fn log_restore(kind: Kind, replica: &mut Replica, changes: &Changes) {
-    let known = replica.mirror.revision();
-
-    if changes.era > replica.era && known.is_some() {
-        log::warn!(
-            kind = kind.name(),
-            era = changes.era,
-            known_era = replica.era,
-            revision = changes.revision,
-            known = known,
-            whole = changes.whole.to_string().as_str();
-            "the store was restored from an earlier copy"
-        );
-    }
-
-    replica.era = replica.era.max(changes.era);
-
-    if known > Some(changes.revision) && changes.whole {
-        log::warn!(
-            kind = kind.name(),
-            era = changes.era,
-            revision = changes.revision,
-            known = known;
-            "listing ignored: it is older than what is known"
-        );
-    }
+/// Logs the first listing of a restored store, and a listing that is older than the copy.
+fn log_outcome(kind: Kind, copy: &Mirror, outcome: &Outcome, changes: &Changes) {
+    let (known, message) = match outcome {
+        Outcome::Restored { known } => (known.revision(), "the store was restored from a copy"),
+        Outcome::Ignored if changes.whole => (
+            copy.revision(),
+            "listing ignored: it is older than what is known",
+        ),
+        Outcome::Changed | Outcome::Ignored | Outcome::Unchanged => return,
+    };
+    let known = known.unwrap_or_default();
+    log::warn!(
+        kind = kind.name(),
+        era = changes.revision.era,
+        revision = changes.revision.number,
+        known_era = known.era,
+        known = known.number;
+        "{message}"
+    );
 }
 
 /// Logs the fields of an entry that are ignored.
@@ -291,7 +352,7 @@
     }
 }
 
-fn log_changes(old: &Roster, new: &Roster, source: &'static str, revision: u64) {
+fn log_changes(old: &Roster, new: &Roster, source: &'static str, revision: Revision) {
     for entry in new.entries() {
         let previous = old.get(&entry.endpoint);
 
@@ -304,7 +365,7 @@
                 leaving = entry.leaving.to_string().as_str(),
                 incarnation = entry.incarnation,
                 source = source,
-                revision = revision;
+                revision = revision.number;
                 "endpoint listed"
             );
         }
@@ -316,7 +377,7 @@
                 endpoint = entry.endpoint.as_str(),
                 service = entry.service.as_str(),
                 source = source,
-                revision = revision;
+                revision = revision.number;
                 "endpoint removed"
             );
         }
--- a/src/coordination/serving/control/peers.rs
+++ b/src/coordination/serving/control/peers.rs
@@ -17,6 +17,7 @@
             serving::{
                 catch_up::{Request, Sources},
                 readers::{self, Ranking, Role},
+                revision::Revision,
             },
         },
     },
@@ -66,7 +67,7 @@
         for (kind, replica) in &mut self.replicas {
             replica.answer_waiters(now);
             let role = replica.catch_up.role(&self.ranking);
-            let known = replica.mirror.revision().unwrap_or(0);
+            let known = replica.mirror.revision().unwrap_or_default();
             let reading = reading(role, known, watch_wait).filter(|_| settled);
 
             if role == Role::Read {
@@ -86,7 +87,8 @@
 
             let newest = replica.covered_revision(*kind);
             let ahead = choose(&members, |member| {
-                revision(member, *kind) > newest && member.phase != Phase::Gone
+                let has_objects = revision(member, *kind).number > 0;
+                has_objects && revision(member, *kind) > newest && member.phase != Phase::Gone
             });
             let sources = Sources {
                 ahead,
@@ -128,7 +130,7 @@
         self.ranked_members = Some(Arc::clone(members));
     }
 
-    fn ask(&self, kind: Kind, revision: u64, request: &Request) {
+    fn ask(&self, kind: Kind, revision: Revision, request: &Request) {
         let sender = self.sender.clone();
         let (address, purpose) = (request.address, request.purpose);
         self.links.object_changes(
@@ -161,7 +163,7 @@
 }
 
 /// Returns how a host with a role reads the store.
-fn reading(role: Role, known: u64, wait: Duration) -> Option<Reading> {
+fn reading(role: Role, known: Revision, wait: Duration) -> Option<Reading> {
     let max_backoff = match role {
         Role::Follow(_) => return None,
         Role::Read => MAX_BACKOFF,
@@ -175,12 +177,13 @@
 }
 
 /// Returns the highest revision of a kind's objects that a member reported.
-const fn revision(member: &Member, kind: Kind) -> u64 {
-    match kind {
+const fn revision(member: &Member, kind: Kind) -> Revision {
+    let number = match kind {
         Kind::Config => member.settings,
         Kind::Endpoints => member.endpoints,
         Kind::Evacuations => member.evacuations,
-    }
+    };
+    Revision::new(member.era, number)
 }
 
 /// Returns the address of a random member for which a condition holds.
--- a/src/coordination/serving/control/replica.rs
+++ b/src/coordination/serving/control/replica.rs
@@ -10,6 +10,7 @@
             serving::{
                 catch_up::CatchUp,
                 mirror::{Mirror, RelayedChanges},
+                revision::Revision,
             },
         },
         transport::packing,
@@ -27,8 +28,6 @@
 pub(super) struct Replica {
     /// The requests to peers.
     pub(super) catch_up: CatchUp,
-    /// Highest era of the store that an answer has named.
-    pub(super) era: u32,
     /// Whether this host reads the store.
     pub(super) mode: follower::Mode,
     /// Whether the last call to the store failed.
@@ -46,21 +45,23 @@
 pub(super) struct Waiter {
     pub(super) deadline: Time,
     pub(super) reply: oneshot::Sender<RelayedChanges>,
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
 }
 
 impl Replica {
     /// Returns the highest revision that a member can report without having changes of
     /// a kind that this copy lacks.
-    pub(super) fn covered_revision(&self, kind: Kind) -> u64 {
+    pub(super) fn covered_revision(&self, kind: Kind) -> Revision {
         match kind {
-            Kind::Config | Kind::Endpoints => self.newest_revision(),
+            Kind::Config | Kind::Endpoints => {
+                Revision::new(self.mirror.era(), self.newest_revision())
+            }
             // Members report removals, too, which a listing does not show.
-            Kind::Evacuations => self.mirror.revision().unwrap_or(0),
+            Kind::Evacuations => self.mirror.revision().unwrap_or_default(),
         }
     }
 
-    /// Returns the highest revision of the objects.
+    /// Returns the highest revision of the objects in the era of the copy.
     pub(super) fn newest_revision(&self) -> u64 {
         let objects = self.mirror.objects();
         objects.map(|object| object.revision).max().unwrap_or(0)
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -7,7 +7,7 @@
         protocol::adapter::{Consistency, Kind, Store, StoreError},
         state::{
             fleet::{member::Member, record::Record},
-            serving::mirror::Changes,
+            serving::{mirror::Changes, revision::Revision},
         },
     },
     std::{
@@ -42,7 +42,7 @@
     /// Wait, then repeat the call.
     Pause,
     /// Watch for changes after a revision.
-    Watch(u64),
+    Watch(Revision),
 }
 
 /// Interval at which a follower checks whether this host has to read the store,
@@ -53,7 +53,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Reading {
     /// Revision of the objects that this host knows, also from its peers.
-    pub known: u64,
+    pub known: Revision,
     /// Maximum pause after failed calls.
     pub max_backoff: Duration,
     /// Maximum wait of a watch.
@@ -131,7 +131,9 @@
 }
 
 fn follow(kind: Kind, store: &dyn Store, mode: &Mode, events: &Sender<Event>) {
-    let mut revision = None::<u64>;
+    let mut revision = None::<Revision>;
+    // The revision that was known before the current listing.
+    let mut lost = None::<Revision>;
     let mut consistency = match kind {
         Kind::Config | Kind::Endpoints => Consistency::MayLag,
         // A host that starts would send work to a domain whose evacuation has long been
@@ -142,7 +144,10 @@
 
     loop {
         let answer = match (revision, mode.get()) {
-            (None, _) => store.list(kind, consistency),
+            (None, _) => {
+                let listed = store.list(kind, consistency);
+                listed.map(|changes| compare(changes, lost))
+            }
             (Some(at), Some(reading)) => {
                 let known = at.max(reading.known);
                 revision = Some(known);
@@ -156,32 +161,38 @@
 
         match next(&answer, revision) {
             Next::Watch(at) => {
-                failures = 0;
+                // A store whose listings and watches contradict each other is not asked
+                // without pauses.
+                if revision.is_some() {
+                    failures = 0;
+                }
+
                 revision = Some(at);
+                lost = None;
             }
             Next::List => {
-                revision = None;
+                log::info!(
+                    kind = kind.name();
+                    "the store has dropped or lost its history: listing all objects again"
+                );
+
+                if failures > 0 {
+                    pause(mode, failures);
+                }
+
+                failures += 1;
+                lost = revision.take();
                 consistency = Consistency::Current;
+                continue;
             }
             Next::Pause => {
-                let max_backoff = mode
-                    .get()
-                    .map_or(IDLE_BACKOFF, |reading| reading.max_backoff);
-                let pause = INITIAL_BACKOFF * 2u32.pow(failures.min(8));
+                pause(mode, failures);
                 failures += 1;
-                thread::sleep(pause.min(max_backoff).mul_f64(rand::random_range(0.5..1.0)));
             }
         }
 
         let event = match answer {
             Ok(changes) => Event::StoreChanges { changes, kind },
-            Err(StoreError::Compacted) => {
-                log::info!(
-                    kind = kind.name();
-                    "the store has dropped its history: listing all objects again"
-                );
-                continue;
-            }
             Err(error) => Event::StoreFailed {
                 kind,
                 message: error.to_string(),
@@ -194,13 +205,38 @@
     }
 }
 
-fn next(answer: &Result<Changes, StoreError>, revision: Option<u64>) -> Next {
-    match answer {
-        // A revision below the last one means that the store has lost changes.
-        Ok(changes) if revision.is_some_and(|revision| changes.revision < revision) => Next::List,
-        Ok(changes) => Next::Watch(changes.revision),
-        Err(StoreError::Compacted) => Next::List,
-        Err(_) => Next::Pause,
+/// Waits after a number of failures.
+fn pause(mode: &Mode, failures: u32) {
+    let max_backoff = mode
+        .get()
+        .map_or(IDLE_BACKOFF, |reading| reading.max_backoff);
+    let pause = INITIAL_BACKOFF * 2u32.pow(failures.min(8));
+    thread::sleep(pause.min(max_backoff).mul_f64(rand::random_range(0.5..1.0)));
+}
+
+/// Marks a listing that lacks changes which were known before. A current listing has all
+/// of them unless the store has lost its history.
+fn compare(changes: Changes, known: Option<Revision>) -> Changes {
+    let history_lost =
+        known.is_some_and(|known| changes.revision.era == known.era && changes.revision < known);
+    Changes {
+        history_lost,
+        ..changes
+    }
+}
+
+fn next(answer: &Result<Changes, StoreError>, revision: Option<Revision>) -> Next {
+    match (answer, revision) {
+        // The objects of a new era have to be listed, and a revision below the last one
+        // means that the store has lost changes.
+        (Ok(changes), Some(known))
+            if changes.revision < known || changes.revision.era > known.era =>
+        {
+            Next::List
+        }
+        (Ok(changes), _) => Next::Watch(changes.revision),
+        (Err(StoreError::Compacted), _) => Next::List,
+        (Err(_), _) => Next::Pause,
     }
 }
 
--- a/src/coordination/serving/traffic.rs
+++ b/src/coordination/serving/traffic.rs
@@ -218,6 +218,7 @@
         demand: BTreeMap::new(),
         domain: settings.domain.clone(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: settings.host.clone(),
         incarnation: id::Incarnation(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -6,7 +6,10 @@
 use {
     crate::state::{
         fleet::record::Record,
-        serving::{batch::Item, config::Config, mirror::Changes, pace::Load, piece, roster::Entry},
+        serving::{
+            batch::Item, config::Config, mirror::Changes, pace::Load, piece, revision::Revision,
+            roster::Entry,
+        },
     },
     hyper::{HeaderMap, StatusCode, http::request},
     snafu::Snafu,
@@ -229,7 +232,7 @@
     ///
     /// Returns an error if the store does not answer or no longer holds the
     /// changes.
-    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> Result<Changes, StoreError>;
+    fn watch(&self, kind: Kind, revision: Revision, wait: Duration) -> Result<Changes, StoreError>;
 
     /// Decodes the configuration from the value of its object.
     ///
--- a/src/state/fleet/member.rs
+++ b/src/state/fleet/member.rs
@@ -47,6 +47,10 @@
     /// Revision of the newest entry in the member's list of endpoints.
     #[serde(default)]
     pub endpoints: u64,
+    /// Era of the store to which the revisions in this record belong. A revision of 0
+    /// says that the member's copy is of an earlier era.
+    #[serde(default)]
+    pub era: u32,
     /// Revision of the newest change of the evacuated failure domains.
     #[serde(default)]
     pub evacuations: u64,
--- a/src/state/replay/claims_host.rs
+++ b/src/state/replay/claims_host.rs
@@ -126,6 +126,7 @@
         demand: BTreeMap::new(),
         domain: "".into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: name(host),
         incarnation,
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -25,6 +25,8 @@
 pub mod placement;
 pub mod quarantine;
 pub mod readers;
+pub mod restoration;
+pub mod revision;
 pub mod roster;
 pub mod stop;
 pub mod view;
--- a/src/state/serving/evacuation.rs
+++ b/src/state/serving/evacuation.rs
@@ -7,7 +7,10 @@
     crate::state::{
         clock::Time,
         id,
-        serving::roster::{Entry, Roster},
+        serving::{
+            restoration,
+            roster::{Entry, Roster},
+        },
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -30,6 +33,11 @@
     /// The domains, and since when this host knows that they are evacuated. `None`
     /// before the first listing.
     domains: Option<BTreeMap<id::Domain, Time>>,
+    /// The domains that were evacuated when the store was restored from a copy, which
+    /// may lack them until the operator writes them again.
+    kept: BTreeSet<id::Domain>,
+    /// Until when these stay evacuated.
+    kept_until: Time,
 }
 
 impl Evacuations {
@@ -38,13 +46,35 @@
     pub fn unfollowed() -> Self {
         Self {
             domains: Some(BTreeMap::new()),
+            ..Self::default()
         }
     }
 
+    /// Begins to keep the domains that are evacuated, since the store was restored.
+    pub fn keep(&mut self, now: Time) {
+        self.kept = self.domains().cloned().collect();
+        self.kept_until = now + restoration::RETURN_TIME;
+    }
+
+    /// Returns whether the domains have to be updated, since the time to keep some has
+    /// ended.
+    pub fn is_due(&self, now: Time) -> bool {
+        !self.kept.is_empty() && now >= self.kept_until
+    }
+
     /// Replaces the evacuated domains, and returns what has changed.
     pub fn update(&mut self, now: Time, listed: impl Iterator<Item = id::Domain>) -> Vec<Change> {
         let known = self.domains.take().unwrap_or_default();
-        let listed = listed.collect::<BTreeSet<id::Domain>>();
+        let mut listed = listed.collect::<BTreeSet<id::Domain>>();
+
+        if now < self.kept_until {
+            // Those that are listed again end when they are removed.
+            self.kept.retain(|domain| !listed.contains(domain));
+            listed.extend(self.kept.iter().cloned());
+        } else {
+            self.kept.clear();
+        }
+
         let ended = known.iter().filter(|(domain, _)| !listed.contains(*domain));
         let ended = ended.map(|(domain, since)| Change::Ended(domain.clone(), now.since(*since)));
         let began = listed.iter().filter(|domain| !known.contains_key(*domain));
--- a/src/state/serving/mirror.rs
+++ b/src/state/serving/mirror.rs
@@ -1,12 +1,16 @@
 //! A local copy of all objects of one kind in the store.
 //!
 //! Hosts that the store rejects follow the copy of a peer. Changes with an older
-//! revision are ignored, so a copy never returns to an older state.
-
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::{Arc, OnceLock},
-    time::Duration,
+//! revision are ignored, so a copy never returns to an older state, except to that of a
+//! store which was itself restored from an earlier copy.
+
+use {
+    crate::state::serving::revision::Revision,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
 };
 
 /// Maximum number of changes kept for peers that follow this copy. Their values
@@ -60,6 +64,7 @@
 pub struct Object {
     pub name: String,
     pub removed: bool,
+    /// Number of the object's last change, within the era of the copy.
     pub revision: u64,
     pub value: Value,
 }
@@ -67,10 +72,11 @@
 /// The objects that changed, as of `revision`.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
-    /// Number of times that the store has been restored from an earlier copy of itself.
-    pub era: u32,
+    /// Whether the store has lost changes that this host knew when it asked for the
+    /// objects, although it names no new era.
+    pub history_lost: bool,
     pub objects: Vec<Object>,
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether `objects` lists every object of the kind.
     pub whole: bool,
 }
@@ -83,6 +89,35 @@
     pub changes: Changes,
 }
 
+/// What changes have done to a copy.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// Objects have changed, or were listed for the first time.
+    Changed,
+    /// The changes are older than the copy, or cannot be applied to it.
+    Ignored,
+    /// The objects are those of a store that was restored from an earlier copy. `known` is
+    /// the copy before that.
+    Restored { known: Box<Mirror> },
+    /// No object has changed.
+    Unchanged,
+}
+
+impl Outcome {
+    /// Returns whether the copy may have other objects than before.
+    pub const fn is_change(&self) -> bool {
+        matches!(self, Self::Changed | Self::Restored { .. })
+    }
+}
+
+/// How changes are applied to a copy.
+enum Step {
+    Ignore,
+    /// The first listing, or the first one after a restore.
+    Replace,
+    Update,
+}
+
 /// A change of an object, without its value.
 #[derive(Clone, Debug)]
 struct Change {
@@ -94,32 +129,43 @@
 /// A copy of the objects of one kind.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
-    /// Highest revision of a change of an object. For a removal, whose own revision may
-    /// be unknown, that of the copy.
+    /// Highest revision of a change of an object in this era. For a removal, whose own
+    /// revision may be unknown, that of the copy.
     newest_change: u64,
     /// Revision of the last change of an object.
-    last_change: u64,
-    /// Revision after which `history` is complete.
+    last_change: Revision,
+    /// Revision in this era after which `history` is complete.
     history_start: u64,
     /// The most recent changes, oldest first.
     history: VecDeque<Change>,
     objects: BTreeMap<String, Object>,
-    revision: Option<u64>,
+    revision: Option<Revision>,
 }
 
 impl Mirror {
     /// Returns the revision of the copy, or `None` before the first listing.
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         self.revision
     }
 
+    /// Returns the era of the copy, or 0 before the first listing.
+    pub fn era(&self) -> u32 {
+        self.revision.unwrap_or_default().era
+    }
+
     /// Returns the revision of the last change of an object.
-    pub fn last_change(&self) -> u64 {
+    pub fn last_change(&self) -> Revision {
         self.last_change
     }
 
-    /// Returns the highest revision of a change of an object that this copy has seen,
-    /// including removals.
+    /// Returns whether the copy has an object with this name and value.
+    pub fn has_value_of(&self, object: &Object) -> bool {
+        let known = self.objects.get(&object.name);
+        known.is_some_and(|known| known.value == object.value)
+    }
+
+    /// Returns the highest revision of a change of an object that this copy has seen in
+    /// its era, including removals.
     pub fn newest_change(&self) -> u64 {
         self.newest_change
     }
@@ -129,33 +175,71 @@
         self.objects.values()
     }
 
-    /// Applies changes and returns whether any object changed. Also returns true
-    /// for the first listing, even if it is empty. Ignores changes that are
-    /// older than the copy.
-    pub fn apply(&mut self, changes: &Changes) -> bool {
-        if self
-            .revision
-            .is_some_and(|current| changes.revision < current)
-        {
-            return false;
+    /// Applies changes. Ignores those that are older than the copy, and those of a new
+    /// era until all objects of the era have been listed.
+    pub fn apply(&mut self, changes: &Changes) -> Outcome {
+        match self.step(changes) {
+            Step::Ignore => Outcome::Ignored,
+            Step::Replace => self.replace(changes),
+            Step::Update if self.update(changes) => Outcome::Changed,
+            Step::Update => Outcome::Unchanged,
         }
+    }
 
-        if self.revision.is_none() && !changes.whole {
-            return false;
+    fn step(&self, changes: &Changes) -> Step {
+        let Some(known) = self.revision else {
+            return if changes.whole {
+                Step::Replace
+            } else {
+                Step::Ignore
+            };
+        };
+        let era = changes.revision.era;
+        let begins_anew = era > known.era || (era == known.era && changes.history_lost);
+
+        match (begins_anew, changes.whole) {
+            (true, true) => Step::Replace,
+            (true, false) => Step::Ignore,
+            (false, _) if changes.revision < known => Step::Ignore,
+            (false, _) => Step::Update,
         }
+    }
 
-        let mut changed = self.revision.is_none();
+    /// Replaces all objects. Revisions of the copy so far mean nothing for these.
+    fn replace(&mut self, changes: &Changes) -> Outcome {
+        let known = std::mem::take(self);
+        let number = changes.revision.number;
+        let objects = changes.objects.iter().filter(|object| !object.removed);
+        self.objects = objects
+            .map(|object| (object.name.clone(), object.clone()))
+            .collect();
+        let newest = self.objects.values().map(|object| object.revision).max();
+        let mut names = known.objects.keys();
+        let removes = names.any(|name| !self.objects.contains_key(name));
+        self.newest_change = if removes { number } else { newest.unwrap_or(0) };
+        self.history_start = number;
+        self.last_change = changes.revision;
         self.revision = Some(changes.revision);
 
-        if changes.whole {
-            changed |= self.remove_missing(changes);
+        match known.revision {
+            Some(_) => Outcome::Restored {
+                known: Box::new(known),
+            },
+            None => Outcome::Changed,
         }
+    }
+
+    /// Applies changes of the copy's own era and returns whether any object changed.
+    fn update(&mut self, changes: &Changes) -> bool {
+        let number = changes.revision.number;
+        self.revision = Some(changes.revision);
+        let mut changed = changes.whole && self.remove_missing(changes);
 
         for object in &changes.objects {
-            if self.put(object, changes.revision) {
+            if self.put(object, number) {
                 changed = true;
                 let revision = if object.removed {
-                    changes.revision
+                    number
                 } else {
                     object.revision
                 };
@@ -172,18 +256,22 @@
 
     /// Returns the objects that changed after a revision, each in its current
     /// state, or all objects if the history does not reach back that far. A peer
-    /// that missed many versions of a large object receives only the last one.
-    pub fn since(&self, revision: u64) -> Changes {
-        let current = self.revision.unwrap_or(0);
-
-        if revision >= self.history_start && revision > 0 {
+    /// that missed many versions of a large object receives only the last one, and one
+    /// that is in a later era receives none.
+    pub fn since(&self, revision: Revision) -> Changes {
+        let current = self.revision.unwrap_or_default();
+        let is_covered = revision.era == current.era
+            && revision.number >= self.history_start
+            && revision.number > 0;
+
+        if is_covered || revision.era > current.era {
             let changes = self.history.iter();
             let newest = changes
-                .filter(|change| change.revision > revision)
+                .filter(|change| is_covered && change.revision > revision.number)
                 .map(|change| (change.name.as_str(), change))
                 .collect::<BTreeMap<&str, &Change>>();
             return Changes {
-                era: 0,
+                history_lost: false,
                 objects: newest.values().map(|change| self.current(change)).collect(),
                 revision: current,
                 whole: false,
@@ -191,7 +279,7 @@
         }
 
         Changes {
-            era: 0,
+            history_lost: false,
             objects: self.objects.values().cloned().collect(),
             revision: current,
             whole: self.revision.is_some(),
@@ -228,10 +316,10 @@
         // The revision of a removal that was not observed is unknown, so the
         // history is cleared.
         self.history.clear();
-        self.history_start = changes.revision;
+        self.history_start = changes.revision.number;
 
         if !missing.is_empty() {
-            self.newest_change = self.newest_change.max(changes.revision);
+            self.newest_change = self.newest_change.max(changes.revision.number);
         }
 
         !missing.is_empty()
--- a/src/transport/links/jobs.rs
+++ b/src/transport/links/jobs.rs
@@ -8,6 +8,7 @@
                 balance::{Answer, Prompt, Report},
                 mirror::RelayedChanges,
                 piece::{Job, JobId, Outcome, Output},
+                revision::Revision,
             },
         },
         transport::{
@@ -160,7 +161,7 @@
         &self,
         address: SocketAddr,
         kind: &'static str,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
         done: impl FnOnce(Result<RelayedChanges, Error>) + Send + 'static,
     ) {
@@ -168,7 +169,8 @@
             Box::pin(async move {
                 let mut request = peer.object_changes_request();
                 request.get().set_kind(kind);
-                request.get().set_revision(revision);
+                request.get().set_era(revision.era);
+                request.get().set_revision(revision.number);
                 let millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
                 request.get().set_wait_ms(millis);
                 request.get().set_unpacks(true);
--- a/src/transport/peer_call.rs
+++ b/src/transport/peer_call.rs
@@ -9,6 +9,7 @@
             balance::{Answer, Prompt, Report},
             mirror::RelayedChanges,
             piece::{Job, JobId, Outcome, Output},
+            revision::Revision,
         },
     },
     std::{net::SocketAddr, sync::mpsc, time::Duration},
@@ -31,7 +32,7 @@
     ObjectChanges {
         kind: String,
         reply: oneshot::Sender<RelayedChanges>,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     },
     /// Asks the witness for permission to send a request.
--- a/src/transport/peer_server.rs
+++ b/src/transport/peer_server.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        state::serving::piece::JobId,
+        state::serving::{piece::JobId, revision::Revision},
         transport::{
             link_server::{Activity, Deliver},
             peer_call::PeerCall,
@@ -193,7 +193,7 @@
     ) -> capnp::Result<()> {
         let params = params.get()?;
         let kind = params.get_kind()?.to_string()?;
-        let revision = params.get_revision();
+        let revision = Revision::new(params.get_era(), params.get_revision());
         let unpacks = params.get_unpacks();
         let wait = Duration::from_millis(params.get_wait_ms().into());
         let changes = self
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -274,6 +274,7 @@
     builder.set_clock(member.clock.as_micros());
     builder.set_domain(member.domain.as_str());
     builder.set_endpoints(member.endpoints);
+    builder.set_era(member.era);
     builder.set_evacuations(member.evacuations);
     builder.set_host(member.host.as_str());
     builder.set_incarnation(member.incarnation.0);
@@ -304,6 +305,7 @@
         demand,
         domain: reader.get_domain()?.to_str()?.into(),
         endpoints: reader.get_endpoints(),
+        era: reader.get_era(),
         evacuations: reader.get_evacuations(),
         host: reader.get_host()?.to_str()?.into(),
         incarnation: id::Incarnation(reader.get_incarnation()),
--- a/src/transport/wire/objects.rs
+++ b/src/transport/wire/objects.rs
@@ -3,7 +3,10 @@
 use {
     super::{length, millis},
     crate::{
-        state::serving::mirror::{Changes, Object, RelayedChanges, Value},
+        state::serving::{
+            mirror::{Changes, Object, RelayedChanges, Value},
+            revision::Revision,
+        },
         transport::{
             packing,
             peer_capnp::{changes, object},
@@ -17,7 +20,8 @@
 pub fn write_changes(mut builder: changes::Builder, relayed: &RelayedChanges, unpacks: bool) {
     let changes = &relayed.changes;
     builder.set_age_ms(millis(relayed.age));
-    builder.set_revision(changes.revision);
+    builder.set_era(changes.revision.era);
+    builder.set_revision(changes.revision.number);
     builder.set_whole(changes.whole);
     let mut objects = builder.init_objects(length(changes.objects.len()));
 
@@ -51,9 +55,9 @@
     Ok(RelayedChanges {
         age: Duration::from_millis(reader.get_age_ms().into()),
         changes: Changes {
-            era: 0,
+            history_lost: false,
             objects: objects.collect::<capnp::Result<Vec<Object>>>()?,
-            revision: reader.get_revision(),
+            revision: Revision::new(reader.get_era(), reader.get_revision()),
             whole: reader.get_whole(),
         },
     })
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -64,6 +64,7 @@
         demand: Default::default(),
         domain: "is-1".into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: host.into(),
         incarnation: id::Incarnation(1),
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -320,6 +320,7 @@
             demand: BTreeMap::new(),
             domain: "d1".into(),
             endpoints: 0,
+            era: 0,
             evacuations: 0,
             host: "h1".into(),
             incarnation: id::Incarnation(1),
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -14,6 +14,7 @@
             serving::{
                 catch_up::FOLLOW_WAIT,
                 mirror::{Changes, RelayedChanges},
+                revision::Revision,
             },
         },
         transport::{Error, links::Links, peer_call::PeerCall},
@@ -82,7 +83,7 @@
                 thread::spawn(move || {
                     thread::sleep(wait);
                     let changes = Changes {
-                        revision: 7,
+                        revision: Revision::new(2, 7),
                         ..Changes::default()
                     };
                     // Fails if the caller has given up.
@@ -140,9 +141,15 @@
     wait: Duration,
 ) -> Result<RelayedChanges, Error> {
     let (sender, receiver) = channel();
-    links.object_changes(address, "config", 1, wait, move |answer| {
-        drop(sender.send(answer));
-    });
+    links.object_changes(
+        address,
+        "config",
+        Revision::new(1, 1),
+        wait,
+        move |answer| {
+            drop(sender.send(answer));
+        },
+    );
     receiver.recv_timeout(LONG_TIMEOUT).unwrap()
 }
 
@@ -280,7 +287,7 @@
     thread::sleep(Duration::from_millis(50));
     relay.blackhole();
     let changes = waiting.join().unwrap().unwrap();
-    assert_eq!(changes.changes.revision, 7);
+    assert_eq!(changes.changes.revision, Revision::new(2, 7));
 }
 
 /// Guards against a claim that permits the send without a grant of the witness,
--- a/tests/serving/directory.rs
+++ b/tests/serving/directory.rs
@@ -14,6 +14,7 @@
         demand: Default::default(),
         domain: domain.into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: format!("h{host}").into(),
         incarnation: Default::default(),
--- a/tests/serving/dispatchers.rs
+++ b/tests/serving/dispatchers.rs
@@ -25,6 +25,7 @@
         demand: Default::default(),
         domain: "d".into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: format!("h{number}").into(),
         incarnation: Default::default(),
--- a/tests/serving/evacuation.rs
+++ b/tests/serving/evacuation.rs
@@ -7,6 +7,7 @@
         serving::{
             cold::Cold,
             evacuation::{Change, Evacuations},
+            restoration::RETURN_TIME,
             roster::{Entry, Roster},
         },
     },
@@ -92,3 +93,30 @@
     assert_eq!(update(&mut evacuations, NOW, &["unknown", "b"]).len(), 1);
     assert_eq!(open(&evacuations), ["e0"]);
 }
+
+/// Guards against work for an evacuated domain that the copy lacks from which the store
+/// was restored, and against a domain that stays closed because of it.
+#[test]
+fn evacuation_that_a_restored_copy_lacks_is_kept_for_a_while() {
+    let mut evacuations = Evacuations::default();
+    update(&mut evacuations, NOW, &["a"]);
+    evacuations.keep(NOW);
+    assert_eq!(update(&mut evacuations, NOW + LATER, &[]), []);
+    assert_eq!(open(&evacuations), ["e2"]);
+    let end = NOW + RETURN_TIME;
+    assert!(evacuations.is_due(end));
+    assert_eq!(update(&mut evacuations, end, &[]).len(), 1);
+    assert_eq!(open(&evacuations), ["e0", "e2"]);
+}
+
+/// Guards against a domain that stays closed although its evacuation was listed again
+/// after a restore and has ended.
+#[test]
+fn evacuation_listed_after_a_restore_ends_when_it_is_removed() {
+    let mut evacuations = Evacuations::default();
+    update(&mut evacuations, NOW, &["a"]);
+    evacuations.keep(NOW);
+    assert_eq!(update(&mut evacuations, NOW, &["a"]), []);
+    assert_eq!(update(&mut evacuations, NOW + LATER, &[]).len(), 1);
+    assert_eq!(open(&evacuations), ["e0", "e2"]);
+}
--- a/tests/serving/follower.rs
+++ b/tests/serving/follower.rs
@@ -10,12 +10,13 @@
         protocol::adapter::{Consistency, Fault, Kind, Store, StoreError},
         state::{
             fleet::record::Record,
-            serving::{config::Config, mirror::Changes, roster::Entry},
+            serving::{config::Config, mirror::Changes, revision::Revision, roster::Entry},
         },
     },
     std::{
         sync::{
             Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
             mpsc::{Sender, channel},
         },
         time::Duration,
@@ -25,17 +26,22 @@
 const LIMIT: Duration = Duration::from_secs(10);
 
 /// Revision at which the follower lists the objects.
-const LISTED: u64 = 5;
+const LISTED: Revision = Revision::new(1, 5);
 
 /// A store that reports the revisions from which it is watched.
-struct Watched(Mutex<Sender<u64>>);
+struct Watched(Mutex<Sender<Revision>>);
 
 impl Store for Watched {
     fn list(&self, _kind: Kind, _consistency: Consistency) -> Result<Changes, StoreError> {
         Ok(changes(LISTED))
     }
 
-    fn watch(&self, _kind: Kind, revision: u64, wait: Duration) -> Result<Changes, StoreError> {
+    fn watch(
+        &self,
+        _kind: Kind,
+        revision: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
         // Fails after the end of the test.
         let _ = self.0.lock().unwrap().send(revision);
         std::thread::sleep(wait);
@@ -59,7 +65,7 @@
     }
 }
 
-fn changes(revision: u64) -> Changes {
+fn changes(revision: Revision) -> Changes {
     Changes {
         revision,
         whole: true,
@@ -80,9 +86,97 @@
     assert!(matches!(listed, Event::StoreChanges { .. }), "{listed:?}");
 
     mode.set(Some(Reading {
-        known: 90,
+        known: Revision::new(1, 90),
         max_backoff: Duration::from_millis(10),
         wait: Duration::from_millis(10),
     }));
-    assert_eq!(revisions.recv_timeout(LIMIT).unwrap(), 90);
+    assert_eq!(revisions.recv_timeout(LIMIT).unwrap(), Revision::new(1, 90));
+}
+
+/// A store that answers its first watch as one that was restored.
+struct Restored {
+    /// Revision of the listings after the first one.
+    listed: Revision,
+    lists: AtomicU64,
+    watch: fn() -> Result<Changes, StoreError>,
+}
+
+impl Store for Restored {
+    fn list(&self, _kind: Kind, _consistency: Consistency) -> Result<Changes, StoreError> {
+        match self.lists.fetch_add(1, Ordering::Relaxed) {
+            0 => Ok(changes(LISTED)),
+            _ => Ok(changes(self.listed)),
+        }
+    }
+
+    fn watch(
+        &self,
+        _kind: Kind,
+        _revision: Revision,
+        _wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        (self.watch)()
+    }
+
+    fn config(&self, _value: &[u8]) -> Result<Config, Fault> {
+        Err(Fault::new("config", "", "no call"))
+    }
+
+    fn endpoint(&self, _name: &str, _value: &[u8]) -> Result<Entry, Fault> {
+        Err(Fault::new("endpoint", "", "no call"))
+    }
+
+    fn announce(&self, _record: &Record) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    fn hosts(&self, _consistency: Consistency) -> Result<Vec<Record>, StoreError> {
+        Ok(Vec::new())
+    }
+}
+
+macro_rules! restores {
+    ($($(#[$doc:meta])* $name:ident: $watch:expr, $listed:expr => $lost:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let (events, received) = channel();
+                let mode = Mode::default();
+                mode.set(Some(Reading {
+                    known: LISTED,
+                    max_backoff: Duration::from_millis(10),
+                    wait: Duration::from_millis(10),
+                }));
+                let store = Restored {
+                    listed: $listed,
+                    lists: AtomicU64::new(0),
+                    watch: || $watch,
+                };
+                follower::start(Kind::Config, Arc::new(store), mode, events);
+                received.recv_timeout(LIMIT).unwrap();
+                let second = received.recv_timeout(LIMIT).unwrap();
+                let Event::StoreChanges { changes, .. } = second else {
+                    panic!("{second:?}");
+                };
+                assert_eq!(changes.revision, $listed);
+                assert!(changes.whole);
+                assert_eq!(changes.history_lost, $lost);
+            }
+        )*
+    };
+}
+
+restores! {
+    /// Guards against a host that never learns what a store has lost, because its first
+    /// listing lagged behind the restore.
+    listing_below_the_revision_that_the_store_does_not_have_replaces_what_was_known:
+        Err(StoreError::Compacted), Revision::new(1, 2) => true;
+
+    /// Guards against a host that applies the changes of a later era to objects of an
+    /// earlier one.
+    changes_of_a_later_era_lead_to_a_listing: Ok(Changes {
+        revision: Revision::new(2, 9),
+        ..Changes::default()
+    }), Revision::new(2, 9) => false;
 }
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -32,6 +32,7 @@
 mod quarantine;
 mod readers;
 mod rendezvous;
+mod restoration;
 mod stop;
 mod tally;
 mod uneven;
--- a/tests/serving/mirror.rs
+++ b/tests/serving/mirror.rs
@@ -3,11 +3,17 @@
 
 use {
     crate::fuzz,
-    persimmoncleat::state::serving::mirror::{Changes, Mirror, Object, Value},
+    persimmoncleat::state::serving::{
+        mirror::{Changes, Mirror, Object, Outcome, Value},
+        revision::Revision,
+    },
     proptest::prelude::*,
     std::collections::BTreeMap,
 };
 
+/// Era of a store that has not been restored since the start of a test.
+const ERA: u32 = 1;
+
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
 
 /// One change of the store: the index of the object's name, and whether the
@@ -45,9 +51,9 @@
 /// Returns the store's response to a listing at a revision.
 fn listing(history: &[Object], revision: u64) -> Changes {
     Changes {
-        era: 0,
+        history_lost: false,
         objects: objects(history, revision).into_values().collect(),
-        revision,
+        revision: Revision::new(ERA, revision),
         whole: true,
     }
 }
@@ -56,12 +62,12 @@
 fn watched(history: &[Object], from: u64, to: u64) -> Changes {
     let objects = history.iter();
     Changes {
-        era: 0,
+        history_lost: false,
         objects: objects
             .filter(|object| object.revision > from && object.revision <= to)
             .cloned()
             .collect(),
-        revision: to,
+        revision: Revision::new(ERA, to),
         whole: false,
     }
 }
@@ -89,7 +95,7 @@
         for (whole, share) in answers {
             let revision = 1 + (share * last as f64) as u64;
             let revision = revision.min(last);
-            let before = mirror.revision().unwrap();
+            let before = mirror.revision().unwrap().number;
             // The response to an earlier request may arrive late.
             let changes = if whole {
                 listing(&history, revision)
@@ -97,12 +103,12 @@
                 watched(&history, before.min(revision), revision)
             };
             mirror.apply(&changes);
-            let now = mirror.revision().unwrap();
+            let now = mirror.revision().unwrap().number;
             prop_assert!(now >= before, "the revision went back from {before} to {now}");
             prop_assert_eq!(mirrored(&mirror), objects(&history, now));
         }
 
-        let from = mirror.revision().unwrap();
+        let from = mirror.revision().unwrap().number;
         mirror.apply(&watched(&history, from, last));
         prop_assert_eq!(mirrored(&mirror), objects(&history, last));
     }
@@ -120,7 +126,7 @@
         reader.apply(&listing(&history, 1));
         reader.apply(&watched(&history, 1, middle));
         let mut follower = Mirror::default();
-        follower.apply(&reader.since(0));
+        follower.apply(&reader.since(Revision::default()));
         prop_assert_eq!(mirrored(&follower), mirrored(&reader));
 
         // After a new listing, the reader has no history of the changes.
@@ -145,9 +151,9 @@
 
 fn changes(revision: u64, whole: bool, objects: &[Object]) -> Changes {
     Changes {
-        era: 0,
+        history_lost: false,
         objects: objects.to_vec(),
-        revision,
+        revision: Revision::new(ERA, revision),
         whole,
     }
 }
@@ -160,10 +166,11 @@
     let mut reader = Mirror::default();
     reader.apply(&changes(5, true, &[object("a", 5, false)]));
     let mut follower = Mirror::default();
-    follower.apply(&reader.since(0));
-    assert!(reader.apply(&changes(7, false, &[object("a", 5, true)])));
+    follower.apply(&reader.since(Revision::default()));
+    let outcome = reader.apply(&changes(7, false, &[object("a", 5, true)]));
+    assert!(outcome.is_change());
     assert!(mirrored(&reader).is_empty());
-    follower.apply(&reader.since(5));
+    follower.apply(&reader.since(Revision::new(ERA, 5)));
     assert!(mirrored(&follower).is_empty());
 }
 
@@ -173,8 +180,10 @@
 fn older_object_in_a_newer_answer_is_ignored() {
     let mut mirror = Mirror::default();
     mirror.apply(&changes(5, true, &[object("a", 5, false)]));
-    assert!(!mirror.apply(&changes(9, false, &[object("a", 4, false)])));
-    assert!(!mirror.apply(&changes(10, false, &[object("a", 4, true)])));
+    let outcome = mirror.apply(&changes(9, false, &[object("a", 4, false)]));
+    assert!(!outcome.is_change());
+    let outcome = mirror.apply(&changes(10, false, &[object("a", 4, true)]));
+    assert!(!outcome.is_change());
     assert_eq!(mirrored(&mirror)["a"].revision, 5);
 }
 
@@ -190,7 +199,7 @@
     }
 
     reader.apply(&changes(30, false, &[object("b", 30, false)]));
-    let missed = reader.since(1);
+    let missed = reader.since(Revision::new(ERA, 1));
     assert_eq!(
         missed.objects,
         [object("a", 29, false), object("b", 30, false)]
@@ -213,3 +222,90 @@
     mirror.apply(&changes(12, true, &[]));
     assert_eq!(mirror.newest_change(), 12);
 }
+
+/// Returns changes of a store that has been restored once.
+fn restored(revision: u64, whole: bool, objects: &[Object]) -> Changes {
+    Changes {
+        revision: Revision::new(ERA + 1, revision),
+        ..changes(revision, whole, objects)
+    }
+}
+
+fn known_copy() -> Mirror {
+    let mut mirror = Mirror::default();
+    mirror.apply(&changes(
+        6,
+        true,
+        &[object("a", 5, false), object("b", 6, false)],
+    ));
+    mirror
+}
+
+/// Guards against a copy that ignores a restored store, whose revisions are lower.
+#[test]
+fn listing_of_a_later_era_replaces_the_copy() {
+    let mut mirror = known_copy();
+    let outcome = mirror.apply(&restored(4, true, &[object("a", 3, false)]));
+    assert!(matches!(outcome, Outcome::Restored { .. }), "{outcome:?}");
+    assert_eq!(mirrored(&mirror).len(), 1);
+    assert_eq!(mirrored(&mirror)["a"].revision, 3);
+    // The revisions that were given out again are followed.
+    let outcome = mirror.apply(&restored(5, false, &[object("a", 5, false)]));
+    assert!(outcome.is_change());
+    assert_eq!(mirror.revision(), Some(Revision::new(ERA + 1, 5)));
+}
+
+/// Guards against a copy that mixes objects of two eras.
+#[test]
+fn changes_of_a_later_era_wait_for_its_listing() {
+    let mut mirror = known_copy();
+    let outcome = mirror.apply(&restored(7, false, &[object("a", 7, false)]));
+    assert!(matches!(outcome, Outcome::Ignored), "{outcome:?}");
+    assert_eq!(mirrored(&mirror)["a"].revision, 5);
+}
+
+/// Guards against a copy that returns to the state before a restore, which a host that
+/// has not heard of it still sends.
+#[test]
+fn answers_of_an_earlier_era_are_ignored() {
+    let mut mirror = known_copy();
+    let earlier = known_copy();
+    mirror.apply(&restored(4, true, &[object("a", 3, false)]));
+    let from = mirror.revision().unwrap();
+    assert!(!mirror.apply(&earlier.since(from)).is_change());
+    assert!(
+        !mirror
+            .apply(&earlier.since(Revision::default()))
+            .is_change()
+    );
+    assert_eq!(mirrored(&mirror)["a"].revision, 3);
+}
+
+/// Guards against a follower that keeps the state before a restore, because the revision
+/// that it knows is not in the history of the reader's era.
+#[test]
+fn follower_receives_all_objects_of_a_later_era() {
+    let mut follower = known_copy();
+    let mut reader = known_copy();
+    reader.apply(&restored(4, true, &[object("a", 3, false)]));
+    reader.apply(&restored(9, false, &[object("c", 9, false)]));
+    let missed = reader.since(follower.revision().unwrap());
+    assert!(missed.whole);
+    follower.apply(&missed);
+    assert_eq!(mirrored(&follower), mirrored(&reader));
+}
+
+/// Guards against a copy that was listed from a lagging copy of the store right after a
+/// restore, and so holds objects of the earlier era under the new one.
+#[test]
+fn current_listing_that_lacks_known_changes_replaces_the_copy() {
+    let mut mirror = known_copy();
+    let listing = changes(4, true, &[object("a", 3, false)]);
+    assert!(!mirror.apply(&listing).is_change());
+    let outcome = mirror.apply(&Changes {
+        history_lost: true,
+        ..listing
+    });
+    assert!(matches!(outcome, Outcome::Restored { .. }), "{outcome:?}");
+    assert_eq!(mirrored(&mirror)["a"].revision, 3);
+}
--- a/tests/serving/packing.rs
+++ b/tests/serving/packing.rs
@@ -3,7 +3,10 @@
 use {
     capnp::message::{Builder, HeapAllocator, TypedBuilder},
     persimmoncleat::{
-        state::serving::mirror::{Changes, Object, RelayedChanges},
+        state::serving::{
+            mirror::{Changes, Object, RelayedChanges},
+            revision::Revision,
+        },
         transport::{peer_capnp::changes, wire},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -46,13 +49,13 @@
     RelayedChanges {
         age: Duration::from_millis(20),
         changes: Changes {
-            era: 0,
+            history_lost: false,
             objects: vec![
                 object("main", false, configuration()),
                 object("small", false, b"{}".to_vec()),
                 object("removed", true, Vec::new()),
             ],
-            revision: 6,
+            revision: Revision::new(2, 6),
             whole: false,
         },
     }
--- a/tests/serving/readers.rs
+++ b/tests/serving/readers.rs
@@ -26,6 +26,7 @@
             demand: Default::default(),
             domain: DOMAINS[usize::from(host) % DOMAINS.len()].into(),
             endpoints: 0,
+            era: 0,
             evacuations: 0,
             host: format!("h{host}").into(),
             incarnation: Default::default(),
--- a/tests/serving/weighted_directory.rs
+++ b/tests/serving/weighted_directory.rs
@@ -33,6 +33,7 @@
         demand: Default::default(),
         domain: DOMAINS[usize::from(host) % DOMAINS.len()].into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: format!("h{host}").into(),
         incarnation: Default::default(),
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -20,6 +20,7 @@
         demand: BTreeMap::new(),
         domain: domain.into(),
         endpoints: 0,
+        era: 0,
         evacuations: 0,
         host: host.into(),
         incarnation: Incarnation(1),
