Register a host again at a store that was restored from a copy

Cause: a host writes its record once, at its start. A restore that loses the record leaves the host unknown to hosts that start later and whose seeds are down, and to the rank of dispatchers in a host's first seconds.

Change: the write returns the era of the store that holds the record, and the thread that lists the hosts writes it again once the control thread has heard of a later era, also from a peer.

--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -124,6 +124,8 @@
 /// The state of the control thread.
 pub struct Control {
     departures: Departures,
+    /// The latest era of the store, in which this host has to be registered.
+    era: follower::Era,
     evacuations: Evacuations,
     /// The endpoints as listed, of which the published ones in evacuated domains are
     /// closed. `None` before the first listing.
@@ -164,6 +166,7 @@
 
         Self {
             departures: Departures::default(),
+            era: follower::Era::default(),
             evacuations: if options.follow_evacuations {
                 Evacuations::default()
             } else {
@@ -226,6 +229,7 @@
         follower::announce(
             Arc::clone(&self.store),
             &self.member_view.local,
+            self.era.clone(),
             self.sender.clone(),
         );
         let mut last_tick = boot_clock::now();
@@ -371,6 +375,7 @@
         let evacuations = newest(Kind::Evacuations, |replica| replica.mirror.newest_change());
         let local = &mut self.member_view.local;
         local.era = era;
+        self.era.raise(era);
         local.settings = settings;
         local.endpoints = endpoints;
         local.evacuations = evacuations;
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -11,7 +11,7 @@
         },
     },
     std::{
-        sync::{Arc, Mutex, PoisonError, mpsc::Sender},
+        sync::{Arc, Condvar, Mutex, PoisonError, mpsc::Sender},
         thread,
         time::Duration,
     },
@@ -89,9 +89,37 @@
     });
 }
 
+/// The latest era of the store that this host has heard of. Set by the control thread.
+#[derive(Clone, Debug, Default)]
+pub struct Era(Arc<(Mutex<u32>, Condvar)>);
+
+impl Era {
+    /// Sets the latest era. It never returns to an earlier one.
+    pub fn raise(&self, era: u32) {
+        let (latest, raised) = &*self.0;
+        let mut latest = latest.lock().unwrap_or_else(PoisonError::into_inner);
+
+        if era > *latest {
+            *latest = era;
+            raised.notify_all();
+        }
+    }
+
+    /// Waits until the latest era is later than `known`, at most for `timeout`. Returns
+    /// whether it is.
+    fn wait_beyond(&self, known: u32, timeout: Duration) -> bool {
+        let (latest, raised) = &*self.0;
+        let latest = latest.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = raised.wait_timeout_while(latest, timeout, |latest| *latest <= known);
+        let (latest, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        *latest > known
+    }
+}
+
 /// Starts a thread that writes this host's record to the store and then lists
-/// the hosts regularly.
-pub fn announce(store: Arc<dyn Store>, local: &Member, events: Sender<Event>) {
+/// the hosts regularly. It writes the record again in each later era, since a store that
+/// was restored from a copy may have lost it.
+pub fn announce(store: Arc<dyn Store>, local: &Member, era: Era, events: Sender<Event>) {
     let record = Record {
         capacity: local.capacity,
         host: local.host.clone(),
@@ -99,37 +127,59 @@
     };
 
     spawn("announce", move || {
-        while let Err(error) = store.announce(&record) {
-            log::debug!("cannot write this host's record: {error}");
-            thread::sleep(RETRY_INTERVAL);
-        }
-
         loop {
-            let mut pause = LIST_HOSTS_INTERVAL;
-
-            match store.hosts(Consistency::MayLag) {
-                Ok(records) => {
-                    // The listing is older than this host's record, and thus
-                    // than those of the hosts that started with it.
-                    if !records.contains(&record) {
-                        pause = STALE_HOSTS_INTERVAL;
-                    }
-
-                    if events.send(Event::Registered(records)).is_err() {
-                        return;
-                    }
-                }
-                Err(error) => {
-                    log::debug!("cannot list the hosts: {error}");
-                    pause = RETRY_INTERVAL;
+            let written = write_record(store.as_ref(), &record);
+
+            loop {
+                let Some(pause) = list_hosts(store.as_ref(), &record, &events) else {
+                    return;
+                };
+
+                if era.wait_beyond(written, pause) {
+                    break;
                 }
             }
-
-            thread::sleep(pause);
         }
     });
 }
 
+/// Writes this host's record until the store accepts it, and returns the store's era.
+fn write_record(store: &dyn Store, record: &Record) -> u32 {
+    loop {
+        match store.announce(record) {
+            Ok(era) => {
+                log::info!(era = era; "this host is registered in the store");
+                return era;
+            }
+            Err(error) => log::debug!("cannot write this host's record: {error}"),
+        }
+
+        thread::sleep(RETRY_INTERVAL);
+    }
+}
+
+/// Lists the hosts and returns the pause before the next listing, or `None` once the
+/// control thread has stopped.
+fn list_hosts(store: &dyn Store, record: &Record, events: &Sender<Event>) -> Option<Duration> {
+    let records = match store.hosts(Consistency::MayLag) {
+        Ok(records) => records,
+        Err(error) => {
+            log::debug!("cannot list the hosts: {error}");
+            return Some(RETRY_INTERVAL);
+        }
+    };
+    // A listing without it is older than this host's record, and thus than those of the
+    // hosts that started with it.
+    let is_stale = !records.contains(record);
+    events.send(Event::Registered(records)).ok()?;
+
+    Some(if is_stale {
+        STALE_HOSTS_INTERVAL
+    } else {
+        LIST_HOSTS_INTERVAL
+    })
+}
+
 fn follow(kind: Kind, store: &dyn Store, mode: &Mode, events: &Sender<Event>) {
     let mut revision = None::<Revision>;
     // The revision that was known before the current listing.
--- a/src/protocol/adapter.rs
+++ b/src/protocol/adapter.rs
@@ -254,12 +254,13 @@
         Vec::new()
     }
 
-    /// Registers this host, so that other hosts find it.
+    /// Registers this host, so that other hosts find it, and returns the era of the store
+    /// that holds the record.
     ///
     /// # Errors
     ///
     /// Returns an error if the store did not accept the record.
-    fn announce(&self, record: &Record) -> Result<(), StoreError>;
+    fn announce(&self, record: &Record) -> Result<u32, StoreError>;
 
     /// Lists the registered hosts.
     ///
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -318,14 +318,14 @@
                 }
 
                 self.put(kind, &name, &object["spec"]);
-                Reply::ok(object)
+                lock(&self.state).mark(Reply::ok(object))
             }
             "PUT" => {
                 let Ok(object) = request.json::<Value>() else {
                     return Reply::problem(400, "the body cannot be read as JSON");
                 };
                 self.put(kind, segments.next().unwrap_or_default(), &object["spec"]);
-                Reply::ok(object)
+                lock(&self.state).mark(Reply::ok(object))
             }
             _ => Reply::problem(405, "the method is not supported"),
         }
--- a/tests/serving/follower.rs
+++ b/tests/serving/follower.rs
@@ -56,8 +56,8 @@
         Err(Fault::new("endpoint", "", "no call"))
     }
 
-    fn announce(&self, _record: &Record) -> Result<(), StoreError> {
-        Ok(())
+    fn announce(&self, _record: &Record) -> Result<u32, StoreError> {
+        Ok(0)
     }
 
     fn hosts(&self, _consistency: Consistency) -> Result<Vec<Record>, StoreError> {
@@ -126,8 +126,8 @@
         Err(Fault::new("endpoint", "", "no call"))
     }
 
-    fn announce(&self, _record: &Record) -> Result<(), StoreError> {
-        Ok(())
+    fn announce(&self, _record: &Record) -> Result<u32, StoreError> {
+        Ok(0)
     }
 
     fn hosts(&self, _consistency: Consistency) -> Result<Vec<Record>, StoreError> {
