Log which failed requests are the same, and attempts given up at the time limit

An attempt has an id of its own, and neither path, caller nor body is logged, so the log cannot tell whether it is one request; an attempt that is given up at the time limit has no line at all.

Change: `attempt failed` has a fingerprint, a hash of path, caller and body, and is written for these attempts, too. Nothing else changes.

--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -247,6 +247,7 @@
         outcome = attempt_outcome.name(),
         attempt = request.attempts.get(),
         left_ms = request.remaining().as_millis(),
+        fingerprint = format!("{:x}", request.fingerprint()).as_str(),
         parts = request.shared_parts().join(",").as_str();
         "attempt failed: {detail}"
     );
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -253,6 +253,7 @@
         body,
         deadline: started + wait,
         endpoint: Default::default(),
+        fingerprint: Default::default(),
         headers: head.headers.clone(),
         longest_gap: Default::default(),
         may_have_run: Default::default(),
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -5,7 +5,7 @@
     crate::{
         coordination::serving::{
             answer::{Reason, Refusal},
-            attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt},
+            attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{self, Chosen},
             host::Host,
             request::Request,
@@ -290,10 +290,12 @@
                 .health_mut(entry)
                 .record_failure(boot_clock::now());
             request.attempts.set(request.attempts.get() + 1);
-            Err(AttemptOutcome::Broken(format!(
+            let outcome = AttemptOutcome::Broken(format!(
                 "no response within {} ms",
                 response_time.as_millis()
-            )))
+            ));
+            log_failure(request, entry, &outcome);
+            Err(outcome)
         }
     }
 }
--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -17,10 +17,15 @@
         },
         transport::boot_clock,
     },
-    hyper::{HeaderMap, Method, Uri, body::Bytes},
+    hyper::{
+        HeaderMap, Method, Uri,
+        body::Bytes,
+        header::{HOST, HeaderValue},
+        http::uri::PathAndQuery,
+    },
     siphasher::sip::SipHasher13,
     std::{
-        cell::{Cell, RefCell},
+        cell::{Cell, OnceCell, RefCell},
         hash::{Hash, Hasher},
         sync::Arc,
         time::Duration,
@@ -47,6 +52,8 @@
     pub deadline: Time,
     /// The endpoint of the last attempt.
     pub endpoint: RefCell<Option<id::Endpoint>>,
+    /// The hash of the path, caller and body, once it was needed.
+    pub fingerprint: OnceCell<u64>,
     pub headers: HeaderMap,
     /// Longest pause between two chunks of events.
     pub longest_gap: Cell<Duration>,
@@ -122,6 +129,23 @@
         }
     }
 
+    /// Returns a hash of what makes the request the same as an earlier one: its path,
+    /// caller and body.
+    pub fn fingerprint(&self) -> u64 {
+        *self.fingerprint.get_or_init(|| {
+            let mut hasher = SipHasher13::new();
+            let host = self.headers.get(HOST).map(HeaderValue::as_bytes);
+            let team = self.team.as_ref().map(id::Team::as_str);
+            (self.method.as_str(), host, team).hash(&mut hasher);
+            self.uri
+                .path_and_query()
+                .map(PathAndQuery::as_str)
+                .hash(&mut hasher);
+            self.body.hash(&mut hasher);
+            hasher.finish()
+        })
+    }
+
     /// Returns the ids of the first parts of the prompt that other requests may
     /// share, for logs.
     pub fn shared_parts(&self) -> Vec<&str> {
