--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -42,8 +42,10 @@
     /// Closes the connection of a stream after a head that announces neither a
     /// length nor chunks.
     Empty,
-    /// Ends the worker's process after the head of a stream.
+    /// Ends the worker's process after the head of a stream, or without a response.
     Crash,
+    /// Ends the worker's process after the first event of a stream.
+    CrashAfterEvent,
     /// Sends bytes until the caller closes the connection.
     Endless(Endless),
     /// Sends the response twice.
@@ -122,6 +124,17 @@
     /// Id of a part of prompts. The worker crashes before it answers a request with
     /// it.
     harmful_part: Option<String>,
+    /// A request that crashes the worker.
+    harmful_request: Option<HarmfulRequest>,
+}
+
+/// A request that crashes a worker when it has run for a time, or after the first event
+/// of its stream.
+#[derive(Clone, Debug)]
+pub struct HarmfulRequest {
+    pub body: &'static str,
+    pub delay: Duration,
+    pub path: &'static str,
 }
 
 /// A worker's state, shared with its server.
@@ -215,6 +228,11 @@
         lock(&self.service.state).harmful_part = Some(part.into());
     }
 
+    /// Sets a request that crashes the worker.
+    pub fn set_harmful_request(&self, request: HarmfulRequest) {
+        lock(&self.service.state).harmful_request = Some(request);
+    }
+
     /// Returns whether a request has crashed the worker.
     pub fn has_crashed(&self) -> bool {
         lock(&self.service.server).is_none()
@@ -265,12 +283,33 @@
             parts.any(|(id, _)| id.trim() == harmful)
         });
 
-        if crashes {
-            Some(Fault::Crash)
+        if crashes || self.is_harmful(request) {
+            let has_events = self.is_harmful(request) && prompt.is_some();
+            Some(if has_events {
+                Fault::CrashAfterEvent
+            } else {
+                Fault::Crash
+            })
         } else {
             self.faults.pop_front()
         }
     }
+
+    /// Returns whether a request crashes the worker by its path and body.
+    fn is_harmful(&self, request: &Request) -> bool {
+        let harmful = self.harmful_request.as_ref();
+        harmful.is_some_and(|harmful| {
+            harmful.path == request.path && harmful.body.as_bytes() == request.body
+        })
+    }
+
+    /// Returns the time for which a request runs, in addition to the usual time.
+    fn delay(&self, request: &Request) -> Duration {
+        match &self.harmful_request {
+            Some(harmful) if self.is_harmful(request) => harmful.delay,
+            _ => self.delay,
+        }
+    }
 }
 
 impl Service {
@@ -355,7 +394,7 @@
                 headers: request.headers.clone(),
                 path: request.path.clone(),
             });
-            (fault, state.delay)
+            (fault, state.delay(request))
         };
         thread::sleep(self.pause + delay);
 
@@ -366,6 +405,11 @@
         if request.headers.contains_key("x-token-counts") {
             self.stream(request, &attempt, fault)
         } else {
+            if matches!(fault, Some(Fault::Crash)) {
+                drop(lock(&self.server).take());
+                return Reply::Close;
+            }
+
             let is_export = request.path.starts_with("/export/");
             let length = if is_export { EXPORT_BYTES } else { 0 };
             plain_reply(&attempt, length, fault)
@@ -423,6 +467,11 @@
                 write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
                 writer.flush()?;
                 thread::sleep(pause);
+
+                if matches!(fault, Some(Fault::CrashAfterEvent)) {
+                    drop(lock(&server).take());
+                    return Ok(Flow::Close);
+                }
             }
 
             if matches!(fault, Some(Fault::Break(_))) {
