Keep a request that crashes endpoints away from them on all hosts

Cause: a failure that is handled request by request, although the same request has failed before, at other endpoints and other hosts. Crashes were attributed only to parts of prompts, at engines, before the first event. And an attempt that is given up at its time limit was not followed further, so the host that had sent the request did not see the crash.

Change: the host that sends a request follows it until it has an answer, also after it has given it up, and asks the endpoint for a connection then. All hosts tell each other of the losses in their probes and decide by one rule: three endpoints lost under the same path, caller and body with no answer in between. All refuse the request then, as not run, for 60 s; afterwards one host tries it. A request under which two endpoints were lost is not repeated. Requests lost with a harmful one, and frequent ones at endpoints that fail together, are told apart by rule (tests).

The schema has two new structs, so the test that compares it with the generated code counts 18 blocks instead of 16. gossip::Message boxes what hosts tell of harmful requests: the linter refuses larger variants.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -59,12 +59,36 @@
   remainingMs @1 :UInt32;
 }
 
+struct Loss {
+  # The crash of an endpoint under a request.
+
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+struct Suspicion {
+  # A request under which endpoints have crashed.
+
+  fingerprint @0 :UInt64;
+  losses @1 :List(Loss);
+  answered @2 :Bool;
+  # A request with the fingerprint was answered after a loss.
+  answeredAgeMs @3 :UInt32;
+  # Time since that.
+  answeredBefore @4 :Bool;
+  # One was answered before the losses.
+}
+
 struct Message {
   from @0 :Member;
   updates @1 :List(Member);
   known @2 :UInt32;
   # Number of hosts that the sender knows, including itself.
   quarantine @3 :List(Quarantined);
+  suspicions @4 :List(Suspicion);
+  harmfulRequests @5 :List(Quarantined);
+  # The fingerprints of requests that crash endpoints.
 }
 
 struct Subject {
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -5,9 +5,16 @@
     crate::{
         protocol::hosts::{ENTRY_POOL, Host},
         state::{
-            clock::Time, endpoint, fleet::gossip::Message,
-            fleet::membership::Membership as Machine, fleet::membership_action::Action,
-            fleet::membership_event::Event as MachineEvent, serving::quarantine::Quarantine,
+            clock::Time,
+            endpoint,
+            fleet::gossip::{Message, News},
+            fleet::membership::Membership as Machine,
+            fleet::membership_action::Action,
+            fleet::membership_event::Event as MachineEvent,
+            serving::{
+                crashes::{Crash, Crashes, Findings},
+                quarantine::{Quarantine, Status},
+            },
             view::View,
         },
         transport::{self, links::Links},
@@ -73,6 +80,13 @@
 #[derive(Debug, Default)]
 pub struct Membership {
     actions: Vec<Action>,
+    /// The requests under which endpoints have crashed, of which probes and their answers
+    /// tell.
+    crashes: Crashes,
+    /// Whether `crashes` or `harmful_requests` have changed.
+    crashes_changed: bool,
+    /// The requests that crash endpoints, by their fingerprints.
+    harmful_requests: Quarantine,
     machine: Machine,
     probe_sender: Option<ProbeSender>,
     /// The parts of prompts in quarantine, which probes and their answers tell.
@@ -103,7 +117,7 @@
     pub fn handle(&mut self, now: Time, event: Event, view: &mut View) {
         match event {
             Event::Answered { message, probe } => {
-                self.merge_quarantine(now, &message);
+                self.merge_news(now, &message);
                 self.step(now, MachineEvent::Answered { message, probe }, view);
             }
             Event::Failed { probe } => self.step(now, MachineEvent::Failed { probe }, view),
@@ -114,9 +128,9 @@
             Event::Listed(addresses) => self.step(now, MachineEvent::Listed(addresses), view),
             Event::Leave => self.step(now, MachineEvent::Leave, view),
             Event::Probed { message, reply } => {
-                self.merge_quarantine(now, &message);
+                self.merge_news(now, &message);
                 let mut answer = self.machine.handle_probe(now, &mut view.local, message);
-                answer.quarantine = self.quarantine.entries(now);
+                self.add_news(now, &mut answer);
                 let _ = reply.send(answer);
                 self.publish_last_answer(view);
             }
@@ -158,8 +172,89 @@
         std::mem::take(&mut self.quarantine_changed).then(|| self.quarantine.clone())
     }
 
+    /// Records that an endpoint has crashed, and keeps the requests away from endpoints
+    /// that are harmful.
+    pub fn record_crash(&mut self, now: Time, crash: &Crash) {
+        let findings = self.crashes.record(now, crash, &self.harmful_requests);
+        self.apply_findings(now, &findings);
+    }
+
+    /// Records that a request was answered under which endpoints have crashed.
+    pub fn record_answer(&mut self, now: Time, fingerprint: u64) {
+        self.crashes.record_answer(now, fingerprint);
+        self.release_request(now, fingerprint);
+        self.crashes_changed = true;
+    }
+
+    /// Returns the requests that crash endpoints, and those under which endpoints have
+    /// crashed, if either has changed since the last call.
+    pub fn take_crashes(&mut self) -> Option<(Quarantine, HashMap<u64, bool>)> {
+        std::mem::take(&mut self.crashes_changed)
+            .then(|| (self.harmful_requests.clone(), self.crashes.suspects()))
+    }
+
+    fn apply_findings(&mut self, now: Time, findings: &Findings) {
+        self.crashes_changed = true;
+
+        for fingerprint in &findings.harmless {
+            self.release_request(now, *fingerprint);
+        }
+
+        for fingerprint in &findings.harmful {
+            let duration = self.harmful_requests.add(now, *fingerprint);
+            log::warn!(
+                fingerprint = format!("{fingerprint:x}").as_str(),
+                ms = duration.as_millis();
+                "request quarantined: it crashes endpoints"
+            );
+        }
+    }
+
+    fn release_request(&mut self, now: Time, fingerprint: u64) {
+        if self.harmful_requests.status(now, fingerprint) == Status::Clear {
+            return;
+        }
+
+        self.harmful_requests.release(fingerprint);
+        log::info!(
+            fingerprint = format!("{fingerprint:x}").as_str();
+            "request cleared: it was answered"
+        );
+    }
+
+    /// Adds to a message what other hosts have to know of harmful requests and parts.
+    fn add_news(&self, now: Time, message: &mut Message) {
+        *message.news = News {
+            harmful_parts: self.quarantine.entries(now),
+            harmful_requests: self.harmful_requests.entries(now),
+            suspicions: self.crashes.news(now),
+        };
+    }
+
+    fn merge_news(&mut self, now: Time, message: &Message) {
+        self.merge_quarantine(now, message);
+
+        for fingerprint in self
+            .harmful_requests
+            .merge(now, &message.news.harmful_requests)
+        {
+            self.crashes_changed = true;
+            log::info!(
+                fingerprint = format!("{fingerprint:x}").as_str(),
+                peer = message.from.host.as_str();
+                "request quarantined by another host"
+            );
+        }
+
+        if !message.news.suspicions.is_empty() {
+            let news = &message.news.suspicions;
+            let findings = self.crashes.merge(now, news, &self.harmful_requests);
+            self.apply_findings(now, &findings);
+        }
+    }
+
     fn merge_quarantine(&mut self, now: Time, message: &Message) {
-        for part in self.quarantine.merge(now, &message.quarantine) {
+        for part in self.quarantine.merge(now, &message.news.harmful_parts) {
             self.quarantine_changed = true;
             log::info!(
                 part = format!("{part:x}").as_str(),
@@ -213,7 +308,7 @@
                 },
                 Some(ProbeSender { deliver, links }),
             ) => {
-                message.quarantine = self.quarantine.entries(now);
+                self.add_news(now, &mut message);
                 let deliver = Arc::clone(deliver);
                 links.probe(address, message, PROBE_TIMEOUT, move |answer| {
                     deliver(probe_event(probe, answer));
--- a/src/coordination/serving.rs
+++ b/src/coordination/serving.rs
@@ -9,6 +9,7 @@
 pub mod balancing;
 pub mod callers;
 pub mod control;
+pub mod crashes;
 pub mod demotions;
 pub mod dispatch;
 pub mod drain;
--- a/src/coordination/serving/answer.rs
+++ b/src/coordination/serving/answer.rs
@@ -36,6 +36,8 @@
     /// All endpoints are in evacuated domains.
     Evacuated,
     Full,
+    /// Endpoints have crashed each time that they ran the request.
+    Harmful,
     Header,
     Key,
     Leaving,
@@ -63,6 +65,7 @@
             Self::EndpointFailed => "endpoint_failed",
             Self::Evacuated => "endpoints_evacuated",
             Self::Full => "endpoints_full",
+            Self::Harmful => "request_quarantined",
             Self::Header => "header_unreadable",
             Self::Key => "unknown_key",
             Self::Leaving => "host_leaving",
--- a/src/coordination/serving/attempt.rs
+++ b/src/coordination/serving/attempt.rs
@@ -2,7 +2,12 @@
 
 use {
     crate::{
-        coordination::serving::{answer::promises_not_run, host::Host, request::Request},
+        coordination::serving::{
+            answer::promises_not_run,
+            crashes::{End, Watch},
+            host::Host,
+            request::Request,
+        },
         protocol::adapter::{Answer, Forward},
         state::{
             clock::Time,
@@ -76,6 +81,7 @@
     pub answer: Answer,
     pub exchange: Exchange,
     pub load_guard: LoadGuard,
+    pub watch: Watch,
 }
 
 /// Counts a request towards the load of its endpoint until it is dropped.
@@ -118,6 +124,7 @@
     options: AttemptOptions<'_>,
 ) -> AttemptOutcome {
     let load_guard = LoadGuard::new(host, entry);
+    let watch = Watch::new(host, request, entry);
     let forward = Forward {
         endpoint: entry.endpoint.as_str(),
         inputs: options.inputs,
@@ -134,7 +141,7 @@
     *request.endpoint.borrow_mut() = Some(entry.endpoint.clone());
     let step = request.timeline.begin(entry.endpoint.as_str().to_owned());
     let result = host.client.send(entry, message).await;
-    let outcome = classify(host, request, load_guard, result);
+    let outcome = classify(host, request, load_guard, watch, result);
     request
         .timeline
         .end(step, outcome.name(), entry.domain.as_str().to_owned());
@@ -161,6 +168,7 @@
     host: &Rc<Host>,
     request: &Request,
     load_guard: LoadGuard,
+    watch: Watch,
     result: Result<Exchange, Failure>,
 ) -> AttemptOutcome {
     let now = boot_clock::now();
@@ -174,12 +182,14 @@
             host.placement
                 .borrow_mut()
                 .record_unreachable(now, &load_guard.entry);
+            watch.end(End::Other);
             return AttemptOutcome::Unreachable(message);
         }
         Err(Failure::Broken(message)) => {
             record(&|health| {
                 health.record_failure(now);
             });
+            watch.end(End::Broken);
             return AttemptOutcome::Disconnected(message);
         }
     };
@@ -194,6 +204,7 @@
         .is_some_and(|attempt| Some(attempt) != request.call.attempt.as_ref());
 
     if mismatched {
+        watch.end(End::Other);
         return AttemptOutcome::Broken("the response belongs to another request".into());
     }
 
@@ -212,6 +223,7 @@
     // The connection of a refusal is closed: an endpoint that writes the refusal
     // once more would answer the next request with it, as not run.
     if let Some(refused) = refused {
+        watch.end(End::Other);
         return refused;
     }
 
@@ -221,6 +233,7 @@
         record(&|health| {
             health.record_failure(now);
         });
+        watch.end(End::Answered);
         return AttemptOutcome::Broken(format!(
             "the endpoint responded with {status} but did not say that the request has not run"
         ));
@@ -230,6 +243,7 @@
         answer,
         exchange,
         load_guard,
+        watch,
     }))
 }
 
--- a/src/coordination/serving/control.rs
+++ b/src/coordination/serving/control.rs
@@ -23,6 +23,7 @@
             serving::{
                 catch_up::Purpose,
                 cold,
+                crashes::Crash,
                 departures::Departures,
                 evacuation::Evacuations,
                 mirror::{Changes, RelayedChanges},
@@ -84,6 +85,10 @@
         revision: Revision,
         wait: Duration,
     },
+    /// A request was answered under which endpoints have crashed.
+    Answered(u64),
+    /// An endpoint has crashed.
+    EndpointCrashed(Crash),
     /// An endpoint's incarnation said in an answer that it is leaving.
     EndpointLeaving {
         endpoint: id::Endpoint,
@@ -207,6 +212,7 @@
             config: None,
             config_since: Time::ZERO,
             evacuated: Arc::default(),
+            harmful_requests: Arc::default(),
             leaving: false,
             local,
             members: Arc::default(),
@@ -215,6 +221,7 @@
             roster: Arc::default(),
             roster_loaded: false,
             settled: false,
+            suspects: Arc::default(),
         }
     }
 
@@ -266,6 +273,8 @@
                     revision,
                 },
             ),
+            Event::Answered(fingerprint) => self.membership.record_answer(now, fingerprint),
+            Event::EndpointCrashed(crash) => self.membership.record_crash(now, &crash),
             Event::EndpointLeaving {
                 endpoint,
                 incarnation,
@@ -335,6 +344,14 @@
             }
         }
 
+        if let Some((harmful, suspects)) = self.membership.take_crashes()
+            && (*self.view.harmful_requests != harmful || *self.view.suspects != suspects)
+        {
+            self.view.harmful_requests = Arc::new(harmful);
+            self.view.suspects = Arc::new(suspects);
+            self.publish();
+        }
+
         if let Some(quarantine) = self.membership.take_quarantine() {
             self.view.quarantine = Arc::new(quarantine);
             self.publish();
--- a/src/coordination/serving/host.rs
+++ b/src/coordination/serving/host.rs
@@ -7,6 +7,7 @@
             backlogs::Backlogs,
             balancing::Balancing,
             control::Event,
+            crashes::Crashes,
             dispatch,
             loads::{self, Loads},
             pools::Pools,
@@ -62,6 +63,7 @@
     pub codec: Arc<dyn Codec>,
     /// Sends events to the control thread.
     pub control: Sender<Event>,
+    pub crashes: Crashes,
     pub directory_log: DirectoryLog,
     pub dispatch_orders: dispatch::Orders,
     pub links: Links,
@@ -99,6 +101,7 @@
             client: Client::new(memory.clone()),
             codec,
             control,
+            crashes: Crashes::default(),
             directory_log: DirectoryLog::default(),
             dispatch_orders: dispatch::Orders::default(),
             leaving_since: watch::Sender::new(None),
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -5,7 +5,7 @@
     crate::{
         coordination::serving::{
             answer::{Reason, Refusal},
-            drain,
+            crashes, drain,
             host::Host,
             relay,
             request::Request,
@@ -126,13 +126,14 @@
     services.any(|service| relay::is_evacuated(host, service))
 }
 
-/// Refuses a request that cannot be served, before any stage runs for it: its prompt
-/// has a part in quarantine, one of its services is evacuated, or no endpoint wants
+/// Refuses a request that cannot be served, before any stage runs for it: it or a part of
+/// its prompt is in quarantine, one of its services is evacuated, or no endpoint wants
 /// requests before its deadline.
 fn reject_hopeless(host: &Host, request: &Request, quarantine: &Quarantine) -> Result<(), Refusal> {
     let quarantined = request.quarantined_part(quarantine);
     let reason = match quarantined {
         Some(_) => Reason::Quarantined,
+        None if !crashes::allows(host, request) => Reason::Harmful,
         None if is_evacuated(host, request) => Reason::Evacuated,
         None => match relay::why_none_is_left(host, request, &[]) {
             Reason::Deferred(time) if time >= request.remaining() => Reason::Deferred(time),
@@ -147,6 +148,9 @@
         service = request.service.as_str(),
         prompt_part = quarantined.map(|(part, _)| part),
         part = quarantined.map(|(_, hash)| format!("{hash:x}")).as_deref(),
+        fingerprint = (reason == Reason::Harmful)
+            .then(|| format!("{:x}", request.fingerprint()))
+            .as_deref(),
         reason = reason.name(),
         status = refusal.status().as_u16();
         "refused"
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -7,6 +7,7 @@
             answer::{Reason, Refusal},
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{self, Chosen},
+            crashes::{self, End},
             host::Host,
             request::Request,
         },
@@ -31,8 +32,8 @@
 /// full: about the time in which an endpoint's queue advances.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Delay after which a caller may retry a request with a part in quarantine: the
-/// duration of the first quarantine.
+/// Delay after which a caller may retry a request that is in quarantine or has a part in
+/// quarantine: the duration of the first quarantine.
 const QUARANTINED_RETRY_AFTER: Duration = quarantine::FIRST_DURATION;
 
 /// Delay after which a caller may retry a request whose service is evacuated. An
@@ -74,6 +75,10 @@
         request: &Request,
         domain: Option<&id::Domain>,
     ) -> Result<Arc<Entry>, Reason> {
+        if crashes::is_quarantined(host, request) {
+            return Err(Reason::Harmful);
+        }
+
         let view = host.view();
         let criteria = Criteria {
             domain,
@@ -105,6 +110,10 @@
             return Err(Reason::Quarantined);
         }
 
+        if crashes::is_quarantined(host, request) {
+            return Err(Reason::Harmful);
+        }
+
         match self.awaiting_entry(host) {
             Some(entry) => Ok(Chosen { entry, guard: None }),
             None => balancing::choose(host, request, &self.excluded, domain).await,
@@ -165,7 +174,10 @@
             AttemptOutcome::InputGone => (Reason::StageFailed, false),
             AttemptOutcome::Broken(_)
             | AttemptOutcome::Disconnected(_)
-            | AttemptOutcome::Answered(_) => (Reason::EndpointFailed, repeatable),
+            | AttemptOutcome::Answered(_) => {
+                let allowed = crashes::allows_retry(host, request);
+                (Reason::EndpointFailed, repeatable && allowed)
+            }
         };
 
         if may_repeat && acquire_retry(host, request) {
@@ -235,7 +247,7 @@
                 Reason::Cold(time) | Reason::Deferred(time) => time.max(FULL_RETRY_AFTER),
                 Reason::Evacuated => EVACUATED_RETRY_AFTER,
                 Reason::NoRoom(time) => time,
-                Reason::Quarantined => QUARANTINED_RETRY_AFTER,
+                Reason::Harmful | Reason::Quarantined => QUARANTINED_RETRY_AFTER,
                 _ => FULL_RETRY_AFTER,
             },
         }
@@ -313,14 +325,21 @@
         answer,
         mut exchange,
         load_guard,
+        watch,
     } = *open;
     let status = exchange.response.status();
     let headers = host.codec.reply_headers(exchange.response.headers());
     // Nothing of a body without a proof is used.
     let body = if status.is_success() && !answer.has_proof {
+        watch.end(End::Other);
         Err("the response lacks the endpoint's proof".into())
     } else {
         let body = exchange.collect(MAX_RESPONSE_BYTES).await;
+        watch.end(if body.is_ok() {
+            End::Answered
+        } else {
+            End::Broken
+        });
         body.map_err(|failure| match failure {
             Failure::Broken(message) | Failure::Unreachable(message) => message,
         })
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -14,6 +14,7 @@
             answer::Refusal,
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{Chosen, PlacementGuard},
+            crashes::End,
             host::Host,
             relay::{Next, RetryState, refusal_for},
             request::Request,
@@ -249,8 +250,10 @@
                 let OpenResponse {
                     exchange,
                     load_guard,
+                    watch,
                     ..
                 } = stream.open;
+                watch.end(End::Answered);
                 host.placement
                     .borrow_mut()
                     .health_mut(&load_guard.entry)
@@ -277,7 +280,7 @@
         retry_state.excluded.push(entry.endpoint.clone());
         let last_event = stream.splitter.last_id().map(str::to_owned);
         let splitter = std::mem::take(&mut stream.splitter);
-        drop(stream);
+        stream.end(End::Broken);
 
         let resumed = tokio::select! {
             resumed = resume(
--- a/src/coordination/serving/stream/start.rs
+++ b/src/coordination/serving/stream/start.rs
@@ -6,6 +6,7 @@
         coordination::serving::{
             attempt::{AttemptOutcome, OpenResponse},
             balancing::PlacementGuard,
+            crashes::End,
             host::Host,
             request::Request,
         },
@@ -35,6 +36,13 @@
     pub(super) splitter: Splitter,
 }
 
+impl Stream {
+    /// Closes the stream. `end` says what that shows about the endpoint.
+    pub(super) fn end(self, end: End) {
+        self.open.watch.end(end);
+    }
+}
+
 /// The start of an endpoint's response.
 pub(super) enum ResponseStart {
     Stream(Box<Stream>),
@@ -59,6 +67,11 @@
         let headers = host.codec.reply_headers(open.exchange.response.headers());
         let body = open.exchange.collect(MAX_FAILURE_BYTES).await;
         record_failure(host, &open);
+        open.watch.end(if body.is_ok() {
+            End::Answered
+        } else {
+            End::Broken
+        });
 
         let Ok(body) = body else {
             return Err(AttemptOutcome::Broken(
@@ -147,12 +160,14 @@
             }
             Ok(None) => {
                 record_failure(host, &open);
+                open.watch.end(End::Broken);
                 return Err(AttemptOutcome::Disconnected(
                     "the stream ended before its first event".into(),
                 ));
             }
             Err(Failure::Broken(message) | Failure::Unreachable(message)) => {
                 record_failure(host, &open);
+                open.watch.end(End::Broken);
                 return Err(AttemptOutcome::Disconnected(message));
             }
         };
--- a/src/state/fleet/membership.rs
+++ b/src/state/fleet/membership.rs
@@ -400,7 +400,7 @@
         Message {
             from,
             known: hosts + 1,
-            quarantine: Vec::new(),
+            news: Box::default(),
             updates,
         }
     }
--- a/src/state/serving.rs
+++ b/src/state/serving.rs
@@ -9,6 +9,7 @@
 pub mod chain;
 pub mod cold;
 pub mod config;
+pub mod crashes;
 pub mod departures;
 pub mod directory;
 pub mod dispatchers;
--- a/src/state/serving/quarantine.rs
+++ b/src/state/serving/quarantine.rs
@@ -187,14 +187,20 @@
     pub remaining: Duration,
 }
 
-/// The parts in quarantine and on probation.
-#[derive(Clone, Debug, Default)]
+/// The parts in quarantine and on probation. Requests are quarantined in the same way, by
+/// their fingerprints.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Quarantine {
     /// Ends of the quarantines by part.
     ends: BTreeMap<u64, Time>,
 }
 
 impl Quarantine {
+    /// Returns whether no part is in quarantine or on probation.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
     /// Returns the first of the parts that is in quarantine.
     pub fn find(&self, now: Time, parts: impl IntoIterator<Item = u64>) -> Option<u64> {
         let mut parts = parts.into_iter();
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -7,7 +7,10 @@
         id,
         serving::{cold, config::Config, quarantine::Quarantine, roster::Roster},
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
 };
 
 /// An immutable snapshot of the control state.
@@ -18,6 +21,8 @@
     pub config_since: Time,
     /// The failure domains to whose endpoints nothing may be sent.
     pub evacuated: Arc<BTreeSet<id::Domain>>,
+    /// The requests that are kept away from endpoints, by their fingerprints.
+    pub harmful_requests: Arc<Quarantine>,
     /// Whether this host accepts no new work.
     pub leaving: bool,
     /// The record of this host itself.
@@ -33,6 +38,9 @@
     pub roster_loaded: bool,
     /// Whether this host has had time to hear of all live hosts.
     pub settled: bool,
+    /// The fingerprints of the requests under which endpoints have crashed. `true` marks
+    /// those that are not sent to another endpoint after a failure.
+    pub suspects: Arc<HashMap<u64, bool>>,
 }
 
 impl View {
--- a/src/transport/wire.rs
+++ b/src/transport/wire.rs
@@ -3,6 +3,7 @@
 
 mod objects;
 mod prompts;
+mod suspicions;
 
 pub use {
     objects::{read_changes, write_changes},
@@ -14,7 +15,7 @@
         state::{
             claims::witness::{Subject, WitnessAnswer},
             clock::Time,
-            fleet::gossip::Message,
+            fleet::gossip::{Message, News},
             fleet::member::{Member, Phase},
             id,
             serving::{
@@ -36,8 +37,16 @@
     builder.set_known(length(message.known));
     let quarantine = builder
         .reborrow()
-        .init_quarantine(length(message.quarantine.len()));
-    write_quarantine(quarantine, &message.quarantine);
+        .init_quarantine(length(message.news.harmful_parts.len()));
+    write_quarantine(quarantine, &message.news.harmful_parts);
+    let harmful = builder
+        .reborrow()
+        .init_harmful_requests(length(message.news.harmful_requests.len()));
+    write_quarantine(harmful, &message.news.harmful_requests);
+    let suspicions = builder
+        .reborrow()
+        .init_suspicions(length(message.news.suspicions.len()));
+    suspicions::write(suspicions, &message.news.suspicions);
     let mut updates = builder.init_updates(length(message.updates.len()));
 
     for (index, update) in (0..).zip(&message.updates) {
@@ -54,7 +63,11 @@
     Ok(Message {
         from: read_member(reader.get_from()?)?,
         known: reader.get_known() as usize,
-        quarantine: read_quarantine(reader.get_quarantine()?),
+        news: Box::new(News {
+            harmful_parts: read_quarantine(reader.get_quarantine()?),
+            harmful_requests: read_quarantine(reader.get_harmful_requests()?),
+            suspicions: suspicions::read(reader.get_suspicions()?)?,
+        }),
         updates: reader
             .get_updates()?
             .iter()
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -122,7 +122,7 @@
     let gone_message = Message {
         from: fleet.nodes[0].local.clone(),
         known: 0,
-        quarantine: Vec::new(),
+        news: Box::default(),
         updates: vec![Member {
             phase: Phase::Gone,
             ..fleet.nodes[2].local.clone()
@@ -215,7 +215,7 @@
     let message = Message {
         from,
         known: 0,
-        quarantine: Vec::new(),
+        news: Box::default(),
         updates,
     };
     machine.handle_probe(Time::from_millis(1), local, message)
@@ -278,7 +278,7 @@
     let message = Message {
         from: member("b", "is-1", 2),
         known: 0,
-        quarantine: Vec::new(),
+        news: Box::default(),
         updates: Vec::new(),
     };
 
--- a/tests/peer_schema.rs
+++ b/tests/peer_schema.rs
@@ -61,7 +61,7 @@
 #[test]
 fn generated_code_contains_every_name_of_the_schema() {
     let blocks = blocks();
-    assert_eq!(blocks.len(), 16, "{blocks:?}");
+    assert_eq!(blocks.len(), 18, "{blocks:?}");
 
     for ((kind, name), body) in blocks {
         let fields = body.lines().filter(|line| line.contains('@'));
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod chain;
 mod cold;
 mod config;
+mod crashes;
 mod departures;
 mod directory;
 mod dispatchers;
