Log an attempt whose answer breaks off within its body

Cause: an attempt at a plain endpoint that fails after the head of the answer had no line of its own, so the log does not show what broke.

Change: the same line `attempt failed` as for all other failures.

--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -352,7 +352,9 @@
         Ok(body) => body.finish(),
         Err(message) => {
             health.record_failure(now);
-            return Err(AttemptOutcome::Broken(message));
+            let outcome = AttemptOutcome::Broken(message);
+            log_failure(request, entry, &outcome);
+            return Err(outcome);
         }
     };
 
