Check an endpoint once after a broken stream, and tell when a request is tried again

Cause: after a stream that broke, the evidence about parts of prompts and the one about requests each asked the engine for a connection.

Change: the report about a prompt waits for the result of the check that the request's watch has begun.

--- a/src/coordination/serving/answer.rs
+++ b/src/coordination/serving/answer.rs
@@ -36,8 +36,9 @@
     /// All endpoints are in evacuated domains.
     Evacuated,
     Full,
-    /// Endpoints have crashed each time that they ran the request.
-    Harmful,
+    /// Endpoints have crashed each time that they ran the request, which is tried again
+    /// after the time.
+    Harmful(Duration),
     Header,
     Key,
     Leaving,
@@ -65,7 +66,7 @@
             Self::EndpointFailed => "endpoint_failed",
             Self::Evacuated => "endpoints_evacuated",
             Self::Full => "endpoints_full",
-            Self::Harmful => "request_quarantined",
+            Self::Harmful(_) => "request_quarantined",
             Self::Header => "header_unreadable",
             Self::Key => "unknown_key",
             Self::Leaving => "host_leaving",
--- a/src/coordination/serving/crashes.rs
+++ b/src/coordination/serving/crashes.rs
@@ -25,7 +25,11 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{sync::Notify, task::spawn_local, time::timeout},
+    tokio::{
+        sync::{Notify, oneshot},
+        task::spawn_local,
+        time::timeout,
+    },
 };
 
 /// Time after which an endpoint is checked whose request was given up. It still runs the
@@ -67,6 +71,8 @@
     changed: Rc<Notify>,
     /// When the endpoint was last checked.
     last: Option<Time>,
+    /// Those who wait for the result of the next check.
+    listeners: Vec<oneshot::Sender<bool>>,
     requests: HashMap<u64, Due>,
 }
 
@@ -182,32 +188,38 @@
     }
 }
 
-/// Returns whether a request may be sent to endpoints, and whether it is the one by which
-/// this host tries if it is still harmful. After its quarantine only one host tries.
-pub fn allows(host: &Host, request: &Request) -> bool {
+/// Returns after which time a request may be sent to endpoints, or `None` if it may be
+/// now. After the quarantine of a request one host tries if it is still harmful.
+pub fn refusal_time(host: &Host, request: &Request) -> Option<Duration> {
     let view = host.view();
 
     if view.harmful_requests.is_empty() {
-        return true;
+        return None;
     }
 
     let now = boot_clock::now();
     let fingerprint = request.fingerprint();
 
     match view.harmful_requests.status(now, fingerprint) {
-        Status::Clear => true,
+        Status::Clear => None,
         Status::Probation => {
-            is_first(host, fingerprint) && host.crashes.start_trial(now, fingerprint)
+            let tries = is_first(host, fingerprint) && host.crashes.start_trial(now, fingerprint);
+            (!tries).then_some(TRIAL_INTERVAL)
         }
-        Status::Quarantined => false,
+        Status::Quarantined => Some(view.harmful_requests.remaining(now, fingerprint)),
     }
 }
 
-/// Returns whether a request is kept away from endpoints now.
-pub fn is_quarantined(host: &Host, request: &Request) -> bool {
-    let quarantine = &host.view().harmful_requests;
-    !quarantine.is_empty()
-        && quarantine.status(boot_clock::now(), request.fingerprint()) == Status::Quarantined
+/// Returns how much longer a request is in quarantine, if it is.
+pub fn quarantine(host: &Host, request: &Request) -> Option<Duration> {
+    let harmful = &host.view().harmful_requests;
+
+    if harmful.is_empty() {
+        return None;
+    }
+
+    let remaining = harmful.remaining(boot_clock::now(), request.fingerprint());
+    (!remaining.is_zero()).then_some(remaining)
 }
 
 /// Returns whether a request whose endpoint has failed may go to another one, as far as
@@ -264,6 +276,19 @@
     }
 }
 
+/// Returns where the result of the next check of an endpoint arrives: whether it has
+/// crashed. Nothing arrives if no check is due.
+pub fn next_result(host: &Host, entry: &Entry) -> oneshot::Receiver<bool> {
+    let (listener, result) = oneshot::channel();
+    let key = (entry.endpoint.clone(), entry.incarnation);
+
+    if let Some(endpoint) = host.crashes.checks.borrow_mut().get_mut(&key) {
+        endpoint.listeners.push(listener);
+    }
+
+    result
+}
+
 /// Checks an endpoint each time that one of its requests is due, until it has crashed or
 /// none was left for a while.
 async fn run_checks(host: &Host, entry: &Entry, key: &Key, changed: &Notify) {
@@ -292,6 +317,11 @@
             return;
         };
 
+        for listener in endpoint.listeners.drain(..) {
+            // Fails if nobody waits any more.
+            let _ = listener.send(crashed);
+        }
+
         if crashed {
             let requests = std::mem::take(&mut endpoint.requests);
             checks.remove(key);
--- a/src/coordination/serving/ingress.rs
+++ b/src/coordination/serving/ingress.rs
@@ -131,11 +131,12 @@
 /// requests before its deadline.
 fn reject_hopeless(host: &Host, request: &Request, quarantine: &Quarantine) -> Result<(), Refusal> {
     let quarantined = request.quarantined_part(quarantine);
-    let reason = match quarantined {
-        Some(_) => Reason::Quarantined,
-        None if !crashes::allows(host, request) => Reason::Harmful,
-        None if is_evacuated(host, request) => Reason::Evacuated,
-        None => match relay::why_none_is_left(host, request, &[]) {
+    let harmful = crashes::refusal_time(host, request);
+    let reason = match (quarantined, harmful) {
+        (Some(_), _) => Reason::Quarantined,
+        (None, Some(time)) => Reason::Harmful(time),
+        (None, None) if is_evacuated(host, request) => Reason::Evacuated,
+        (None, None) => match relay::why_none_is_left(host, request, &[]) {
             Reason::Deferred(time) if time >= request.remaining() => Reason::Deferred(time),
             _ => return Ok(()),
         },
@@ -148,8 +149,8 @@
         service = request.service.as_str(),
         prompt_part = quarantined.map(|(part, _)| part),
         part = quarantined.map(|(_, hash)| format!("{hash:x}")).as_deref(),
-        fingerprint = (reason == Reason::Harmful)
-            .then(|| format!("{:x}", request.fingerprint()))
+        fingerprint = harmful
+            .map(|_| format!("{:x}", request.fingerprint()))
             .as_deref(),
         reason = reason.name(),
         status = refusal.status().as_u16();
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -32,8 +32,8 @@
 /// full: about the time in which an endpoint's queue advances.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Delay after which a caller may retry a request that is in quarantine or has a part in
-/// quarantine: the duration of the first quarantine.
+/// Delay after which a caller may retry a request with a part in quarantine: the
+/// duration of the first quarantine.
 const QUARANTINED_RETRY_AFTER: Duration = quarantine::FIRST_DURATION;
 
 /// Delay after which a caller may retry a request whose service is evacuated. An
@@ -75,8 +75,8 @@
         request: &Request,
         domain: Option<&id::Domain>,
     ) -> Result<Arc<Entry>, Reason> {
-        if crashes::is_quarantined(host, request) {
-            return Err(Reason::Harmful);
+        if let Some(time) = crashes::quarantine(host, request) {
+            return Err(Reason::Harmful(time));
         }
 
         let view = host.view();
@@ -110,8 +110,8 @@
             return Err(Reason::Quarantined);
         }
 
-        if crashes::is_quarantined(host, request) {
-            return Err(Reason::Harmful);
+        if let Some(time) = crashes::quarantine(host, request) {
+            return Err(Reason::Harmful(time));
         }
 
         match self.awaiting_entry(host) {
@@ -244,10 +244,12 @@
         Refusal::NotRun {
             reason,
             retry_after: match reason {
-                Reason::Cold(time) | Reason::Deferred(time) => time.max(FULL_RETRY_AFTER),
+                Reason::Cold(time) | Reason::Deferred(time) | Reason::Harmful(time) => {
+                    time.max(FULL_RETRY_AFTER)
+                }
                 Reason::Evacuated => EVACUATED_RETRY_AFTER,
                 Reason::NoRoom(time) => time,
-                Reason::Harmful | Reason::Quarantined => QUARANTINED_RETRY_AFTER,
+                Reason::Quarantined => QUARANTINED_RETRY_AFTER,
                 _ => FULL_RETRY_AFTER,
             },
         }
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -14,7 +14,7 @@
             answer::Refusal,
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{Chosen, PlacementGuard},
-            crashes::End,
+            crashes::{self, End},
             host::Host,
             relay::{Next, RetryState, refusal_for},
             request::Request,
@@ -29,7 +29,7 @@
             boot_clock,
             http::{
                 body::Body,
-                client::{self, Failure},
+                client::Failure,
                 outbox::{self, Sender},
             },
         },
@@ -99,7 +99,7 @@
             outcome => outcome,
         };
 
-        report_failure(&entry, guard, &outcome);
+        report_failure(host, &entry, guard, &outcome);
 
         if matches!(outcome, AttemptOutcome::InputGone) {
             stage_outputs.release();
@@ -127,7 +127,12 @@
 
 /// Sends the report about a prompt without an answer. After a broken connection it
 /// says whether the engine has crashed, once that is known.
-fn report_failure(entry: &Entry, guard: Option<PlacementGuard>, outcome: &AttemptOutcome) {
+fn report_failure(
+    host: &Host,
+    entry: &Entry,
+    guard: Option<PlacementGuard>,
+    outcome: &AttemptOutcome,
+) {
     let Some(guard) = guard else {
         return;
     };
@@ -139,10 +144,10 @@
         return guard.report(outcome.report());
     }
 
-    let address = entry.address;
+    let result = crashes::next_result(host, entry);
 
     spawn_local(async move {
-        let crashed = client::refuses_connections(address).await;
+        let crashed = result.await.unwrap_or(false);
         guard.report(if crashed {
             Report::Lost
         } else {
--- a/src/coordination/serving/stream/resume.rs
+++ b/src/coordination/serving/stream/resume.rs
@@ -72,7 +72,7 @@
             outcome => outcome,
         };
 
-        report_failure(&entry, guard, &outcome);
+        report_failure(host, &entry, guard, &outcome);
         retry_state.excluded.push(entry.endpoint.clone());
         stage_outputs.release();
     }
--- a/src/coordination/serving/stream/start.rs
+++ b/src/coordination/serving/stream/start.rs
@@ -95,6 +95,7 @@
 
     if stream.events.is_empty() {
         record_failure(host, &stream.open);
+        stream.end(End::Broken);
         return Err(AttemptOutcome::Disconnected(
             "the stream ended before its first event".into(),
         ));
--- a/src/state/serving/quarantine.rs
+++ b/src/state/serving/quarantine.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Returns how much longer a part is in quarantine.
+    pub fn remaining(&self, now: Time, part: u64) -> Duration {
+        let end = self.ends.get(&part);
+        end.map_or(Duration::ZERO, |end| end.since(now))
+    }
+
     /// Puts a part into quarantine and returns for how long.
     pub fn add(&mut self, now: Time, part: u64) -> Duration {
         let duration = match self.status(now, part) {
