Restore the store from copies in the fault soak

The soak takes a copy of the store now and then, brings the store back from it 0.3 to 8 s later, and writes again what the operator and the workers have written since. These faults have random numbers of their own, so the seeds that ever failed keep their plans (without restores).

--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -14,7 +14,7 @@
         platform::{
             config::{config, route},
             host::{Addresses, Host, STORE_WAIT, Settings},
-            store::Store,
+            store::{Copy, Store},
             workers::{self, Worker},
         },
         relay::Relay,
@@ -92,6 +92,8 @@
 /// All processes and stand-ins of a run.
 pub struct Environment {
     binary: PathBuf,
+    /// The content from which the store will be restored.
+    copy: Option<Copy>,
     folder: PathBuf,
     pub graph: Graph,
     processes: Vec<Process>,
@@ -121,6 +123,7 @@
             record,
             linked_workers: Vec::new(),
             store: Store::start(),
+            copy: None,
         };
 
         let stage_time = STAGE_TIMES[parameters.seed as usize % STAGE_TIMES.len()];
@@ -251,6 +254,7 @@
                 lock(&self.record).begin_disturbance(Target::Store);
                 self.store.compact();
             }
+            Fault::StoreRestored => self.copy = Some(self.store.copy()),
             Fault::StoreSilent(direction) => {
                 lock(&self.record).begin_disturbance(Target::Store);
 
@@ -310,6 +314,7 @@
                 self.processes[host].peer_link.restore();
                 self.end_disturbances(Target::Peers);
             }
+            Fault::StoreRestored => self.restore_store(),
             Fault::StoreDown
             | Fault::StoreForgets
             | Fault::StoreSilent(_)
@@ -380,6 +385,19 @@
         record.versions.push(Instant::now());
     }
 
+    /// Restores the store from the copy, and writes again what the operator and the
+    /// workers have written since.
+    fn restore_store(&mut self) {
+        let Some(copy) = self.copy.take() else {
+            return;
+        };
+        let from = Instant::now();
+        let lost = self.store.copy();
+        self.store.restore(copy);
+        self.store.write_again(&lost, &["config", "servers"]);
+        lock(&self.record).add_disturbance(Target::Store, from);
+    }
+
     fn list_worker(&self, worker: usize, state: &str) {
         let linked = &self.linked_workers[worker];
         let entry = workers::entry(linked.link.address(), linked.service, state);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -69,6 +69,7 @@
             parameters: Parameters {
                 hosts: options.hosts,
                 length: Duration::from_secs(options.seconds),
+                restores: true,
                 seed,
                 workers: options.workers,
             },
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -25,6 +25,14 @@
 /// milliseconds. Callers fetch its address up to a second after its start.
 const YOUNG_PROCESS_MS: (u64, u64) = (700, 1800);
 
+/// Shortest and longest time between a restore of the store and its next copy, in
+/// milliseconds.
+const RESTORE_PAUSE_MS: (u64, u64) = (500, 6000);
+
+/// Shortest and longest age of the copy from which the store is restored, in
+/// milliseconds.
+const COPY_AGE_MS: (u64, u64) = (300, 8000);
+
 /// Maximum number of repetitions of a fault in one series.
 const MAX_SERIES_FAULTS: u32 = 3;
 
@@ -59,6 +67,8 @@
     StoreDown,
     /// The store discards its change history.
     StoreForgets,
+    /// The store comes back from a copy of the time at which the fault began.
+    StoreRestored,
     /// Bytes between the hosts and the store are held back.
     StoreSilent(Direction),
     StoreSlow,
@@ -96,6 +106,9 @@
     pub hosts: usize,
     /// Time during which faults may begin.
     pub length: Duration,
+    /// Whether the store is restored from copies. The first seeds that ever failed are
+    /// older than this fault.
+    pub restores: bool,
     pub seed: u64,
     pub workers: usize,
 }
@@ -139,10 +152,37 @@
         at += random_duration(&mut random, SERIES_PAUSE_MS);
     }
 
+    if parameters.restores {
+        steps.extend(restores(parameters));
+    }
+
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Returns the restores of the store. They have random numbers of their own, so that a
+/// seed has the same other faults with and without them.
+fn restores(parameters: &Parameters) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(!parameters.seed);
+    let mut steps = Vec::new();
+    let mut at = STARTUP;
+
+    while at < parameters.length {
+        at += random_duration(&mut random, RESTORE_PAUSE_MS);
+        let age = random_duration(&mut random, COPY_AGE_MS);
+        let step = |at, transition| Step {
+            at,
+            transition,
+            fault: Fault::StoreRestored,
+        };
+        steps.push(step(at, Transition::Begin));
+        steps.push(step(at + age, Transition::End));
+        at += age;
+    }
+
+    steps
+}
+
 fn random_duration(random: &mut StdRng, (shortest, longest): (u64, u64)) -> Duration {
     Duration::from_millis(random.random_range(shortest..=longest))
 }
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -154,6 +154,15 @@
         });
     }
 
+    /// Records a disturbance that began at `from` and has ended.
+    pub fn add_disturbance(&mut self, target: Target, from: Instant) {
+        self.disturbances.push(Disturbance {
+            from,
+            target,
+            until: Some(Instant::now()),
+        });
+    }
+
     /// Records the end of all open disturbances of a target.
     pub fn end_disturbances(&mut self, target: Target) {
         let open = self.disturbances.iter_mut();
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -22,7 +22,7 @@
     binary
 }
 
-fn check(seed: u64, seconds: u64) {
+fn check(seed: u64, seconds: u64, restores: bool) {
     let folder = tempfile::tempdir().unwrap();
     let setup = Setup {
         binary: binary(),
@@ -31,6 +31,7 @@
         parameters: Parameters {
             hosts: 3,
             length: Duration::from_secs(seconds),
+            restores,
             seed,
             workers: 12,
         },
@@ -41,12 +42,12 @@
 }
 
 macro_rules! seeds {
-    ($($(#[$doc:meta])* $name:ident: $seed:expr, $seconds:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $seed:expr, $seconds:expr, restores $restores:expr;)*) => {
         $(
             $(#[$doc])*
             #[test]
             fn $name() {
-                check($seed, $seconds);
+                check($seed, $seconds, $restores);
             }
         )*
     };
@@ -54,16 +55,18 @@
 
 seeds! {
     /// Has no known failure.
-    short_run: 20_261_204, 10;
+    short_run: 20_261_204, 10, restores false;
+    /// Has no known failure.
+    short_run_with_restores: 20_261_207, 15, restores true;
     /// A stopping host closed connections that arrived in the first second of
     /// the stop (`stopping_host_serves_new_requests`).
-    stop_closed_new_connections: 300, 8;
+    stop_closed_new_connections: 300, 8, restores false;
     /// The same failure, after every host had been killed.
-    stop_closed_new_connections_after_kills: 200, 12;
+    stop_closed_new_connections_after_kills: 200, 12, restores false;
     /// A piece got each input twice beside an omitted stage
     /// (`piece_gets_each_input_once_if_a_stage_between_is_omitted`).
-    inputs_given_twice: 1001, 8;
+    inputs_given_twice: 1001, 8, restores false;
     /// A restarted host's request got the outputs of its earlier process's request
     /// (`killed_host_gives_each_request_its_own_outputs`).
-    outputs_of_an_earlier_process: 2116, 12;
+    outputs_of_an_earlier_process: 2116, 12, restores false;
 }
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/platform/store.rs
@@ -142,11 +142,38 @@
     /// again, and answers name the next era.
     pub fn restore(&self, copy: Copy) {
         let mut state = lock(&self.objects.state);
-        let era = state.era + 1;
-        *state = State { era, ..copy.0 };
+        let Copy(copy) = copy;
+        state.era += 1;
+        state.compacted_revision = copy.compacted_revision;
+        state.history = copy.history;
+        state.objects = copy.objects;
+        state.raw = copy.raw;
+        state.revision = copy.revision;
         self.objects.changed.notify_all();
     }
 
+    /// Writes what the objects of some kinds were in `lost`, as the operator and the
+    /// workers do after a restore.
+    pub fn write_again(&self, lost: &Copy, kinds: &[&str]) {
+        let Copy(current) = self.copy();
+        let is_used = |(kind, _): &&(String, String)| kinds.contains(&kind.as_str());
+
+        for key in current.objects.keys().filter(is_used) {
+            if !lost.0.objects.contains_key(key) {
+                self.remove(&key.0, &key.1);
+            }
+        }
+
+        for key in lost.0.objects.keys().filter(is_used) {
+            let spec = &lost.0.objects[key]["spec"];
+            let known = current.objects.get(key);
+
+            if known.is_none_or(|known| known["spec"] != *spec) {
+                self.put(&key.0, &key.1, spec);
+            }
+        }
+    }
+
     /// Returns the revision of the last change.
     pub fn revision(&self) -> u64 {
         lock(&self.objects.state).revision
