Keep every request for which an endpoint has to be checked

Cause: by reading. The requests to check were kept by fingerprint, so one that came again at the same endpoint within the delay replaced the time of its check, and a series of them put the check off.

Change: one entry a request. The requests with losses are a type of their own instead of a map of flags, and a restore before the first listing keeps nothing.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -12,7 +12,7 @@
             fleet::membership_action::Action,
             fleet::membership_event::Event as MachineEvent,
             serving::{
-                crashes::{Crash, Crashes, Findings},
+                crashes::{Crash, Crashes, Findings, Suspects},
                 quarantine::{Quarantine, Status},
             },
             view::View,
@@ -188,7 +188,7 @@
 
     /// Returns the requests that crash endpoints, and those under which endpoints have
     /// crashed, if either has changed since the last call.
-    pub fn take_crashes(&mut self) -> Option<(Quarantine, HashMap<u64, bool>)> {
+    pub fn take_crashes(&mut self) -> Option<(Quarantine, Suspects)> {
         std::mem::take(&mut self.crashes_changed)
             .then(|| (self.harmful_requests.clone(), self.crashes.suspects()))
     }
--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -55,15 +55,16 @@
         match kind {
             Kind::Config => {}
             Kind::Endpoints => {
-                let listed = self.listed.take().unwrap_or_default();
+                let Some(listed) = &self.listed else {
+                    return;
+                };
 
                 for entry in listed.entries().filter(|entry| entry.leaving) {
                     self.departures
                         .record(now, &entry.endpoint, entry.incarnation);
                 }
 
-                self.restoration.begin(now, &listed);
-                self.listed = Some(listed);
+                self.restoration.begin(now, listed);
             }
             Kind::Evacuations => self.evacuations.keep(now),
         }
--- a/src/coordination/serving/crashes.rs
+++ b/src/coordination/serving/crashes.rs
@@ -20,7 +20,7 @@
     },
     std::{
         cell::RefCell,
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -73,7 +73,8 @@
     last: Option<Time>,
     /// Those who wait for the result of the next check.
     listeners: Vec<oneshot::Sender<bool>>,
-    requests: HashMap<u64, Due>,
+    /// The fingerprints of the requests. One may be there several times.
+    requests: Vec<(u64, Due)>,
 }
 
 /// From when on an endpoint may be checked for a request.
@@ -95,7 +96,7 @@
     /// Returns the time of the next check.
     fn next(&self) -> Option<Time> {
         let earliest = self.last.map_or(Time::ZERO, |last| last + CHECK_INTERVAL);
-        let times = self.requests.values().map(|due| match due {
+        let times = self.requests.iter().map(|(_, due)| match due {
             Due::Broken(time) => *time,
             Due::GivenUp(time) => earliest.max(*time),
         });
@@ -211,7 +212,7 @@
 }
 
 /// Returns how much longer a request is in quarantine, if it is.
-pub fn quarantine(host: &Host, request: &Request) -> Option<Duration> {
+pub fn remaining_quarantine(host: &Host, request: &Request) -> Option<Duration> {
     let harmful = &host.view().harmful_requests;
 
     if harmful.is_empty() {
@@ -232,12 +233,8 @@
     }
 
     let fingerprint = request.fingerprint();
-    let is_suspect = view
-        .suspects
-        .get(&fingerprint)
-        .is_some_and(|barred| *barred);
     let status = view.harmful_requests.status(boot_clock::now(), fingerprint);
-    !is_suspect && status == Status::Clear
+    view.suspects.allow_retry(fingerprint) && status == Status::Clear
 }
 
 /// Returns whether this host comes first for a request among all live hosts.
@@ -254,7 +251,7 @@
     let view = host.view();
     let status = view.harmful_requests.status(boot_clock::now(), fingerprint);
 
-    if view.suspects.contains_key(&fingerprint) || status == Status::Probation {
+    if view.suspects.includes(fingerprint) || status == Status::Probation {
         // Fails only after the control thread has stopped.
         drop(host.control.send(Event::Answered(fingerprint)));
     }
@@ -266,7 +263,7 @@
     let mut checks = host.crashes.checks.borrow_mut();
     let is_checked = checks.contains_key(&key);
     let endpoint = checks.entry(key.clone()).or_default();
-    endpoint.requests.insert(fingerprint, due);
+    endpoint.requests.push((fingerprint, due));
     endpoint.changed.notify_one();
 
     if !is_checked {
@@ -326,17 +323,18 @@
             let requests = std::mem::take(&mut endpoint.requests);
             checks.remove(key);
             drop(checks);
-            return report(host, entry, requests.into_keys());
+            let fingerprints = requests.into_iter().map(|(fingerprint, _)| fingerprint);
+            return report(host, entry, &fingerprints.collect());
         }
 
         endpoint.last = Some(started);
-        endpoint.requests.retain(|_, due| due.time() > started);
+        endpoint.requests.retain(|(_, due)| due.time() > started);
     }
 }
 
 /// Reports a crash. An endpoint that is leaving, or whose domain is evacuated, ends
 /// without one.
-fn report(host: &Host, entry: &Entry, requests: impl Iterator<Item = u64>) {
+fn report(host: &Host, entry: &Entry, fingerprints: &BTreeSet<u64>) {
     let view = host.view();
     let listed = view.roster.get(&entry.endpoint);
 
@@ -345,17 +343,17 @@
     }
 
     let answered = host.crashes.answered.borrow();
-    let requests = requests.map(|fingerprint| Lost {
-        answered_before: answered.contains(&fingerprint),
-        fingerprint,
+    let requests = fingerprints.iter().map(|fingerprint| Lost {
+        answered_before: answered.contains(fingerprint),
+        fingerprint: *fingerprint,
     });
     let crash = Crash {
         endpoint: entry.endpoint.clone(),
         incarnation: entry.incarnation,
         requests: requests.collect(),
     };
-    let fingerprints = crash.requests.iter();
-    let fingerprints = fingerprints.map(|lost| format!("{:x}", lost.fingerprint));
+    let fingerprints = fingerprints.iter();
+    let fingerprints = fingerprints.map(|fingerprint| format!("{fingerprint:x}"));
     host.tally
         .count("endpoint_crashes", &[("service", entry.service.as_str())]);
     log::warn!(
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -75,7 +75,7 @@
         request: &Request,
         domain: Option<&id::Domain>,
     ) -> Result<Arc<Entry>, Reason> {
-        if let Some(time) = crashes::quarantine(host, request) {
+        if let Some(time) = crashes::remaining_quarantine(host, request) {
             return Err(Reason::Harmful(time));
         }
 
@@ -110,7 +110,7 @@
             return Err(Reason::Quarantined);
         }
 
-        if let Some(time) = crashes::quarantine(host, request) {
+        if let Some(time) = crashes::remaining_quarantine(host, request) {
             return Err(Reason::Harmful(time));
         }
 
--- a/src/state/serving/crashes.rs
+++ b/src/state/serving/crashes.rs
@@ -33,7 +33,7 @@
 const LOSS_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of endpoints lost under a request from which on it is not sent to another one
-/// by the host at which it arrived.
+/// after a failure.
 const MAX_LOSSES_TO_RETRY: usize = MAX_LOSSES - 1;
 
 /// Time after which a loss no longer counts.
@@ -86,6 +86,28 @@
     pub losses: Vec<Loss>,
 }
 
+/// The requests under which endpoints have crashed, with the number of losses that count.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Suspects(HashMap<u64, usize>);
+
+impl Suspects {
+    /// Returns whether an endpoint has crashed under a request.
+    pub fn includes(&self, fingerprint: u64) -> bool {
+        self.0.contains_key(&fingerprint)
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns whether a request that has failed may be sent to another endpoint.
+    pub fn allow_retry(&self, fingerprint: u64) -> bool {
+        let losses = self.0.get(&fingerprint);
+        losses.is_none_or(|losses| *losses < MAX_LOSSES_TO_RETRY)
+    }
+}
+
 /// What news about requests have led to.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Findings {
@@ -247,14 +269,14 @@
         .collect()
     }
 
-    /// Returns the requests with losses that count. `true` marks those that are not
-    /// sent to another endpoint after a failure.
-    pub fn suspects(&self) -> HashMap<u64, bool> {
+    /// Returns the requests with losses.
+    pub fn suspects(&self) -> Suspects {
         let suspects = self.suspects.iter();
-        suspects
-            .filter(|(_, history)| !history.losses.is_empty())
-            .map(|(fingerprint, history)| (*fingerprint, history.weight() >= MAX_LOSSES_TO_RETRY))
-            .collect()
+        let lost = suspects.filter(|(_, history)| !history.losses.is_empty());
+        Suspects(
+            lost.map(|(fingerprint, history)| (*fingerprint, history.weight()))
+                .collect(),
+        )
     }
 
     /// Adds the loss of an endpoint under a request and returns whether it is new.
--- a/src/state/serving/view.rs
+++ b/src/state/serving/view.rs
@@ -5,12 +5,11 @@
         clock::Time,
         fleet::{member::Member, record::Record},
         id,
-        serving::{cold, config::Config, quarantine::Quarantine, roster::Roster},
-    },
-    std::{
-        collections::{BTreeSet, HashMap},
-        sync::Arc,
+        serving::{
+            cold, config::Config, crashes::Suspects, quarantine::Quarantine, roster::Roster,
+        },
     },
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// An immutable snapshot of the control state.
@@ -38,9 +37,8 @@
     pub roster_loaded: bool,
     /// Whether this host has had time to hear of all live hosts.
     pub settled: bool,
-    /// The fingerprints of the requests under which endpoints have crashed. `true` marks
-    /// those that are not sent to another endpoint after a failure.
-    pub suspects: Arc<HashMap<u64, bool>>,
+    /// The requests under which endpoints have crashed.
+    pub suspects: Arc<Suspects>,
 }
 
 impl View {
--- a/tests/serving/crashes.rs
+++ b/tests/serving/crashes.rs
@@ -229,10 +229,10 @@
 fn request_with_two_losses_is_not_repeated() {
     let mut host = Host::default();
     host.record(NOW, &crash("a", &[HARMFUL, 1]));
-    assert_eq!(host.crashes.suspects().get(&HARMFUL), Some(&false));
+    assert!(host.crashes.suspects().allow_retry(HARMFUL));
     host.record(NOW + STEP, &crash("b", &[HARMFUL]));
-    assert_eq!(host.crashes.suspects().get(&HARMFUL), Some(&true));
-    assert_eq!(host.crashes.suspects().get(&1), Some(&false));
+    assert!(!host.crashes.suspects().allow_retry(HARMFUL));
+    assert!(host.crashes.suspects().allow_retry(1));
 }
 
 /// Guards against messages that grow with the number of lost requests, and that tell of
