List a restored store at once, and log a late listing as information

Cause: by reading. The pause that keeps a host from listing a store again and again counted the failed calls of the outage before, so the first listing after a restore waited up to 0.4 s. And a host that starts may list the store after it has heard of its peers, which is no warning.

Change: the pause counts the listings since the last answer to a watch.

--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -16,6 +16,7 @@
             },
         },
     },
+    log::Level,
     std::{collections::HashSet, sync::Arc, time::Duration},
 };
 
@@ -327,16 +328,23 @@
 
 /// Logs the first listing of a restored store, and a listing that is older than the copy.
 fn log_outcome(kind: Kind, copy: &Mirror, outcome: &Outcome, changes: &Changes) {
-    let (known, message) = match outcome {
-        Outcome::Restored { known } => (known.revision(), "the store was restored from a copy"),
+    let (level, known, message) = match outcome {
+        Outcome::Restored { known } => (
+            Level::Warn,
+            known.revision(),
+            "the store was restored from a copy",
+        ),
+        // A host that starts may list the store after it has heard of peers.
         Outcome::Ignored if changes.whole => (
+            Level::Info,
             copy.revision(),
             "listing ignored: it is older than what is known",
         ),
         Outcome::Changed | Outcome::Ignored | Outcome::Unchanged => return,
     };
     let known = known.unwrap_or_default();
-    log::warn!(
+    log::log!(
+        level,
         kind = kind.name(),
         era = changes.revision.era,
         revision = changes.revision.number,
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -191,6 +191,8 @@
         Kind::Evacuations => Consistency::Current,
     };
     let mut failures = 0u32;
+    // Number of listings since the last answer to a watch.
+    let mut listings = 0u32;
 
     loop {
         let answer = match (revision, mode.get()) {
@@ -211,10 +213,10 @@
 
         match next(&answer, revision) {
             Next::Watch(at) => {
-                // A store whose listings and watches contradict each other is not asked
-                // without pauses.
+                failures = 0;
+
                 if revision.is_some() {
-                    failures = 0;
+                    listings = 0;
                 }
 
                 revision = Some(at);
@@ -226,11 +228,13 @@
                     "the store has dropped or lost its history: listing all objects again"
                 );
 
-                if failures > 0 {
-                    pause(mode, failures);
+                // A store whose listings and watches contradict each other is not asked
+                // without pauses.
+                if listings > 0 {
+                    pause(mode, listings);
                 }
 
-                failures += 1;
+                listings += 1;
                 lost = revision.take();
                 consistency = Consistency::Current;
                 continue;
