Remove a worker's queued faults when the soak ends them

Its worker had been set to break off streams at 14.1 s and 15.5 s, four times each. The hosts' logs show every stream at this worker broken, until the eighth, and complete from the next one on; few requests reached it meanwhile, since the hosts were killed again and again. So the fault outlasted its recorded end: a fault of the soak, not of the hosts.

Change: the end of the fault removes what is left of it. The checks and their bounds are unchanged.

--- a/soak/src/environment.rs
+++ b/soak/src/environment.rs
@@ -330,7 +330,11 @@
                 self.end_disturbances(Target::Store);
             }
             Fault::WorkerCrashes(worker) | Fault::WorkerDrains(worker) => self.replace(worker),
-            Fault::WorkerFails(..) | Fault::WorkerForgotten(_) | Fault::WorkerReset(_) => {
+            Fault::WorkerFails(worker, _) => {
+                self.linked_workers[worker].worker.clear_faults();
+                self.end_disturbances(Target::Workers);
+            }
+            Fault::WorkerForgotten(_) | Fault::WorkerReset(_) => {
                 self.end_disturbances(Target::Workers);
             }
             Fault::WorkerSilent(worker, _) => {
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -69,4 +69,7 @@
     /// A restarted host's request got the outputs of its earlier process's request
     /// (`killed_host_gives_each_request_its_own_outputs`).
     outputs_of_an_earlier_process: 2116, 12, restores false;
+    /// A worker's faults were left after their end, so that a stream broke off without a
+    /// disturbance. This was a fault of the soak.
+    faults_left_after_their_end: 44_212, 20, restores true;
 }
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -192,6 +192,11 @@
         lock(&self.service.state).faults.push_back(fault);
     }
 
+    /// Removes the queued faults.
+    pub fn clear_faults(&self) {
+        lock(&self.service.state).faults.clear();
+    }
+
     /// Sets the delay added to the execution time of every request.
     pub fn set_delay(&self, delay: Duration) {
         lock(&self.service.state).delay = delay;
