--- a/tests/serving/follower.rs
+++ b/tests/serving/follower.rs
@@ -29,11 +29,21 @@
 const LISTED: Revision = Revision::new(1, 5);
 
 /// A store that reports the revisions from which it is watched.
-struct Watched(Mutex<Sender<Revision>>);
+struct Fake {
+    /// Revision of the listings after the first one.
+    listed: Revision,
+    lists: AtomicU64,
+    /// The answer to a watch from a revision.
+    watch: fn(Revision) -> Result<Changes, StoreError>,
+    watched: Mutex<Sender<Revision>>,
+}
 
-impl Store for Watched {
+impl Store for Fake {
     fn list(&self, _kind: Kind, _consistency: Consistency) -> Result<Changes, StoreError> {
-        Ok(changes(LISTED))
+        match self.lists.fetch_add(1, Ordering::Relaxed) {
+            0 => Ok(changes(LISTED)),
+            _ => Ok(changes(self.listed)),
+        }
     }
 
     fn watch(
@@ -43,9 +53,9 @@
         wait: Duration,
     ) -> Result<Changes, StoreError> {
         // Fails after the end of the test.
-        let _ = self.0.lock().unwrap().send(revision);
+        let _ = self.watched.lock().unwrap().send(revision);
         std::thread::sleep(wait);
-        Ok(changes(revision))
+        (self.watch)(revision)
     }
 
     fn config(&self, _value: &[u8]) -> Result<Config, Fault> {
@@ -80,8 +90,13 @@
     let (watched, revisions) = channel();
     let (events, received) = channel();
     let mode = Mode::default();
-    let store = Arc::new(Watched(Mutex::new(watched)));
-    follower::start(Kind::Config, store, mode.clone(), events);
+    let store = Fake {
+        listed: LISTED,
+        lists: AtomicU64::new(0),
+        watch: |revision| Ok(changes(revision)),
+        watched: Mutex::new(watched),
+    };
+    follower::start(Kind::Config, Arc::new(store), mode.clone(), events);
     let listed = received.recv_timeout(LIMIT).unwrap();
     assert!(matches!(listed, Event::StoreChanges { .. }), "{listed:?}");
 
@@ -93,48 +108,6 @@
     assert_eq!(revisions.recv_timeout(LIMIT).unwrap(), Revision::new(1, 90));
 }
 
-/// A store that answers its first watch as one that was restored.
-struct Restored {
-    /// Revision of the listings after the first one.
-    listed: Revision,
-    lists: AtomicU64,
-    watch: fn() -> Result<Changes, StoreError>,
-}
-
-impl Store for Restored {
-    fn list(&self, _kind: Kind, _consistency: Consistency) -> Result<Changes, StoreError> {
-        match self.lists.fetch_add(1, Ordering::Relaxed) {
-            0 => Ok(changes(LISTED)),
-            _ => Ok(changes(self.listed)),
-        }
-    }
-
-    fn watch(
-        &self,
-        _kind: Kind,
-        _revision: Revision,
-        _wait: Duration,
-    ) -> Result<Changes, StoreError> {
-        (self.watch)()
-    }
-
-    fn config(&self, _value: &[u8]) -> Result<Config, Fault> {
-        Err(Fault::new("config", "", "no call"))
-    }
-
-    fn endpoint(&self, _name: &str, _value: &[u8]) -> Result<Entry, Fault> {
-        Err(Fault::new("endpoint", "", "no call"))
-    }
-
-    fn announce(&self, _record: &Record) -> Result<u32, StoreError> {
-        Ok(0)
-    }
-
-    fn hosts(&self, _consistency: Consistency) -> Result<Vec<Record>, StoreError> {
-        Ok(Vec::new())
-    }
-}
-
 macro_rules! restores {
     ($($(#[$doc:meta])* $name:ident: $watch:expr, $listed:expr => $lost:expr;)*) => {
         $(
@@ -148,10 +121,12 @@
                     max_backoff: Duration::from_millis(10),
                     wait: Duration::from_millis(10),
                 }));
-                let store = Restored {
+                let (watched, _revisions) = channel();
+                let store = Fake {
                     listed: $listed,
                     lists: AtomicU64::new(0),
-                    watch: || $watch,
+                    watch: |_| $watch,
+                    watched: Mutex::new(watched),
                 };
                 follower::start(Kind::Config, Arc::new(store), mode, events);
                 received.recv_timeout(LIMIT).unwrap();
