--- a/src/coordination/serving/control/apply.rs
+++ b/src/coordination/serving/control/apply.rs
@@ -334,7 +334,7 @@
             known.revision(),
             "the store was restored from a copy",
         ),
-        // A host that starts may list the store after it has heard of peers.
+        // A host that starts may get a peer's newer copy before its own listing.
         Outcome::Ignored if changes.whole => (
             Level::Info,
             copy.revision(),
--- a/src/coordination/serving/crashes.rs
+++ b/src/coordination/serving/crashes.rs
@@ -71,7 +71,7 @@
     changed: Rc<Notify>,
     /// When the endpoint was last checked.
     last: Option<Time>,
-    /// Those who wait for the result of the next check.
+    /// Receive the result of the next check.
     listeners: Vec<oneshot::Sender<bool>>,
     /// The fingerprints of the requests. One may be there several times.
     requests: Vec<(u64, Due)>,
@@ -145,8 +145,8 @@
     fingerprint: u64,
     /// `None` once the end is known.
     host: Option<Rc<Host>>,
-    /// Whether a request that is given up may have crashed the endpoint. An engine drops
-    /// it instead, and callers of streams leave often.
+    /// Whether the endpoint is checked if the request is given up. Engines cancel such
+    /// requests, and callers of streams leave often.
     suspects_silence: bool,
 }
 
@@ -315,7 +315,7 @@
         };
 
         for listener in endpoint.listeners.drain(..) {
-            // Fails if nobody waits any more.
+            // Fails if the receiver was dropped.
             let _ = listener.send(crashed);
         }
 
--- a/src/coordination/serving/follower.rs
+++ b/src/coordination/serving/follower.rs
@@ -89,7 +89,7 @@
     });
 }
 
-/// The latest era of the store that this host has heard of. Set by the control thread.
+/// The latest known era of the store. Set by the control thread.
 #[derive(Clone, Debug, Default)]
 pub struct Era(Arc<(Mutex<u32>, Condvar)>);
 
--- a/src/state/serving/crashes.rs
+++ b/src/state/serving/crashes.rs
@@ -210,7 +210,7 @@
             .record_answer(now);
     }
 
-    /// Adds what another host has told.
+    /// Merges the suspicions of another host.
     pub fn merge(&mut self, now: Time, news: &[Suspicion], quarantine: &Quarantine) -> Findings {
         let mut findings = Findings::default();
 
@@ -241,7 +241,7 @@
         findings
     }
 
-    /// Returns what other hosts have to know, most suspect requests first. Those with the
+    /// Returns the recent suspicions for other hosts, most losses first. Requests with the
     /// same number of losses take turns: most were only lost with a harmful one.
     pub fn news(&self, now: Time) -> Vec<Suspicion> {
         let suspects = self.suspects.iter();
--- a/src/state/serving/restoration.rs
+++ b/src/state/serving/restoration.rs
@@ -15,8 +15,8 @@
     },
 };
 
-/// Time for which what the copy lacks stays in force. Those who wrote it write it again
-/// within about two seconds; what is missing after that is gone.
+/// Time for which what the copy lacks stays in force. Its writers write it again within
+/// about two seconds; what is missing after that is gone.
 pub const RETURN_TIME: Duration = Duration::from_millis(2200);
 
 /// Time for which an endpoint that was removed before the restore stays closed unless it
--- a/tests/serving/crashes.rs
+++ b/tests/serving/crashes.rs
@@ -277,7 +277,7 @@
     assert!(bytes <= MAX_BYTES, "{bytes} bytes");
 }
 
-/// Guards against a request that is never told of since others have as many losses.
+/// Guards against a request that no message names, since others have as many losses.
 #[test]
 fn news_tell_of_all_requests_in_turn() {
     let host = host_with_many_losses();
