Log the parts and the fingerprint of a stream that breaks

A stream that breaks after its first event is logged without the parts of its prompt and without its fingerprint, so the log cannot tell whether broken streams share a part, a request or nothing.

Change: both are in the line "stream broke", as in "attempt failed".

--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -274,7 +274,9 @@
                 log::info!(
                     request = request.id(),
                     endpoint = stream.open.load_guard.entry.endpoint.as_str(),
-                    last_event = stream.splitter.last_id();
+                    last_event = stream.splitter.last_id(),
+                    fingerprint = format!("{:x}", request.fingerprint()).as_str(),
+                    parts = request.shared_parts().join(",").as_str();
                     "stream broke: {message}"
                 );
             }
