Tell requests apart that differ only in their prompts

Cause: the fingerprint by which a request that crashes endpoints is known was a hash of path, caller and body. The prompt of a request to an engine stands in its headers, so all prompts of a caller counted as one request. The logs of the hosts show the same fingerprint for every lost request, sound and harmful, and "request quarantined" for it at the twelfth crash. Ruled out: the quarantine of prompt parts, which had no line in any log.

Change: the fingerprint includes the prompt up to its end.

Result: requests_with_other_prompts_are_no_repetitions failed before (503 request_quarantined for a prompt that shares nothing with the harmful one) and passes.

--- a/src/coordination/serving/request.rs
+++ b/src/coordination/serving/request.rs
@@ -52,7 +52,7 @@
     pub deadline: Time,
     /// The endpoint of the last attempt.
     pub endpoint: RefCell<Option<id::Endpoint>>,
-    /// The hash of the path, caller and body, once it was needed.
+    /// The hash of the path, caller, body and prompt, once it was needed.
     pub fingerprint: OnceCell<u64>,
     pub headers: HeaderMap,
     /// Longest pause between two chunks of events.
@@ -130,7 +130,7 @@
     }
 
     /// Returns a hash of what makes the request the same as an earlier one: its path,
-    /// caller and body.
+    /// caller and body, and the prompt that its headers describe.
     pub fn fingerprint(&self) -> u64 {
         *self.fingerprint.get_or_init(|| {
             let mut hasher = SipHasher13::new();
@@ -142,6 +142,10 @@
                 .map(PathAndQuery::as_str)
                 .hash(&mut hasher);
             self.body.hash(&mut hasher);
+            self.prompt_parts()
+                .last()
+                .map(|part| part.prefix)
+                .hash(&mut hasher);
             hasher.finish()
         })
     }
