Give each host of a test process addresses of its own

Seen: with a few more tests, slow_callers::endpoint_that_is_faster_than_the_ caller_is_slowed_down and slow_callers::host_with_nearly_no_memory_ends_the_ streams_idle_for_longest_first failed in four of four whole runs of the test program, and passed in three runs of slow_callers:: alone.

Cause: the host of the first test had logged the callers of the second one. Addresses::new numbered hosts with one byte, so numbers 256 and 257 gave the same address, and the second test took the first one's host for its own. Ruled out: load, since the failures stayed on an idle machine.

Change: further hosts of a process get other ports.

Result: hosts_have_addresses_of_their_own failed before and passes; the whole test program passes (163 tests).

--- a/stand-ins/src/platform/host.rs
+++ b/stand-ins/src/platform/host.rs
@@ -8,7 +8,7 @@
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         process::{self, Child, Command, ExitStatus, Stdio},
-        sync::atomic::{AtomicU32, Ordering},
+        sync::atomic::{AtomicU16, Ordering},
         time::Duration,
     },
 };
@@ -50,15 +50,20 @@
 impl Addresses {
     /// Returns addresses that no other host on this machine uses. A free port
     /// of 127.0.0.1 may be taken before the host binds it. An address of
-    /// 127.0.0.0/8 derived from the process id and a counter cannot be.
+    /// 127.0.0.0/8 derived from the process id and a counter cannot be. Hosts for which
+    /// no address is left have other ports of the same addresses.
     pub fn new() -> Self {
-        static NEXT: AtomicU32 = AtomicU32::new(1);
+        const ADDRESSES: u16 = 254;
+        const PORTS: u16 = 5;
+
+        static NEXT: AtomicU16 = AtomicU16::new(0);
 
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let [_, _, high, low] = process::id().to_be_bytes();
-        let [.., part] = number.to_be_bytes();
-        let ip = IpAddr::V4(Ipv4Addr::new(127, high | 0x80, low, part.max(1)));
-        let port = |offset| SocketAddr::new(ip, FIRST_PORT + offset);
+        let [_, part] = (number % ADDRESSES + 1).to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, high | 0x80, low, part));
+        let first = FIRST_PORT + number / ADDRESSES * PORTS;
+        let port = |offset| SocketAddr::new(ip, first + offset);
 
         Self {
             callers: port(0),
