Blame the right part, or none, for the crashes of engines

Cause: the losses of an engine were counted for each part on its own, one request at a time. Nothing asked whether the losses had one request in common, nor which of several parts with as many losses explains them best, and the answer depended on which host reported first.

Change: the balancing host follows all requests at an engine and takes them for lost together. A part needs two losses besides those of its most frequent request (hosts send the fingerprint with the prompt). Of several parts the narrowest one is blamed whose answers had begun just before the losses.

--- a/benches/control/engines.rs
+++ b/benches/control/engines.rs
@@ -57,6 +57,7 @@
     Prompt {
         domain: Some("d1".into()),
         exclude: Vec::new(),
+        fingerprint: 0,
         id: id(number),
         parts: vec![
             part(session % 4, 2520),
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -174,6 +174,8 @@
   # Empty for requests without a team.
   waits @11 :Bool;
   # The host asks again if no engine has room.
+  fingerprint @12 :UInt64;
+  # The same for requests that are the same; 0 from hosts of earlier versions.
 }
 
 struct Object {
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -106,6 +106,7 @@
         let prompt = Prompt {
             domain,
             exclude: closed_engines(host, request, exclude),
+            fingerprint: request.fingerprint(),
             id: host.next_job(),
             parts,
             service: request.service.clone(),
--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod report;
 mod room;
+mod runs;
 mod speed;
 mod speeds;
 
@@ -27,16 +28,11 @@
 };
 
 use {
-    self::{admission::Admission, engine::Engine, speed::Reference},
+    self::{admission::Admission, engine::Engine, runs::Runs, speed::Reference},
     crate::state::{
         clock::Time,
         id, rendezvous,
-        serving::{
-            cold::Pacer,
-            piece::JobId,
-            quarantine::{self, Evidence, Quarantine, Status},
-            roster::Entry,
-        },
+        serving::{cold::Pacer, piece::JobId, quarantine::Evidence, roster::Entry},
     },
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
@@ -77,9 +73,6 @@
 struct Pending {
     endpoint: id::Endpoint,
     entry: Arc<Entry>,
-    incarnation: u64,
-    /// The parts of the prompt that other requests may share.
-    parts: Vec<u64>,
     placed: Time,
     /// Tokens that the engine had to read for the prompt.
     tokens: u64,
@@ -106,6 +99,7 @@
     reference: Option<Reference>,
     /// Prompts by the time at which they were placed.
     placed: VecDeque<(Time, JobId)>,
+    runs: Runs,
     speed_changes: Vec<SpeedChange>,
 }
 
@@ -167,59 +161,6 @@
         Some((entry, !is_full))
     }
 
-    /// Records how a prompt fared, and returns what that shows about its parts.
-    /// Unknown prompts are ignored: another host placed them, or their report came
-    /// too late.
-    pub fn report(
-        &mut self,
-        now: Time,
-        id: &JobId,
-        report: Report,
-        quarantine: &Quarantine,
-    ) -> Finding {
-        if report != Report::Started {
-            self.release(now, id);
-        }
-
-        let Some(pending) = self.pending.remove(id) else {
-            return Finding::Nothing;
-        };
-        self.update_engine(now, &pending, report);
-        self.record_contact(now, &pending.entry, report);
-
-        match report {
-            Report::Lost => {
-                let endpoint = &pending.endpoint;
-                let harmful = self.evidence.record_loss(
-                    now,
-                    endpoint,
-                    pending.incarnation,
-                    &pending.parts,
-                    quarantine,
-                );
-                harmful.map_or(Finding::Nothing, Finding::Harmful)
-            }
-            Report::Started => {
-                self.evidence.record_answer(&pending.parts);
-                let mut parts = pending.parts.into_iter();
-                let released =
-                    parts.find(|part| quarantine.status(now, *part) == Status::Probation);
-                released.map_or(Finding::Nothing, Finding::Harmless)
-            }
-            Report::Abandoned
-            | Report::Ended
-            | Report::Failed
-            | Report::Full
-            | Report::Unreachable => Finding::Nothing,
-        }
-    }
-
-    /// Returns whether a prompt with the part waits for its first event.
-    pub fn awaits(&self, part: u64) -> bool {
-        let mut pending = self.pending.values();
-        pending.any(|pending| pending.parts.contains(&part))
-    }
-
     fn update_engine(&mut self, now: Time, pending: &Pending, report: Report) {
         let Some(engine) = self.engines.get_mut(&pending.endpoint) else {
             return;
@@ -319,17 +260,13 @@
         }
 
         self.cold.record_request(now, entry);
+        self.runs.add(now, entry, prompt);
         self.placed.push_back((now, prompt.id.clone()));
         self.pending.insert(
             prompt.id.clone(),
             Pending {
                 endpoint: entry.endpoint.clone(),
                 entry: Arc::clone(entry),
-                incarnation: entry.incarnation,
-                parts: quarantine::shared(&prompt.parts)
-                    .iter()
-                    .map(|part| part.id)
-                    .collect(),
                 placed: now,
                 tokens,
                 work,
@@ -337,15 +274,10 @@
         );
     }
 
-    /// Forgets a prompt.
-    fn abandon(&mut self, now: Time, id: &JobId) {
-        if let Some(pending) = self.pending.remove(id) {
-            self.update_engine(now, &pending, Report::Abandoned);
-        }
-    }
-
     /// Forgets prompts whose report has not arrived in time.
     fn expire(&mut self, now: Time) {
+        self.runs.sweep(now);
+
         while let Some((placed, id)) = self.placed.front()
             && now.since(*placed) > REPORT_TIMEOUT
         {
@@ -356,8 +288,9 @@
                 .pending
                 .get(&id)
                 .is_some_and(|pending| pending.placed == placed)
+                && let Some(pending) = self.pending.remove(&id)
             {
-                self.abandon(now, &id);
+                self.update_engine(now, &pending, Report::Abandoned);
             }
         }
     }
--- a/src/state/serving/balance/engine.rs
+++ b/src/state/serving/balance/engine.rs
@@ -20,6 +20,8 @@
     pub health: Health,
     pub incarnation: u64,
     pub leaving: bool,
+    /// Whether the engine was lost with its requests.
+    pub lost: bool,
     /// Tokens that the engine still has to read.
     pub pending: u64,
     pub room: Room,
--- a/src/state/serving/balance/prompt.rs
+++ b/src/state/serving/balance/prompt.rs
@@ -46,6 +46,8 @@
     pub domain: Option<id::Domain>,
     /// Engines that must not be chosen.
     pub exclude: Vec<id::Endpoint>,
+    /// Hash of what makes the request the same as an earlier one.
+    pub fingerprint: u64,
     pub id: JobId,
     pub parts: Vec<Part>,
     pub service: id::Pool,
--- /dev/null
+++ b/src/state/serving/balance/runs.rs
@@ -0,0 +1,180 @@
+//! Follows the requests at engines until their answers begin, and finds the parts of
+//! prompts that crash engines.
+
+use {
+    super::{Balancer, Finding, Prompt, REPORT_TIMEOUT, Report},
+    crate::state::{
+        clock::Time,
+        id,
+        serving::{
+            piece::JobId,
+            quarantine::{self, Lost, Quarantine, Status},
+            roster::Entry,
+        },
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Interval at which requests are forgotten whose end was not reported.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A request at an engine.
+#[derive(Clone, Debug)]
+struct Run {
+    endpoint: id::Endpoint,
+    fingerprint: u64,
+    incarnation: u64,
+    /// The parts of the prompt that other requests may share.
+    parts: Vec<u64>,
+    placed: Time,
+    /// When the request has ended at the latest.
+    until: Time,
+}
+
+impl Run {
+    fn lost(&self) -> Lost {
+        Lost {
+            began: None,
+            fingerprint: self.fingerprint,
+            parts: self.parts.clone(),
+        }
+    }
+}
+
+/// The requests at the engines of a service.
+#[derive(Debug, Default)]
+pub(super) struct Runs {
+    runs: HashMap<JobId, Run>,
+    swept: Time,
+}
+
+impl Runs {
+    /// Adds a request that was placed at an engine.
+    pub fn add(&mut self, placed: Time, entry: &Entry, prompt: &Prompt) {
+        let shared = quarantine::shared(&prompt.parts).iter();
+        self.runs.insert(
+            prompt.id.clone(),
+            Run {
+                endpoint: entry.endpoint.clone(),
+                fingerprint: prompt.fingerprint,
+                incarnation: entry.incarnation,
+                parts: shared.map(|part| part.id).collect(),
+                placed,
+                until: placed + prompt.terms.remaining.max(REPORT_TIMEOUT),
+            },
+        );
+    }
+
+    fn end(&mut self, id: &JobId) -> Option<Run> {
+        self.runs.remove(id)
+    }
+
+    /// Returns whether a request with the part is at an engine.
+    pub fn include(&self, part: u64) -> bool {
+        self.runs.values().any(|run| run.parts.contains(&part))
+    }
+
+    /// Returns the requests that were at an engine's incarnation.
+    fn at<'a>(
+        &'a self,
+        now: Time,
+        endpoint: &'a id::Endpoint,
+        incarnation: u64,
+    ) -> impl Iterator<Item = Lost> + 'a {
+        let runs = self.runs.values().filter(move |run| {
+            run.endpoint == *endpoint && run.incarnation == incarnation && run.placed <= now
+        });
+        runs.map(Run::lost)
+    }
+
+    /// Forgets requests whose deadline has passed without a report of their end.
+    pub fn sweep(&mut self, now: Time) {
+        if now.since(self.swept) >= SWEEP_INTERVAL {
+            self.swept = now;
+            self.runs.retain(|_, run| now <= run.until);
+        }
+    }
+}
+
+impl Balancer {
+    /// Returns whether a request with the part is at an engine.
+    pub fn awaits(&self, part: u64) -> bool {
+        self.runs.include(part)
+    }
+
+    /// Records how a prompt fared, and returns what that shows about its parts.
+    /// Unknown prompts are ignored: another host placed them, or their report came
+    /// too late.
+    pub fn report(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        report: Report,
+        quarantine: &Quarantine,
+    ) -> Finding {
+        if report != Report::Started {
+            self.release(now, id);
+        }
+
+        if let Some(pending) = self.pending.remove(id) {
+            self.update_engine(now, &pending, report);
+            self.record_contact(now, &pending.entry, report);
+        }
+
+        match report {
+            Report::Started => self.record_answer(now, id, quarantine),
+            Report::Lost => self.record_loss(now, id, quarantine),
+            Report::Abandoned
+            | Report::Ended
+            | Report::Failed
+            | Report::Full
+            | Report::Unreachable => {
+                self.runs.end(id);
+                Finding::Nothing
+            }
+        }
+    }
+
+    fn record_answer(&mut self, now: Time, id: &JobId, quarantine: &Quarantine) -> Finding {
+        let Some(run) = self.runs.end(id) else {
+            return Finding::Nothing;
+        };
+        self.evidence.record_answer(&run.parts);
+        let mut parts = run.parts.into_iter();
+        let released = parts.find(|part| quarantine.status(now, *part) == Status::Probation);
+        released.map_or(Finding::Nothing, Finding::Harmless)
+    }
+
+    /// Records that an engine was lost with a request. All of its requests are lost with
+    /// it, whichever host reports first. An engine that is leaving ends without a crash.
+    fn record_loss(&mut self, now: Time, id: &JobId, quarantine: &Quarantine) -> Finding {
+        let Some(run) = self.runs.end(id) else {
+            return Finding::Nothing;
+        };
+        let engine = self.engines.get_mut(&run.endpoint);
+        let engine =
+            engine.filter(|engine| engine.incarnation == run.incarnation && !engine.leaving);
+        let Some(engine) = engine else {
+            return Finding::Nothing;
+        };
+        let mut lost = vec![run.lost()];
+
+        if !std::mem::replace(&mut engine.lost, true) {
+            lost.extend(self.runs.at(now, &run.endpoint, run.incarnation));
+        }
+
+        let harmful =
+            self.evidence
+                .record_loss(now, &run.endpoint, run.incarnation, &lost, quarantine);
+        harmful.map_or(Finding::Nothing, Finding::Harmful)
+    }
+
+    /// Forgets a prompt.
+    pub(super) fn abandon(&mut self, now: Time, id: &JobId) {
+        self.runs.end(id);
+
+        if let Some(pending) = self.pending.remove(id) {
+            self.update_engine(now, &pending, Report::Abandoned);
+        }
+    }
+}
--- a/src/transport/wire/prompts.rs
+++ b/src/transport/wire/prompts.rs
@@ -19,6 +19,7 @@
 /// Writes a prompt that needs an engine.
 pub fn write_prompt(mut builder: placement::Builder, prompt: &Prompt) {
     builder.set_domain(prompt.domain.as_ref().map_or("", id::Domain::as_str));
+    builder.set_fingerprint(prompt.fingerprint);
     builder.set_home(prompt.id.home.as_str());
     builder.set_id(prompt.id.number);
     builder.set_service(prompt.service.as_str());
@@ -48,6 +49,11 @@
 /// Returns an error for a malformed field.
 pub fn read_prompt(reader: placement::Reader) -> capnp::Result<Prompt> {
     let domain = reader.get_domain()?.to_str()?;
+    // Requests of hosts of earlier versions count as different from each other.
+    let fingerprint = match reader.get_fingerprint() {
+        0 => reader.get_id(),
+        fingerprint => fingerprint,
+    };
     let exclude = reader.get_exclude()?;
     let exclude = exclude
         .iter()
@@ -62,6 +68,7 @@
     Ok(Prompt {
         domain: (!domain.is_empty()).then(|| domain.into()),
         exclude: exclude.collect::<capnp::Result<Vec<id::Endpoint>>>()?,
+        fingerprint,
         id: JobId {
             home: reader.get_home()?.to_str()?.into(),
             number: reader.get_id(),
--- a/stand-ins/src/platform/config.rs
+++ b/stand-ins/src/platform/config.rs
@@ -34,6 +34,10 @@
                 "service": "engine", "stages": stages, "sticky": true, "resumable": true,
                 "gapGoalMs": 300,
             })),
+            route("note", "stream", &json!({
+                "service": "engine", "stages": [], "sticky": true, "resumable": false,
+                "gapGoalMs": 300,
+            })),
             route("check", "stream", &json!({
                 "service": "engine", "stages": [], "sticky": true, "resumable": true,
                 "gapGoalMs": 300,
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -121,19 +121,24 @@
     /// Whether the next request to free outputs is refused, and the refusal written
     /// again.
     refuses_release: bool,
-    /// Id of a part of prompts. The worker crashes before it answers a request with
-    /// it.
-    harmful_part: Option<String>,
+    harmful_part: Option<HarmfulPart>,
     /// A request that crashes the worker.
     harmful_request: Option<HarmfulRequest>,
 }
 
-/// A request that crashes a worker when it has run for a time, or after the first event
-/// of its stream.
+/// A part of prompts that crashes a worker when it answers a request with it.
+#[derive(Clone, Debug)]
+struct HarmfulPart {
+    crash: Fault,
+    id: String,
+}
+
+/// A request that crashes a worker when it has run for a time.
 #[derive(Clone, Debug)]
 pub struct HarmfulRequest {
     pub body: &'static str,
     pub delay: Duration,
+    pub fault: Fault,
     pub path: &'static str,
 }
 
@@ -228,9 +233,13 @@
         lock(&self.service.state).refuses_release = true;
     }
 
-    /// Sets the part of prompts that crashes the worker, after the head of the answer.
-    pub fn set_harmful_part(&self, part: &str) {
-        lock(&self.service.state).harmful_part = Some(part.into());
+    /// Sets the part of prompts that crashes the worker. `crash` is the fault of a
+    /// request with it.
+    pub fn set_harmful_part(&self, part: &str, crash: Fault) {
+        lock(&self.service.state).harmful_part = Some(HarmfulPart {
+            crash,
+            id: part.into(),
+        });
     }
 
     /// Sets a request that crashes the worker.
@@ -282,38 +291,32 @@
     /// Returns the fault that affects a request.
     fn take_fault(&mut self, request: &Request) -> Option<Fault> {
         let prompt = request.headers.get("x-prompt-prefix");
-        let harmful = self.harmful_part.as_ref();
-        let crashes = prompt.zip(harmful).is_some_and(|(prompt, harmful)| {
-            let mut parts = prompt.split(',').filter_map(|part| part.split_once(':'));
-            parts.any(|(id, _)| id.trim() == harmful)
-        });
 
-        if crashes || self.is_harmful(request) {
-            let has_events = self.is_harmful(request) && prompt.is_some();
-            Some(if has_events {
-                Fault::CrashAfterEvent
-            } else {
-                Fault::Crash
-            })
-        } else {
-            self.faults.pop_front()
+        if let Some(harmful) = self.harmful_request(request) {
+            return Some(harmful.fault.clone());
         }
+
+        let harmful = self.harmful_part.as_ref().filter(|harmful| {
+            let parts = prompt.iter().flat_map(|prompt| prompt.split(','));
+            let mut parts = parts.filter_map(|part| part.split_once(':'));
+            parts.any(|(id, _)| id.trim() == harmful.id)
+        });
+        let crash = harmful.map(|harmful| harmful.crash.clone());
+        crash.or_else(|| self.faults.pop_front())
     }
 
-    /// Returns whether a request crashes the worker by its path and body.
-    fn is_harmful(&self, request: &Request) -> bool {
+    /// Returns what makes a request crash the worker by its path and body.
+    fn harmful_request(&self, request: &Request) -> Option<&HarmfulRequest> {
         let harmful = self.harmful_request.as_ref();
-        harmful.is_some_and(|harmful| {
+        harmful.filter(|harmful| {
             harmful.path == request.path && harmful.body.as_bytes() == request.body
         })
     }
 
     /// Returns the time for which a request runs, in addition to the usual time.
     fn delay(&self, request: &Request) -> Duration {
-        match &self.harmful_request {
-            Some(harmful) if self.is_harmful(request) => harmful.delay,
-            _ => self.delay,
-        }
+        let harmful = self.harmful_request(request);
+        harmful.map_or(self.delay, |harmful| harmful.delay)
     }
 }
 
--- a/tests/serving/balance.rs
+++ b/tests/serving/balance.rs
@@ -49,6 +49,7 @@
     Prompt {
         domain: None,
         exclude: Vec::new(),
+        fingerprint: 0,
         id: JobId {
             home: "h".into(),
             number,
--- a/tests/serving/cold.rs
+++ b/tests/serving/cold.rs
@@ -112,6 +112,7 @@
     Prompt {
         domain: None,
         exclude: Vec::new(),
+        fingerprint: 0,
         id: JobId {
             home: "h".into(),
             number,
--- a/tests/serving/engine_speeds.rs
+++ b/tests/serving/engine_speeds.rs
@@ -141,6 +141,7 @@
     Prompt {
         domain: None,
         exclude: Vec::new(),
+        fingerprint: 0,
         id: JobId {
             home: "h".into(),
             number,
--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -30,6 +30,7 @@
 mod piece;
 mod placement;
 mod pressure;
+mod prompt_crashes;
 mod quarantine;
 mod readers;
 mod rendezvous;
--- a/tests/serving/quarantine.rs
+++ b/tests/serving/quarantine.rs
@@ -5,7 +5,7 @@
     persimmoncleat::state::{
         clock::Time,
         id,
-        serving::quarantine::{Entry, Evidence, Quarantine, Status, shared},
+        serving::quarantine::{Entry, Evidence, Lost, Quarantine, Status, shared},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::time::Duration,
@@ -23,19 +23,53 @@
     Time::from_micros((60_000 + millis) * 1000)
 }
 
-/// Records the loss of an engine.
+/// Returns a request that was lost before its answer began.
+fn waiting(fingerprint: u64, parts: &[u64]) -> Lost {
+    Lost {
+        began: None,
+        fingerprint,
+        parts: parts.to_vec(),
+    }
+}
+
+/// Records the loss of an engine with one request, which is lost nowhere else.
 fn lose(evidence: &mut Evidence, millis: u64, engine: u64, parts: &[u64]) -> Option<u64> {
+    lose_with(evidence, millis, engine, waiting(1000 + millis, parts))
+}
+
+fn lose_with(evidence: &mut Evidence, millis: u64, engine: u64, lost: Lost) -> Option<u64> {
     let endpoint = id::Endpoint::from(format!("e{engine}").as_str());
-    evidence.record_loss(at(millis), &endpoint, 1, parts, &Quarantine::default())
+    evidence.record_loss(at(millis), &endpoint, 1, &[lost], &Quarantine::default())
 }
 
 /// A report about an engine's request: the time, the engine and its parts.
 enum Report {
     Answer(&'static [u64]),
     Loss(u64, u64, &'static [u64]),
+    /// The same as a loss, but always of the same request.
+    Again(u64, u64, &'static [u64]),
+    /// The engine is lost with several requests: each with its parts and the time for
+    /// which it was answered.
+    Crash(u64, u64, &'static [(&'static [u64], u64)]),
 }
 
-use Report::{Answer, Loss};
+use Report::{Again, Answer, Crash, Loss};
+
+/// Records the loss of an engine with several requests.
+fn crash(
+    evidence: &mut Evidence,
+    millis: u64,
+    engine: u64,
+    requests: &[(&[u64], u64)],
+) -> Option<u64> {
+    let endpoint = id::Endpoint::from(format!("e{engine}").as_str());
+    let lost = (0..).zip(requests).map(|(index, (parts, age))| Lost {
+        began: Some(at(millis - age)),
+        ..waiting(millis * 10 + index, parts)
+    });
+    let lost = lost.collect::<Vec<Lost>>();
+    evidence.record_loss(at(millis), &endpoint, 1, &lost, &Quarantine::default())
+}
 
 macro_rules! quarantined {
     ($($(#[$doc:meta])* $name:ident: [$($report:expr),* $(,)?] => $part:expr;)*) => {
@@ -51,6 +85,13 @@
                         Loss(millis, engine, parts) => {
                             found.extend(lose(&mut evidence, millis, engine, parts));
                         }
+                        Again(millis, engine, parts) => {
+                            let lost = waiting(1, parts);
+                            found.extend(lose_with(&mut evidence, millis, engine, lost));
+                        }
+                        Crash(millis, engine, requests) => {
+                            found.extend(crash(&mut evidence, millis, engine, requests));
+                        }
                     }
                 }
                 let expected: Option<u64> = $part;
@@ -116,6 +157,38 @@
         Loss(0, 1, &[HARMFUL, SESSION]), Loss(700, 2, &[HARMFUL, SESSION]),
         Loss(1400, 3, &[HARMFUL, SESSION]),
     ] => Some(HARMFUL);
+    /// Guards against the refusal of a session because one of its requests crashes
+    /// engines by itself, and comes again.
+    part_of_one_request_that_comes_again: [
+        Again(0, 1, &[SESSION]), Again(700, 2, &[SESSION]), Again(1400, 3, &[SESSION]),
+        Loss(2100, 4, &[SESSION]), Again(2800, 5, &[SESSION]),
+    ] => None;
+    /// Guards against a harmful part that is excused because each of its requests is
+    /// tried at two engines.
+    part_of_requests_that_are_tried_twice: [
+        Again(0, 1, &[HARMFUL]), Again(10, 2, &[HARMFUL]),
+        Loss(700, 3, &[HARMFUL]), Loss(1400, 4, &[HARMFUL]),
+    ] => Some(HARMFUL);
+    /// Guards against the refusal of the part that all requests share, if none of them
+    /// is answered in full because all are at the engines that crash.
+    part_of_all_requests_at_engines_that_a_harmful_part_crashes: [
+        Crash(1000, 1, &[(&[COMMON, 20], 900), (&[COMMON, HARMFUL], 5), (&[COMMON, 21], 0)]),
+        Crash(2000, 2, &[(&[COMMON, 22], 0), (&[COMMON, HARMFUL], 5), (&[COMMON, 23], 400)]),
+        Crash(3000, 3, &[(&[COMMON, 24], 700), (&[COMMON, 25], 10), (&[COMMON, HARMFUL], 5)]),
+    ] => Some(HARMFUL);
+    /// Guards against the refusal of a session that loses its engine three times long
+    /// after an answer has begun.
+    session_whose_answers_had_begun_long_before: [
+        Crash(1000, 1, &[(&[COMMON, SESSION], 990), (&[COMMON, HARMFUL], 5)]),
+        Crash(2000, 2, &[(&[COMMON, SESSION], 600), (&[COMMON, HARMFUL], 5)]),
+        Crash(3000, 3, &[(&[COMMON, SESSION], 800), (&[COMMON, HARMFUL], 5)]),
+    ] => Some(HARMFUL);
+    /// Guards against the refusal of a part because engines are lost while they have
+    /// been answering requests with it for a while.
+    part_of_long_answers: [
+        Crash(2000, 1, &[(&[COMMON], 1500)]), Crash(4000, 2, &[(&[COMMON], 1200)]),
+        Crash(6000, 3, &[(&[COMMON], 3000)]), Crash(9000, 4, &[(&[COMMON], 1000)]),
+    ] => None;
 }
 
 /// Guards against sound sessions that are refused during trouble: one request in
@@ -156,7 +229,8 @@
     assert_eq!(quarantine.status(end, HARMFUL), Status::Probation);
     let endpoint = id::Endpoint::from("e1");
     let mut evidence = Evidence::default();
-    let harmful = evidence.record_loss(end, &endpoint, 1, &[COMMON, HARMFUL, SESSION], &quarantine);
+    let lost = [waiting(1, &[COMMON, HARMFUL, SESSION])];
+    let harmful = evidence.record_loss(end, &endpoint, 1, &lost, &quarantine);
     assert_eq!(harmful, Some(HARMFUL));
     assert!(quarantine.add(end, HARMFUL) > first);
 }
@@ -171,7 +245,7 @@
     assert_eq!(quarantine.status(end, HARMFUL), Status::Clear);
     let endpoint = id::Endpoint::from("e1");
     let mut evidence = Evidence::default();
-    let harmful = evidence.record_loss(end, &endpoint, 1, &[HARMFUL], &quarantine);
+    let harmful = evidence.record_loss(end, &endpoint, 1, &[waiting(1, &[HARMFUL])], &quarantine);
     assert_eq!(harmful, None);
 }
 
