Count crashes after the first event of a stream

A part of prompts crashes each engine after the first event of its answer, and goes on to do so: 12 crashes, four requests with the part later than 3 s after the fifth, and only the refusal of all requests of the caller ended it.

Cause: the first event of a stream was taken for an answer. It cleared the parts of the prompt, and the balancing host forgot the request, so that the loss of its engine was evidence of nothing. The host of the request knew of the crash ("endpoint crashed with requests") and had nothing to report it to. Ruled out: that the crashes were not seen, since each of them is in the logs.

Change: a request is followed until its answer ends. Only a full answer clears its parts and ends a probation. A stream that breaks with its engine is reported as lost, also after its first event. Engines that are leaving end without a crash.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -225,7 +225,8 @@
   placePrompt @10 (placement :Placement) -> (endpoint :Text, quarantined :Bool, waitMs :UInt32, refused :Bool, retryAfterMs :UInt32, backlogMs :UInt32, counted :Bool);
   # Chooses the engine of a prompt; empty if there is none, if a part of the prompt
   # is in quarantine, if it has to wait (`waitMs` is above 0) or if it would miss its
-  # deadline (`refused`). The host reports the end of a `counted` prompt, too.
+  # deadline (`refused`). `counted` is always set: hosts of earlier versions report
+  # the end of a prompt only then.
   reportPrompt @11 (service :Text, home :Text, id :UInt64, result :Text);
   # Tells how the prompt fared at its engine.
 }
--- a/src/coordination/serving/balancing.rs
+++ b/src/coordination/serving/balancing.rs
@@ -318,7 +318,7 @@
         Choice::Quarantined => return Asked::Quarantined,
         Choice::Refused(time) => return Asked::Refused(time),
     };
-    let guard = PlacementGuard::new(host, address, prompt, answer.counted);
+    let guard = PlacementGuard::new(host, address, prompt);
 
     if !wait.is_zero() {
         host.tally.time("cold_wait", wait, &[]);
--- a/src/coordination/serving/balancing/guard.rs
+++ b/src/coordination/serving/balancing/guard.rs
@@ -22,45 +22,26 @@
 pub struct PlacementGuard {
     /// Address of the balancing host; `None` stands for this host.
     address: Option<SocketAddr>,
-    /// Whether that host counts the room of the request until its end.
-    counted: bool,
     host: Rc<Host>,
-    /// The service and the prompt; `None` once the report was sent.
+    /// The service and the prompt; `None` once its end was reported.
     prompt: Option<(id::Pool, JobId)>,
-    /// Whether the engine has sent its first event.
-    started: bool,
 }
 
 impl PlacementGuard {
     /// Creates the guard of a prompt that the balancing host at `address` has placed.
-    /// `counted` says whether that host counts its room until the end.
-    pub(super) fn new(
-        host: &Rc<Host>,
-        address: Option<SocketAddr>,
-        prompt: Prompt,
-        counted: bool,
-    ) -> Self {
+    pub(super) fn new(host: &Rc<Host>, address: Option<SocketAddr>, prompt: Prompt) -> Self {
         Self {
             address,
-            counted,
             host: Rc::clone(host),
             prompt: Some((prompt.service, prompt.id)),
-            started: false,
         }
     }
 
-    /// Reports the first event. Returns the guard if the end has to be reported, too.
-    pub fn start(mut self) -> Option<Self> {
-        if !self.counted {
-            self.send(Report::Started);
-            return None;
+    /// Reports the first event.
+    pub fn start(&self) {
+        if let Some((service, id)) = &self.prompt {
+            self.send(service, id, Report::Started);
         }
-
-        let prompt = self.prompt.clone();
-        self.send(Report::Started);
-        self.prompt = prompt;
-        self.started = true;
-        Some(self)
     }
 
     /// Returns whether the failure domain of an engine is evacuated.
@@ -68,32 +49,30 @@
         self.host.view().evacuated.contains(&entry.domain)
     }
 
-    /// Sends the report.
+    /// Reports the end.
     pub fn report(mut self, report: Report) {
-        self.send(report);
+        self.end(report);
     }
 
-    fn send(&mut self, report: Report) {
-        let Some((service, id)) = self.prompt.take() else {
-            return;
-        };
+    fn end(&mut self, report: Report) {
+        if let Some((service, id)) = self.prompt.take() {
+            self.send(&service, &id, report);
+        }
+    }
 
+    fn send(&self, service: &id::Pool, id: &JobId, report: Report) {
         match self.address {
             Some(address) => {
                 let links = &self.host.links;
-                links.report_prompt(address, &service, &id, report, REPORT_TIMEOUT);
+                links.report_prompt(address, service, id, report, REPORT_TIMEOUT);
             }
-            None => super::record(&self.host, &service, &id, report),
+            None => super::record(&self.host, service, id, report),
         }
     }
 }
 
 impl Drop for PlacementGuard {
     fn drop(&mut self) {
-        self.send(if self.started {
-            Report::Ended
-        } else {
-            Report::Abandoned
-        });
+        self.end(Report::Abandoned);
     }
 }
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -35,7 +35,7 @@
         },
     },
     hyper::{HeaderMap, Response},
-    std::{rc::Rc, time::Duration},
+    std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{task::spawn_local, time::timeout},
 };
 
@@ -83,7 +83,7 @@
         let outcome = match outcome {
             AttemptOutcome::Answered(open) => match start_response(host, &request, *open).await {
                 Ok(ResponseStart::Stream(mut stream)) => {
-                    stream.guard = started(guard);
+                    stream.start(guard);
                     stage_outputs.release();
                     return Ok(forward(host, request, *stream, retry_state, stage_outputs));
                 }
@@ -119,12 +119,6 @@
     }
 }
 
-/// Reports the first event of a prompt, and returns the guard that reports its end if
-/// the balancing host counts it.
-fn started(guard: Option<PlacementGuard>) -> Option<PlacementGuard> {
-    guard.and_then(PlacementGuard::start)
-}
-
 /// Sends the report about a prompt without an answer. After a broken connection it
 /// says whether the engine has crashed, once that is known.
 fn report_failure(
@@ -133,15 +127,23 @@
     guard: Option<PlacementGuard>,
     outcome: &AttemptOutcome,
 ) {
+    if matches!(outcome, AttemptOutcome::Disconnected(_)) {
+        report_disconnection(host, entry, guard);
+    } else {
+        report(guard, outcome.report());
+    }
+}
+
+/// Reports that the connection to a prompt's engine broke, and whether the engine has
+/// crashed, once that is known.
+fn report_disconnection(host: &Host, entry: &Entry, guard: Option<PlacementGuard>) {
     let Some(guard) = guard else {
         return;
     };
 
     // Engines of an evacuated domain are stopped: that shows nothing about the prompt.
-    let stopped = guard.is_evacuated(entry);
-
-    if stopped || !matches!(outcome, AttemptOutcome::Disconnected(_)) {
-        return guard.report(outcome.report());
+    if guard.is_evacuated(entry) {
+        return guard.report(Report::Failed);
     }
 
     let result = crashes::next_result(host, entry);
@@ -252,13 +254,15 @@
         match end {
             CopyEnd::CallerLeft => return StreamEnd::CallerLeft,
             CopyEnd::Complete(answer) => {
+                let Stream { guard, open, .. } = stream;
                 let OpenResponse {
                     exchange,
                     load_guard,
                     watch,
                     ..
-                } = stream.open;
+                } = open;
                 watch.end(End::Answered);
+                report(guard, Report::Ended);
                 host.placement
                     .borrow_mut()
                     .health_mut(&load_guard.entry)
@@ -283,11 +287,13 @@
         }
 
         record_failure(host, &stream.open);
-        let entry = &stream.open.load_guard.entry;
+        let entry = Arc::clone(&stream.open.load_guard.entry);
         retry_state.excluded.push(entry.endpoint.clone());
         let last_event = stream.splitter.last_id().map(str::to_owned);
         let splitter = std::mem::take(&mut stream.splitter);
+        let guard = stream.guard.take();
         stream.end(End::Broken);
+        report_disconnection(host, &entry, guard);
 
         let resumed = tokio::select! {
             resumed = resume(
--- a/src/coordination/serving/stream/resume.rs
+++ b/src/coordination/serving/stream/resume.rs
@@ -4,7 +4,6 @@
     super::{
         report_failure,
         start::{Stream, continue_response},
-        started,
     },
     crate::{
         coordination::serving::{
@@ -60,7 +59,7 @@
             AttemptOutcome::Answered(open) => {
                 match continue_response(host, request, *open, splitter.clone()).await {
                     Ok(mut stream) => {
-                        stream.guard = started(guard);
+                        stream.start(guard);
                         return Some(stream);
                     }
                     Err(outcome) => {
--- a/src/coordination/serving/stream/start.rs
+++ b/src/coordination/serving/stream/start.rs
@@ -30,13 +30,22 @@
 /// A stream whose first events have arrived.
 pub(super) struct Stream {
     pub(super) events: Vec<u8>,
-    /// Reports the end of the request when the stream is dropped.
+    /// Reports how the request ended, at the latest when the stream is dropped.
     pub(super) guard: Option<PlacementGuard>,
     pub(super) open: OpenResponse,
     pub(super) splitter: Splitter,
 }
 
 impl Stream {
+    /// Reports the first event to the balancing host, if that chose the engine.
+    pub(super) fn start(&mut self, guard: Option<PlacementGuard>) {
+        if let Some(guard) = &guard {
+            guard.start();
+        }
+
+        self.guard = guard;
+    }
+
     /// Closes the stream. `end` says what that shows about the endpoint.
     pub(super) fn end(self, end: End) {
         self.open.watch.end(end);
--- a/src/state/serving/balance/admission.rs
+++ b/src/state/serving/balance/admission.rs
@@ -134,7 +134,7 @@
 
         if self.may_start(now, prompt, has_room) {
             self.record_placement(now, &entry, prompt);
-            return self.counted(Choice::Engine(entry.endpoint.clone()));
+            return self.with_backlog(Choice::Engine(entry.endpoint.clone()));
         }
 
         self.wait(now, prompt)
@@ -184,7 +184,7 @@
         prompt: &Prompt,
     ) -> Answer {
         match self.place(now, entries.clone(), prompt) {
-            Some(entry) => self.counted(Choice::Engine(entry.endpoint.clone())),
+            Some(entry) => self.with_backlog(Choice::Engine(entry.endpoint.clone())),
             None => self.place_at_cold_engine(now, entries, prompt),
         }
     }
@@ -198,7 +198,7 @@
         prompt: &Prompt,
     ) -> Answer {
         match self.place_later(now, entries, prompt) {
-            Later::Engine(entry, wait) => self.counted(Choice::Later {
+            Later::Engine(entry, wait) => self.with_backlog(Choice::Later {
                 engine: entry.endpoint.clone(),
                 wait,
             }),
@@ -207,13 +207,12 @@
         }
     }
 
-    fn counted(&self, choice: Choice) -> Answer {
+    fn with_backlog(&self, choice: Choice) -> Answer {
         let rate = self.free_rate();
         let admission = self.admission.as_ref();
         Answer {
             backlog: admission.map_or(Duration::ZERO, |admission| admission.queue.backlog(rate)),
             choice,
-            counted: admission.is_some(),
         }
     }
 
@@ -286,14 +285,10 @@
             Some(admission) => admission.queue.step(now, &prompt.id, rate),
             None => return Choice::NoEngine.into(),
         };
-        let choice = match step {
+        self.with_backlog(match step {
             Step::Refuse(time) => Choice::Refused(time),
             Step::Wait(time) => Choice::Wait(time),
-        };
-        Answer {
-            counted: false,
-            ..self.counted(choice)
-        }
+        })
     }
 
     /// Returns the shares of engines that become free in a second; 0 if it is unknown.
--- a/src/state/serving/balance/prompt.rs
+++ b/src/state/serving/balance/prompt.rs
@@ -87,8 +87,6 @@
     /// Expected wait of a new prompt for room.
     pub backlog: Duration,
     pub choice: Choice,
-    /// Whether the host reports the end of the request, too.
-    pub counted: bool,
 }
 
 impl From<Choice> for Answer {
@@ -96,7 +94,6 @@
         Self {
             backlog: Duration::ZERO,
             choice,
-            counted: false,
         }
     }
 }
--- a/src/state/serving/balance/report.rs
+++ b/src/state/serving/balance/report.rs
@@ -3,16 +3,16 @@
 /// How a prompt fared at its engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Report {
-    /// The request ended before the engine answered, for a reason that says
-    /// nothing about the engine.
+    /// The request ended before the engine had answered in full, for a reason that
+    /// says nothing about the engine.
     Abandoned,
-    /// The request ended after the engine's first event.
+    /// The engine answered in full.
     Ended,
     /// The engine broke off or its response was unusable.
     Failed,
     /// The engine refused because it is full or leaving.
     Full,
-    /// The engine crashed before it answered.
+    /// The engine crashed before it had answered in full.
     Lost,
     /// The engine sent its first event.
     Started,
--- a/src/state/serving/balance/runs.rs
+++ b/src/state/serving/balance/runs.rs
@@ -1,4 +1,4 @@
-//! Follows the requests at engines until their answers begin, and finds the parts of
+//! Follows the requests at engines until their answers end, and finds the parts of
 //! prompts that crash engines.
 
 use {
@@ -21,6 +21,8 @@
 /// A request at an engine.
 #[derive(Clone, Debug)]
 struct Run {
+    /// When its answer began.
+    began: Option<Time>,
     endpoint: id::Endpoint,
     fingerprint: u64,
     incarnation: u64,
@@ -34,7 +36,7 @@
 impl Run {
     fn lost(&self) -> Lost {
         Lost {
-            began: None,
+            began: self.began,
             fingerprint: self.fingerprint,
             parts: self.parts.clone(),
         }
@@ -55,6 +57,7 @@
         self.runs.insert(
             prompt.id.clone(),
             Run {
+                began: None,
                 endpoint: entry.endpoint.clone(),
                 fingerprint: prompt.fingerprint,
                 incarnation: entry.incarnation,
@@ -65,6 +68,12 @@
         );
     }
 
+    fn begin(&mut self, now: Time, id: &JobId) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.began.get_or_insert(now);
+        }
+    }
+
     fn end(&mut self, id: &JobId) -> Option<Run> {
         self.runs.remove(id)
     }
@@ -122,13 +131,13 @@
         }
 
         match report {
-            Report::Started => self.record_answer(now, id, quarantine),
+            Report::Started => {
+                self.runs.begin(now, id);
+                Finding::Nothing
+            }
             Report::Lost => self.record_loss(now, id, quarantine),
-            Report::Abandoned
-            | Report::Ended
-            | Report::Failed
-            | Report::Full
-            | Report::Unreachable => {
+            Report::Ended => self.record_answer(now, id, quarantine),
+            Report::Abandoned | Report::Failed | Report::Full | Report::Unreachable => {
                 self.runs.end(id);
                 Finding::Nothing
             }
--- a/src/transport/wire/prompts.rs
+++ b/src/transport/wire/prompts.rs
@@ -104,7 +104,8 @@
 /// Writes the answer to a host that needs an engine.
 pub fn write_placement(mut builder: place_prompt_results::Builder, answer: &Answer) {
     builder.set_backlog_ms(millis(answer.backlog));
-    builder.set_counted(answer.counted);
+    // Hosts of earlier versions report the end of a prompt only if this is set.
+    builder.set_counted(true);
 
     match &answer.choice {
         Choice::Engine(endpoint) => builder.set_endpoint(endpoint.as_str()),
@@ -150,7 +151,6 @@
     Ok(Answer {
         backlog: Duration::from_millis(reader.get_backlog_ms().into()),
         choice,
-        counted: reader.get_counted(),
     })
 }
 
--- a/tests/serving/prompt_crashes.rs
+++ b/tests/serving/prompt_crashes.rs
@@ -70,6 +70,13 @@
         self.balancer
             .report(at(millis), &id, report, &self.quarantine)
     }
+
+    /// Says that an engine is leaving.
+    fn leave(&mut self, engine: u16) {
+        let entry = &mut self.entries[usize::from(engine)];
+        Arc::make_mut(entry).leaving = true;
+        self.balancer.update(self.entries.iter(), 300_000);
+    }
 }
 
 fn prompt(number: u64, parts: &[u64]) -> Prompt {
@@ -98,6 +105,49 @@
     }
 }
 
+/// How a request with the harmful part fares at its engine, up to the end.
+type Fate = &'static [Report];
+
+macro_rules! series {
+    ($($(#[$doc:meta])* $name:ident: $fate:expr => $finding:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                let mut service = Service::new();
+                let fate: Fate = $fate;
+                let mut finding = Finding::Nothing;
+
+                for number in 0..3 {
+                    let millis = number * 1000;
+                    service.place(millis, number as u16, number, &[COMMON, HARMFUL]);
+                    for report in fate {
+                        finding = service.report(millis + 40, number, *report);
+                    }
+                    service.place(millis + 50, 11, 100 + number, &[COMMON]);
+                    service.report(millis + 90, 100 + number, Report::Ended);
+                }
+
+                assert_eq!(finding, $finding);
+            }
+        )*
+    };
+}
+
+series! {
+    /// Guards against a part whose crashes come before the first event.
+    part_lost_before_the_first_event: &[Report::Lost] => Finding::Harmful(HARMFUL);
+    /// Guards against a first event that is taken for an answer.
+    part_lost_after_the_first_event:
+        &[Report::Started, Report::Lost] => Finding::Harmful(HARMFUL);
+    /// Guards against the refusal of requests whose callers leave.
+    part_of_abandoned_requests: &[Report::Started, Report::Abandoned] => Finding::Nothing;
+    /// Guards against the refusal of requests whose connections break while their
+    /// engines live.
+    part_of_broken_requests: &[Report::Started, Report::Failed] => Finding::Nothing;
+    part_of_answered_requests: &[Report::Started, Report::Ended] => Finding::Nothing;
+}
+
 /// Guards against the refusal of a part that sound requests share, because their hosts
 /// report first that their engine has crashed.
 #[test]
@@ -107,7 +157,9 @@
     for crash in 0..3 {
         let (millis, number) = (crash * 1000, crash * 10);
         service.place(millis, crash as u16, number, &[COMMON, 20 + crash]);
+        service.report(millis + 20, number, Report::Started);
         service.place(millis + 500, crash as u16, number + 1, &[COMMON, HARMFUL]);
+        service.report(millis + 540, number + 1, Report::Started);
         let expected = if crash == 2 {
             Finding::Harmful(HARMFUL)
         } else {
@@ -118,3 +170,35 @@
         assert_eq!(second, Finding::Nothing);
     }
 }
+
+/// Guards against the refusal of requests that outlast the time in which the engines
+/// of a release leave.
+#[test]
+fn engines_that_are_leaving_end_without_a_crash() {
+    let mut service = Service::new();
+
+    for number in 0..4 {
+        service.place(number * 1000, number as u16, number, &[COMMON]);
+        service.report(number * 1000 + 40, number, Report::Started);
+        service.leave(number as u16);
+        let finding = service.report(number * 1000 + 400, number, Report::Lost);
+        assert_eq!(finding, Finding::Nothing);
+    }
+}
+
+/// Guards against a part that is released by the first event of its trial although the
+/// engine crashes after it, and against two trials at the same time.
+#[test]
+fn only_a_full_answer_ends_a_probation() {
+    let mut service = Service::new();
+    let end = service.quarantine.add(at(0), HARMFUL).as_millis() as u64;
+    service.place(end, 0, 0, &[COMMON, HARMFUL]);
+    assert_eq!(
+        service.report(end + 40, 0, Report::Started),
+        Finding::Nothing
+    );
+    assert!(service.balancer.awaits(HARMFUL));
+    let finding = service.report(end + 400, 0, Report::Ended);
+    assert_eq!(finding, Finding::Harmless(HARMFUL));
+    assert!(!service.balancer.awaits(HARMFUL));
+}
