Report how prompts fare whose answers are no streams

Cause: relay::serve_buffered chose engines from this host's observations alone. The balancing host never heard of these requests, so their losses were no evidence.

Change: requests with a prompt get their engine from the balancing host, whatever their answers, and report how they fared. An attempt that is given up at its time limit is reported once it is known whether the engine has crashed.

--- a/src/coordination/serving/balancing/guard.rs
+++ b/src/coordination/serving/balancing/guard.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        coordination::serving::host::Host,
+        coordination::serving::{crashes, host::Host},
         state::{
             id,
             serving::{
@@ -13,6 +13,7 @@
         },
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::task::spawn_local,
 };
 
 /// Timeout of a report, which needs no answer.
@@ -44,16 +45,31 @@
         }
     }
 
-    /// Returns whether the failure domain of an engine is evacuated.
-    pub fn is_evacuated(&self, entry: &Entry) -> bool {
-        self.host.view().evacuated.contains(&entry.domain)
-    }
-
     /// Reports the end.
     pub fn report(mut self, report: Report) {
         self.end(report);
     }
 
+    /// Reports that the connection to the engine broke or was given up, and whether the
+    /// engine has crashed, once that is known.
+    pub fn report_disconnection(self, entry: &Entry) {
+        // Engines of an evacuated domain are stopped: that shows nothing about the prompt.
+        if self.host.view().evacuated.contains(&entry.domain) {
+            return self.report(Report::Failed);
+        }
+
+        let result = crashes::next_result(&self.host, entry);
+
+        spawn_local(async move {
+            let crashed = result.await.unwrap_or(false);
+            self.report(if crashed {
+                Report::Lost
+            } else {
+                Report::Failed
+            });
+        });
+    }
+
     fn end(&mut self, report: Report) {
         if let Some((service, id)) = self.prompt.take() {
             self.send(&service, &id, report);
--- a/src/coordination/serving/relay.rs
+++ b/src/coordination/serving/relay.rs
@@ -6,14 +6,16 @@
         coordination::serving::{
             answer::{Reason, Refusal},
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
-            balancing::{self, Chosen},
+            balancing::{self, Chosen, PlacementGuard},
             crashes::{self, End},
             host::Host,
             request::Request,
         },
         state::{
             id,
-            serving::{config::RetryMode, placement::Criteria, quarantine, roster::Entry},
+            serving::{
+                balance::Report, config::RetryMode, placement::Criteria, quarantine, roster::Entry,
+            },
         },
         transport::{
             boot_clock,
@@ -64,24 +66,31 @@
 }
 
 impl RetryState {
-    /// Returns the endpoint for the next attempt.
+    /// Returns the endpoint for the next attempt of a request whose response is buffered.
     ///
     /// # Errors
     ///
     /// Returns the reason if no endpoint is left.
-    pub fn choose(
-        &self,
-        host: &Host,
-        request: &Request,
-        domain: Option<&id::Domain>,
-    ) -> Result<Arc<Entry>, Reason> {
+    async fn choose(&self, host: &Rc<Host>, request: &Request) -> Result<Chosen, Reason> {
+        if request.call.prompt.is_some() {
+            return self.choose_engine(host, request, None).await;
+        }
+
+        let entry = self.choose_nearby(host, request)?;
+        Ok(Chosen { entry, guard: None })
+    }
+
+    /// Returns an endpoint for a request without a prompt, preferably in this host's
+    /// failure domain.
+    fn choose_nearby(&self, host: &Host, request: &Request) -> Result<Arc<Entry>, Reason> {
         if let Some(time) = crashes::remaining_quarantine(host, request) {
             return Err(Reason::Harmful(time));
         }
 
         let view = host.view();
+        let settings = host.settings();
         let criteria = Criteria {
-            domain,
+            domain: Some(&settings.domain),
             exclude: &self.excluded,
             session: request.session(),
         };
@@ -93,7 +102,7 @@
         Ok(entry)
     }
 
-    /// Returns the engine for the next attempt of a stream whose inputs are in
+    /// Returns the engine for the next attempt of a request whose inputs are in
     /// `domain`. One whose request was at an engine before does not wait for room.
     ///
     /// # Errors
@@ -263,14 +272,17 @@
 /// Returns the refusal if no endpoint gave a usable response.
 pub async fn serve_buffered(host: &Rc<Host>, request: &Request) -> Result<Response<Body>, Refusal> {
     let mut retry_state = RetryState::default();
-    let settings = host.settings();
 
     loop {
-        let entry = retry_state
-            .choose(host, request, Some(&settings.domain))
-            .map_err(|reason| refusal_for(request, reason))?;
-        let outcome = attempt_with_timeout(host, request, &entry).await;
-        let outcome = match outcome {
+        let chosen = retry_state.choose(host, request).await;
+        let Chosen { entry, guard } = chosen.map_err(|reason| refusal_for(request, reason))?;
+        let result = attempt_with_timeout(host, request, &entry).await;
+
+        if let Some(guard) = guard {
+            report(guard, &entry, &result);
+        }
+
+        let outcome = match result {
             Ok(response) => return Ok(response),
             Err(outcome) => outcome,
         };
@@ -282,6 +294,19 @@
     }
 }
 
+/// Reports how a prompt fared whose response is buffered.
+fn report(guard: PlacementGuard, entry: &Entry, result: &Result<Response<Body>, AttemptOutcome>) {
+    match result {
+        Ok(response) if response.status().is_server_error() => guard.report(Report::Failed),
+        Ok(_) => guard.report(Report::Ended),
+        // The host may have given the attempt up before the engine crashed under it.
+        Err(AttemptOutcome::Broken(_) | AttemptOutcome::Disconnected(_)) => {
+            guard.report_disconnection(entry);
+        }
+        Err(outcome) => guard.report(outcome.report()),
+    }
+}
+
 async fn attempt_with_timeout(
     host: &Rc<Host>,
     request: &Request,
--- a/src/coordination/serving/stream.rs
+++ b/src/coordination/serving/stream.rs
@@ -14,7 +14,7 @@
             answer::Refusal,
             attempt::{AttemptOptions, AttemptOutcome, OpenResponse, attempt, log_failure},
             balancing::{Chosen, PlacementGuard},
-            crashes::{self, End},
+            crashes::End,
             host::Host,
             relay::{Next, RetryState, refusal_for},
             request::Request,
@@ -99,7 +99,7 @@
             outcome => outcome,
         };
 
-        report_failure(host, &entry, guard, &outcome);
+        report_failure(guard, &entry, &outcome);
 
         if matches!(outcome, AttemptOutcome::InputGone) {
             stage_outputs.release();
@@ -119,43 +119,17 @@
     }
 }
 
-/// Sends the report about a prompt without an answer. After a broken connection it
-/// says whether the engine has crashed, once that is known.
-fn report_failure(
-    host: &Host,
-    entry: &Entry,
-    guard: Option<PlacementGuard>,
-    outcome: &AttemptOutcome,
-) {
-    if matches!(outcome, AttemptOutcome::Disconnected(_)) {
-        report_disconnection(host, entry, guard);
-    } else {
-        report(guard, outcome.report());
-    }
-}
-
-/// Reports that the connection to a prompt's engine broke, and whether the engine has
-/// crashed, once that is known.
-fn report_disconnection(host: &Host, entry: &Entry, guard: Option<PlacementGuard>) {
+/// Sends the report about a prompt without an answer.
+fn report_failure(guard: Option<PlacementGuard>, entry: &Entry, outcome: &AttemptOutcome) {
     let Some(guard) = guard else {
         return;
     };
 
-    // Engines of an evacuated domain are stopped: that shows nothing about the prompt.
-    if guard.is_evacuated(entry) {
-        return guard.report(Report::Failed);
+    if matches!(outcome, AttemptOutcome::Disconnected(_)) {
+        guard.report_disconnection(entry);
+    } else {
+        guard.report(outcome.report());
     }
-
-    let result = crashes::next_result(host, entry);
-
-    spawn_local(async move {
-        let crashed = result.await.unwrap_or(false);
-        guard.report(if crashed {
-            Report::Lost
-        } else {
-            Report::Failed
-        });
-    });
 }
 
 fn record_failure(host: &Host, open: &OpenResponse) {
@@ -293,7 +267,10 @@
         let splitter = std::mem::take(&mut stream.splitter);
         let guard = stream.guard.take();
         stream.end(End::Broken);
-        report_disconnection(host, &entry, guard);
+
+        if let Some(guard) = guard {
+            guard.report_disconnection(&entry);
+        }
 
         let resumed = tokio::select! {
             resumed = resume(
--- a/src/coordination/serving/stream/resume.rs
+++ b/src/coordination/serving/stream/resume.rs
@@ -71,7 +71,7 @@
             outcome => outcome,
         };
 
-        report_failure(host, &entry, guard, &outcome);
+        report_failure(guard, &entry, &outcome);
         retry_state.excluded.push(entry.endpoint.clone());
         stage_outputs.release();
     }
--- a/stand-ins/src/platform/config.rs
+++ b/stand-ins/src/platform/config.rs
@@ -34,6 +34,7 @@
                 "service": "engine", "stages": stages, "sticky": true, "resumable": true,
                 "gapGoalMs": 300,
             })),
+            route("brief", "idempotent", &json!({ "service": "engine", "sticky": true })),
             route("note", "stream", &json!({
                 "service": "engine", "stages": [], "sticky": true, "resumable": false,
                 "gapGoalMs": 300,
--- a/stand-ins/src/platform/workers.rs
+++ b/stand-ins/src/platform/workers.rs
@@ -410,7 +410,9 @@
             return endless(part, &attempt);
         }
 
-        if request.headers.contains_key("x-token-counts") {
+        let has_prompt = request.headers.contains_key("x-token-counts");
+
+        if has_prompt && !request.path.starts_with("/brief/") {
             self.stream(request, &attempt, fault)
         } else {
             if matches!(fault, Some(Fault::Crash)) {
