Bound how long prompts wait for the trial of a part

Cause: the trial of a suspected part held all other requests with it until it was answered, also after a loss of all engines, where the trial itself waited for engines that were still starting. The log had prompts wait for the same part for five seconds.

Change: a request keeps others waiting for 500 ms at most. Nobody waits while a request that was placed before the last loss is still at an engine. Requests at a lost engine count for nothing, also before their hosts report them.

The cases of groups at once still pass.

--- a/src/state/serving/balance/runs.rs
+++ b/src/state/serving/balance/runs.rs
@@ -15,9 +15,13 @@
     std::{collections::HashMap, time::Duration},
 };
 
+/// Time after which a request with a suspected part no longer keeps others waiting. An
+/// engine that starts may need longer for its first event.
+const TRIAL_TIME: Duration = Duration::from_millis(500);
+
 /// Time from the beginning of an answer after which its request has shown that its parts
 /// crash no engine at once.
-const TRIAL_TIME: Duration = Duration::from_millis(300);
+const SETTLED_TIME: Duration = Duration::from_millis(150);
 
 /// Interval at which requests are forgotten whose end was not reported.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +34,8 @@
     endpoint: id::Endpoint,
     fingerprint: u64,
     incarnation: u64,
+    /// Whether its engine was lost, though its host has not reported that yet.
+    is_lost: bool,
     /// The parts of the prompt that other requests may share.
     parts: Vec<u64>,
     placed: Time,
@@ -66,6 +72,7 @@
                 endpoint: entry.endpoint.clone(),
                 fingerprint: prompt.fingerprint,
                 incarnation: entry.incarnation,
+                is_lost: false,
                 parts: shared.map(|part| part.id).collect(),
                 placed,
                 until: placed + prompt.terms.remaining.max(REPORT_TIMEOUT),
@@ -85,31 +92,43 @@
 
     /// Returns whether a request with the part is at an engine.
     pub fn include(&self, part: u64) -> bool {
-        self.runs.values().any(|run| run.parts.contains(&part))
+        self.with_part(part).next().is_some()
     }
 
-    /// Returns whether a request with the part is on trial: some are at engines, and none
-    /// of them has been answered for a while.
-    fn tries(&self, now: Time, part: u64) -> bool {
-        let with_part = self.runs.values().filter(|run| run.parts.contains(&part));
-        let mut is_settled = with_part.map(|run| {
+    /// Returns whether a request with the part is on trial: it was placed just now, and
+    /// none that was placed before `lost`, or has been answered for a while, is left.
+    fn tries(&self, now: Time, part: u64, lost: Time) -> bool {
+        let mut tries = false;
+
+        for run in self.with_part(part) {
             let began = run.began;
-            began.is_some_and(|began| now.since(began) >= TRIAL_TIME)
-        });
-        is_settled.next().is_some_and(|first| !first) && !is_settled.any(|settled| settled)
+            let is_settled = began.is_some_and(|began| now.since(began) >= SETTLED_TIME);
+
+            if is_settled || run.placed < lost {
+                return false;
+            }
+
+            tries |= now.since(run.placed) < TRIAL_TIME;
+        }
+
+        tries
     }
 
-    /// Returns the requests that were at an engine's incarnation.
-    fn at<'a>(
-        &'a self,
-        now: Time,
-        endpoint: &'a id::Endpoint,
-        incarnation: u64,
-    ) -> impl Iterator<Item = Lost> + 'a {
-        let runs = self.runs.values().filter(move |run| {
+    fn with_part(&self, part: u64) -> impl Iterator<Item = &Run> {
+        let runs = self.runs.values();
+        runs.filter(move |run| !run.is_lost && run.parts.contains(&part))
+    }
+
+    /// Records that an engine's incarnation was lost, and returns its requests.
+    fn lose(&mut self, now: Time, endpoint: &id::Endpoint, incarnation: u64) -> Vec<Lost> {
+        let runs = self.runs.values_mut().filter(|run| {
             run.endpoint == *endpoint && run.incarnation == incarnation && run.placed <= now
         });
-        runs.map(Run::lost)
+        runs.map(|run| {
+            run.is_lost = true;
+            run.lost()
+        })
+        .collect()
     }
 
     /// Forgets requests whose deadline has passed without a report of their end.
@@ -131,7 +150,10 @@
     /// another request shows now whether it is harmless.
     pub fn part_on_trial(&self, now: Time, prompt: &Prompt) -> Option<u64> {
         let mut parts = quarantine::shared(&prompt.parts).iter().map(|part| part.id);
-        parts.find(|part| self.evidence.is_suspected(*part) && self.runs.tries(now, *part))
+        parts.find(|part| {
+            let lost = self.evidence.suspected_since(*part);
+            lost.is_some_and(|lost| self.runs.tries(now, *part, lost))
+        })
     }
 
     /// Records how a prompt fared, and returns what that shows about its parts.
@@ -192,7 +214,7 @@
         let mut lost = vec![run.lost()];
 
         if !std::mem::replace(&mut engine.lost, true) {
-            lost.extend(self.runs.at(now, &run.endpoint, run.incarnation));
+            lost.extend(self.runs.lose(now, &run.endpoint, run.incarnation));
         }
 
         let harmful =
--- a/src/state/serving/quarantine/evidence.rs
+++ b/src/state/serving/quarantine/evidence.rs
@@ -220,12 +220,14 @@
         }
     }
 
-    /// Returns whether so many engines were lost under requests with the part that one
-    /// request has to show that it is harmless before the others are sent. Engines that
-    /// are lost at the same moment are too little for a quarantine.
-    pub fn is_suspected(&self, part: u64) -> bool {
-        let series = self.suspects.get(&part);
-        series.is_some_and(|series| series.0.len() >= MAX_LOSSES && series.has_different_requests())
+    /// Returns when the last engine was lost under a request with the part, if so many
+    /// were lost that one request has to show that it is harmless before the others are
+    /// sent. Engines that are lost at the same moment are too little for a quarantine.
+    pub fn suspected_since(&self, part: u64) -> Option<Time> {
+        let series = self.suspects.get(&part)?;
+        let is_suspected = series.0.len() >= MAX_LOSSES && series.has_different_requests();
+        let last = series.0.last().filter(|_| is_suspected);
+        last.map(|loss| loss.at)
     }
 
     /// Returns the part that explains the losses best, if there are enough of them.
