Clear the parts of requests that have been answered for a second

Cause: since only full answers clear parts, a part whose answers last longer than the time between two losses of engines was put into quarantine although engines had been answering it for seconds.

Change: a request that has been answered for a second clears its parts like a full answer. After this time its loss does not count against them either.

Result: long_answers_clear_their_parts_before_they_end failed before and passes.

--- a/src/state/serving/balance.rs
+++ b/src/state/serving/balance.rs
@@ -276,7 +276,7 @@
 
     /// Forgets prompts whose report has not arrived in time.
     fn expire(&mut self, now: Time) {
-        self.runs.sweep(now);
+        self.sweep_runs(now);
 
         while let Some((placed, id)) = self.placed.front()
             && now.since(*placed) > REPORT_TIMEOUT
--- a/src/state/serving/balance/runs.rs
+++ b/src/state/serving/balance/runs.rs
@@ -8,7 +8,7 @@
         id,
         serving::{
             piece::JobId,
-            quarantine::{self, Lost, Quarantine, Status},
+            quarantine::{self, HARMLESS_AGE, Lost, Quarantine, Status},
             roster::Entry,
         },
     },
@@ -23,8 +23,9 @@
 /// crash no engine at once.
 const SETTLED_TIME: Duration = Duration::from_millis(150);
 
-/// Interval at which requests are forgotten whose end was not reported.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which requests are found whose end was not reported, or that have been
+/// answered for long.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A request at an engine.
 #[derive(Clone, Debug)]
@@ -131,12 +132,20 @@
         .collect()
     }
 
-    /// Forgets requests whose deadline has passed without a report of their end.
-    pub fn sweep(&mut self, now: Time) {
-        if now.since(self.swept) >= SWEEP_INTERVAL {
-            self.swept = now;
-            self.runs.retain(|_, run| now <= run.until);
+    /// Forgets requests whose deadline has passed without a report of their end, and
+    /// returns the parts of those that have turned out to be harmless since the last call.
+    fn sweep(&mut self, now: Time) -> Vec<u64> {
+        if now.since(self.swept) < SWEEP_INTERVAL {
+            return Vec::new();
         }
+
+        let before = std::mem::replace(&mut self.swept, now);
+        self.runs.retain(|_, run| now <= run.until);
+        let harmless = self.runs.values().filter(|run| {
+            let shown = run.began.map(|began| began + HARMLESS_AGE);
+            !run.is_lost && shown.is_some_and(|shown| before < shown && shown <= now)
+        });
+        harmless.flat_map(|run| &run.parts).copied().collect()
     }
 }
 
@@ -223,6 +232,13 @@
         harmful.map_or(Finding::Nothing, Finding::Harmful)
     }
 
+    /// Forgets requests without a report, and clears the parts of those that engines have
+    /// been answering for long: a harmful part would have crashed them.
+    pub(super) fn sweep_runs(&mut self, now: Time) {
+        let harmless = self.runs.sweep(now);
+        self.evidence.record_answer(&harmless);
+    }
+
     /// Forgets a prompt.
     pub(super) fn abandon(&mut self, now: Time, id: &JobId) {
         self.runs.end(id);
--- a/src/state/serving/quarantine.rs
+++ b/src/state/serving/quarantine.rs
@@ -3,7 +3,7 @@
 
 mod evidence;
 
-pub use evidence::{Evidence, Lost};
+pub use evidence::{Evidence, HARMLESS_AGE, Lost};
 
 use {
     crate::state::clock::Time,
--- a/src/state/serving/quarantine/evidence.rs
+++ b/src/state/serving/quarantine/evidence.rs
@@ -38,7 +38,7 @@
 
 /// Time since the beginning of an answer after which its request is no longer
 /// suspected: a harmful part crashes an engine that begins to answer.
-const HARMLESS_AGE: Duration = Duration::from_secs(1);
+pub const HARMLESS_AGE: Duration = Duration::from_secs(1);
 
 /// Mean time between the beginnings of answers and the losses of their engines up to
 /// which a part is more likely harmful than one that was answered for longer.
--- a/tests/serving/prompt_crashes.rs
+++ b/tests/serving/prompt_crashes.rs
@@ -201,6 +201,22 @@
     }
 }
 
+/// Guards against the refusal of a part whose answers take longer than the time between
+/// two losses of engines, so that none of them is complete.
+#[test]
+fn long_answers_clear_their_parts_before_they_end() {
+    let mut service = Service::new();
+
+    for number in 0..6 {
+        let millis = number * 2000;
+        service.place(millis, 11, 100 + number, &[COMMON]);
+        service.report(millis + 40, 100 + number, Report::Started);
+        service.place(millis + 1500, number as u16, number, &[COMMON]);
+        let finding = service.report(millis + 1540, number, Report::Lost);
+        assert_eq!(finding, Finding::Nothing);
+    }
+}
+
 /// Guards against a part that is released by the first event of its trial although the
 /// engine crashes after it, and against two trials at the same time.
 #[test]
