Ask for one more loss if engines crash in the middle of answers

Change: a part whose answers had been going on for more than 250 ms on average needs a fourth loss, or a fifth if it was answered before.

Result: session_that_loses_its_engines_in_the_middle_of_answers failed before and passes.

--- a/src/state/serving/quarantine/evidence.rs
+++ b/src/state/serving/quarantine/evidence.rs
@@ -16,13 +16,11 @@
     },
 };
 
-/// Number of engines lost in a row, without an answer in between, after which a
-/// part is quarantined.
+/// Number of engines lost in a row, without an answer in between, after which a part is
+/// quarantined. One more is needed if it was answered before, and one more if its answers
+/// had been going on for a while.
 const MAX_LOSSES: usize = 3;
 
-/// Number of engines lost in a row for a part that was answered before.
-const MAX_LOSSES_ANSWERED: usize = MAX_LOSSES + 1;
-
 /// Number of losses without the request that is in most of them. A request that crashes
 /// engines by itself is refused by its fingerprint, and the other requests with its parts
 /// are sound.
@@ -273,16 +271,14 @@
                 )
             });
         let (part, (_, series)) = best?;
-        let is_harmful = on_probation(*part) || series.weight() >= self.max_losses(*part);
+        let is_harmful = on_probation(*part) || series.weight() >= self.max_losses(*part, series);
         is_harmful.then_some(*part)
     }
 
-    fn max_losses(&self, part: u64) -> usize {
-        if self.answered.contains(&part) {
-            MAX_LOSSES_ANSWERED
-        } else {
-            MAX_LOSSES
-        }
+    fn max_losses(&self, part: u64, series: &Series) -> usize {
+        let answered = usize::from(self.answered.contains(&part));
+        let untypical = usize::from(!series.is_typical());
+        MAX_LOSSES + answered + untypical
     }
 
     /// Removes a part's losses from it and from all other parts.
--- a/tests/serving/quarantine.rs
+++ b/tests/serving/quarantine.rs
@@ -197,6 +197,18 @@
         Crash(2000, 2, &[(&[COMMON, SESSION], 600), (&[COMMON, HARMFUL], 5)]),
         Crash(3000, 3, &[(&[COMMON, SESSION], 800), (&[COMMON, HARMFUL], 5)]),
     ] => Some(HARMFUL);
+    /// Guards against the refusal of a rare session that loses three engines by chance, each
+    /// in the middle of an answer.
+    session_that_loses_its_engines_in_the_middle_of_answers: [
+        Crash(1000, 1, &[(&[SESSION], 300)]), Crash(7000, 2, &[(&[SESSION], 545)]),
+        Crash(20_000, 3, &[(&[SESSION], 320)]),
+    ] => None;
+    /// Guards against a part that crashes engines some time after the beginning of an
+    /// answer and is never recognised.
+    part_that_crashes_engines_in_the_middle_of_answers: [
+        Crash(1000, 1, &[(&[HARMFUL], 400)]), Crash(2000, 2, &[(&[HARMFUL], 400)]),
+        Crash(3000, 3, &[(&[HARMFUL], 400)]), Crash(4000, 4, &[(&[HARMFUL], 400)]),
+    ] => Some(HARMFUL);
     /// Guards against the refusal of a part because engines are lost while they have
     /// been answering requests with it for a while.
     part_of_long_answers: [
