Split the search for the harmful part into its steps

Cause: one function of fifty lines collected the candidates, compared them and judged the best one, and a comment said the opposite of its condition.

Change: candidates, narrowest and judgement are functions of their own. No behaviour changes.

--- a/src/state/serving/balance/runs.rs
+++ b/src/state/serving/balance/runs.rs
@@ -96,10 +96,11 @@
         self.with_part(part).next().is_some()
     }
 
-    /// Returns whether a request with the part is on trial: it was placed just now, and
-    /// none that was placed before `lost`, or has been answered for a while, is left.
-    fn tries(&self, now: Time, part: u64, lost: Time) -> bool {
-        let mut tries = false;
+    /// Returns whether a request with the part shows now if it is harmless: one was placed
+    /// just now, and none is left that was placed before the last loss at `lost` or has
+    /// been answered for a while.
+    fn is_tried(&self, now: Time, part: u64, lost: Time) -> bool {
+        let mut is_tried = false;
 
         for run in self.with_part(part) {
             let began = run.began;
@@ -109,10 +110,10 @@
                 return false;
             }
 
-            tries |= now.since(run.placed) < TRIAL_TIME;
+            is_tried |= now.since(run.placed) < TRIAL_TIME;
         }
 
-        tries
+        is_tried
     }
 
     fn with_part(&self, part: u64) -> impl Iterator<Item = &Run> {
@@ -161,7 +162,7 @@
         let mut parts = quarantine::shared(&prompt.parts).iter().map(|part| part.id);
         parts.find(|part| {
             let lost = self.evidence.suspected_since(*part);
-            lost.is_some_and(|lost| self.runs.tries(now, *part, lost))
+            lost.is_some_and(|lost| self.runs.is_tried(now, *part, lost))
         })
     }
 
--- a/src/state/serving/quarantine/evidence.rs
+++ b/src/state/serving/quarantine/evidence.rs
@@ -163,6 +163,15 @@
     }
 }
 
+/// A part that may be harmful.
+struct Candidate<'a> {
+    on_probation: bool,
+    part: u64,
+    /// The last position of the part in the prompts of the lost requests.
+    position: usize,
+    series: &'a Series,
+}
+
 /// The losses of engines by the parts of the requests that they had not answered.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -230,54 +239,71 @@
 
     /// Returns the part that explains the losses best, if there are enough of them.
     fn harmful(&self, now: Time, requests: &[&Lost], quarantine: &Quarantine) -> Option<u64> {
-        let on_probation = |part: u64| quarantine.status(now, part) == Status::Probation;
-        let mut candidates = HashMap::<u64, (usize, &Series)>::new();
+        let candidates = self.candidates(now, requests, quarantine);
+        let narrowest = candidates.iter().filter(|candidate| {
+            candidate.on_probation || self.is_narrowest(candidate, &candidates)
+        });
+        // Of parts that always occur together, one that was never answered is more
+        // likely than one that was, and the last one is rarest.
+        let best = narrowest.max_by_key(|candidate| {
+            (
+                candidate.on_probation,
+                candidate.series.is_typical(),
+                !self.answered.contains(&candidate.part),
+                candidate.position,
+                Reverse(candidate.series.mean_age()),
+            )
+        })?;
+        let is_harmful = best.on_probation || best.series.weight() >= self.max_losses(best);
+        is_harmful.then_some(best.part)
+    }
+
+    /// Returns the parts of the requests that may be harmful.
+    fn candidates(
+        &self,
+        now: Time,
+        requests: &[&Lost],
+        quarantine: &Quarantine,
+    ) -> Vec<Candidate<'_>> {
+        let mut positions = HashMap::<u64, usize>::new();
 
         for request in requests {
             for (position, part) in request.parts.iter().enumerate() {
-                let series = self.suspects.get(part);
-                let series = series.filter(|series| {
-                    on_probation(*part)
-                        || (series.weight() >= MAX_LOSSES && series.has_different_requests())
-                });
-
-                if let Some(series) = series {
-                    let last = candidates.entry(*part).or_insert((position, series));
-                    last.0 = last.0.max(position);
-                }
+                let last = positions.entry(*part).or_insert(position);
+                *last = position.max(*last);
             }
         }
 
-        // A part explains losses better than another one that more of the lost requests
-        // have, unless only the other one was never answered.
-        let is_narrowest = |part: &u64, series: &Series| {
-            !candidates.iter().any(|(other, (_, narrower))| {
-                series.exceeds(narrower)
-                    && (self.answered.contains(part) || !self.answered.contains(other))
+        let candidates = positions.into_iter().filter_map(|(part, position)| {
+            Some(Candidate {
+                on_probation: quarantine.status(now, part) == Status::Probation,
+                part,
+                position,
+                series: self.suspects.get(&part)?,
             })
-        };
-        // Of parts that always occur together, one that was never answered is more
-        // likely than one that was, and the last one is rarest.
-        let best = candidates
-            .iter()
-            .filter(|(part, (_, series))| on_probation(**part) || is_narrowest(part, series))
-            .max_by_key(|(part, (position, series))| {
-                (
-                    on_probation(**part),
-                    series.is_typical(),
-                    !self.answered.contains(*part),
-                    *position,
-                    Reverse(series.mean_age()),
-                )
-            });
-        let (part, (_, series)) = best?;
-        let is_harmful = on_probation(*part) || series.weight() >= self.max_losses(*part, series);
-        is_harmful.then_some(*part)
+        });
+        candidates
+            .filter(|candidate| {
+                let series = candidate.series;
+                let is_long = series.weight() >= MAX_LOSSES && series.has_different_requests();
+                candidate.on_probation || is_long
+            })
+            .collect()
+    }
+
+    /// Returns whether no other candidate explains the losses with fewer of the lost
+    /// requests. One that was answered before does not take the place of one that was not.
+    fn is_narrowest(&self, candidate: &Candidate, candidates: &[Candidate]) -> bool {
+        let answered = |candidate: &Candidate| self.answered.contains(&candidate.part);
+        let mut others = candidates.iter();
+        !others.any(|other| {
+            candidate.series.exceeds(other.series) && (answered(candidate) || !answered(other))
+        })
     }
 
-    fn max_losses(&self, part: u64, series: &Series) -> usize {
-        let answered = usize::from(self.answered.contains(&part));
-        let untypical = usize::from(!series.is_typical());
+    fn max_losses(&self, candidate: &Candidate) -> usize {
+        let answered = usize::from(self.answered.contains(&candidate.part));
+        let untypical = usize::from(!candidate.series.is_typical());
         MAX_LOSSES + answered + untypical
     }
 
