--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -31,6 +31,7 @@
 mod placement;
 mod pressure;
 mod prompt_crashes;
+mod prompt_crashes_fuzz;
 mod quarantine;
 mod readers;
 mod rendezvous;
