Share the engines and prompts of the tests about crashes

Change: prompt_crashes and prompt_crashes_fuzz use the same engines and prompts. No test changes its checks.

--- a/tests/serving/main.rs
+++ b/tests/serving/main.rs
@@ -32,6 +32,7 @@
 mod pressure;
 mod prompt_crashes;
 mod prompt_crashes_fuzz;
+mod prompts;
 mod quarantine;
 mod readers;
 mod rendezvous;
--- a/tests/serving/prompt_crashes.rs
+++ b/tests/serving/prompt_crashes.rs
@@ -1,22 +1,23 @@
 //! What the balancing host learns from the reports about requests whose engines crash.
 
 use {
+    crate::prompts::{engines, id, prompt},
     persimmoncleat::state::{
         clock::Time,
-        id,
         serving::{
-            balance::{Balancer, Finding, Part, Prompt, Report, Terms},
-            cold::Cold,
-            piece::JobId,
+            balance::{Balancer, Finding, Report},
             quarantine::Quarantine,
             roster::Entry,
         },
     },
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
 };
 
 const ENGINES: u16 = 12;
 
+/// Length of each part of a prompt.
+const TOKENS: u32 = 100;
+
 /// The part that crashes engines, and a part that all requests share.
 const HARMFUL: u64 = 1;
 const COMMON: u64 = 2;
@@ -34,17 +35,7 @@
 
 impl Service {
     fn new() -> Self {
-        let entries = (0..ENGINES).map(|number| Entry {
-            address: ([127, 0, 0, 1], 1000 + number).into(),
-            cold: Cold::default(),
-            domain: "a".into(),
-            endpoint: format!("e{number}").into(),
-            incarnation: 1,
-            leaving: false,
-            service: "s".into(),
-            slots: 64,
-        });
-        let entries = entries.map(Arc::new).collect::<Vec<Arc<Entry>>>();
+        let entries = engines(ENGINES);
         let mut balancer = Balancer::default();
         balancer.update(entries.iter(), 300_000);
         Self {
@@ -56,24 +47,20 @@
 
     /// Places a request with these parts and one of its own at an engine.
     fn place(&mut self, millis: u64, engine: u16, number: u64, parts: &[u64]) {
-        let prompt = prompt(number, parts);
+        let prompt = prompt(number, parts, TOKENS);
         let entries = self.entries[usize::from(engine)..].iter().take(1);
         let placed = self.balancer.place(at(millis), entries, &prompt);
         assert!(placed.is_some());
     }
 
     fn report(&mut self, millis: u64, number: u64, report: Report) -> Finding {
-        let id = JobId {
-            home: "h".into(),
-            number,
-        };
         self.balancer
-            .report(at(millis), &id, report, &self.quarantine)
+            .report(at(millis), &id(number), report, &self.quarantine)
     }
 
     /// Returns the part for which a request has to wait.
     fn part_on_trial(&self, millis: u64, parts: &[u64]) -> Option<u64> {
-        let prompt = prompt(1_000_000, parts);
+        let prompt = prompt(1_000_000, parts, TOKENS);
         self.balancer.part_on_trial(at(millis), &prompt)
     }
 
@@ -94,32 +81,6 @@
     }
 }
 
-fn prompt(number: u64, parts: &[u64]) -> Prompt {
-    let own = 1000 + number;
-    let parts = parts.iter().copied().chain([own]);
-    Prompt {
-        domain: None,
-        exclude: Vec::<id::Endpoint>::new(),
-        fingerprint: number,
-        id: JobId {
-            home: "h".into(),
-            number,
-        },
-        parts: parts
-            .map(|id| Part {
-                id,
-                prefix: id,
-                tokens: 100,
-            })
-            .collect(),
-        service: "s".into(),
-        terms: Terms {
-            remaining: Duration::from_secs(8),
-            ..Terms::default()
-        },
-    }
-}
-
 /// How a request with the harmful part fares at its engine, up to the end.
 type Fate = &'static [Report];
 
--- a/tests/serving/prompt_crashes_fuzz.rs
+++ b/tests/serving/prompt_crashes_fuzz.rs
@@ -2,12 +2,11 @@
 //! and checks that this part is found in time and no other one is blamed.
 
 use {
+    crate::prompts::{engines, id, prompt},
     persimmoncleat::state::{
         clock::Time,
         serving::{
-            balance::{Balancer, Finding, Part, Prompt, Report, Terms},
-            cold::Cold,
-            piece::JobId,
+            balance::{Balancer, Finding, Report},
             quarantine::Quarantine,
             roster::Entry,
         },
@@ -16,14 +15,13 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
-        time::Duration,
     },
 };
 
 /// Number of fleets, unless `PERSIMMON_FUZZ_CASES` has another one.
 const CASES: u64 = 300;
 
-const ENGINES: u64 = 12;
+const ENGINES: u16 = 12;
 
 /// Number of sessions, each with a part of its own.
 const SESSIONS: u64 = 20;
@@ -136,21 +134,11 @@
     fn new(seed: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let traits = Traits::draw(&mut random);
-        let entries = (0..ENGINES).map(|number| Entry {
-            address: ([127, 0, 0, 1], 1000).into(),
-            cold: Cold::default(),
-            domain: "a".into(),
-            endpoint: format!("e{number}").into(),
-            incarnation: 1,
-            leaving: false,
-            service: "s".into(),
-            slots: 64,
-        });
         let mut fleet = Self {
             balancer: Balancer::default(),
             crashes: Vec::new(),
             down: BTreeSet::new(),
-            entries: entries.map(Arc::new).collect(),
+            entries: engines(ENGINES),
             events: BTreeSet::new(),
             found: Vec::new(),
             now: 0,
@@ -192,7 +180,7 @@
 
         for number in 1..5 {
             if self.traits.random_crashes {
-                let engine = self.random.random_range(0..ENGINES);
+                let engine = u64::from(self.random.random_range(0..ENGINES));
                 self.at(number * 7000, Event::Crashes(engine, 1, Cause::Other));
             }
         }
@@ -357,36 +345,6 @@
     }
 }
 
-fn id(number: u64) -> JobId {
-    JobId {
-        home: "h".into(),
-        number,
-    }
-}
-
-fn prompt(number: u64, parts: &[u64], tokens: u32) -> Prompt {
-    let own = 1_000_000 + number;
-    let parts = parts.iter().copied().chain([own]);
-    let mut prefix = 0;
-    Prompt {
-        domain: None,
-        exclude: Vec::new(),
-        fingerprint: number,
-        id: id(number),
-        parts: parts
-            .map(|id| {
-                prefix = prefix * 31 + id;
-                Part { id, prefix, tokens }
-            })
-            .collect(),
-        service: "s".into(),
-        terms: Terms {
-            remaining: Duration::from_secs(8),
-            ..Terms::default()
-        },
-    }
-}
-
 /// Guards against a harmful part that is found too late, or not at all, and against sound
 /// ones that are blamed for its crashes.
 #[test]
